--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Measurements of masticlock.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decisions of the masticlock router as pure state machines.
+//!
+//! Every module takes a state, an event and the current [`time::Time`] and
+//! returns the next state and the actions to carry out. Nothing in this crate
+//! opens a socket, reads a clock or draws an unseeded random number, so a test
+//! can place any fault at any step.
+//!
+//! ```
+//! use masticlock_core::{error, name};
+//!
+//! let version = name::Version::try_from("advisor-7b@3").unwrap();
+//! assert_eq!(version.as_str(), "advisor-7b@3");
+//! assert!(error::Kind::Overloaded.answer().ran.is_not_run());
+//! ```
+
+#[macro_use]
+mod plain;
+
+pub mod claim;
+pub mod command;
+pub mod config;
+pub mod error;
+pub mod inventory;
+pub mod ledger;
+pub mod name;
+pub mod policy;
+pub mod request;
+pub mod session;
+pub mod settings;
+pub mod slot;
+pub mod time;
--- /dev/null
+++ b/crates/node/src/bin/masticlock.rs
@@ -0,0 +1,3 @@
+//! Starts the process.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,6 @@
+//! Processes and command line of the router.
+//!
+//! The decisions are in [`masticlock_core`]; this crate does their input and
+//! output.
+
+pub mod port;
