Add the bench program with its report of targets

Cause: every measurement prints seed, target, bound and figure in one way. Conclusion: the other subjects add a subcommand each.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,26 @@
-//! Measurements of masticlock.
+//! Measurements of masticlock, one subcommand per subject.
+//!
+//! Each run prints its seed and, for every target, bound and figure. It exits
+//! with 1 when a target is missed.
 
-fn main() {}
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+mod report;
+mod table;
+
+/// Measures masticlock.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Subject {
+    /// Prints the table from error kind to answer.
+    #[bpaf(command)]
+    Errors,
+}
+
+fn main() -> ExitCode {
+    match subject().run() {
+        Subject::Errors => table::run(),
+    }
+}
