Publish the interface of the replicated log

The control plane compiles against events, actions, messages and records before the replica behind them is complete.

--- /dev/null
+++ b/crates/core/src/consensus.rs
@@ -0,0 +1,47 @@
+//! The replicated log: Raft with pre-vote, check-quorum and a leader lease.
+//!
+//! [`Replica::step`] takes an event and the time and returns the actions that
+//! the process carries out, in order. The method is the one of Ongaro and
+//! Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014),
+//! with the single-server membership changes of Ongaro's dissertation
+//! (section 4.1) and the lease of its section 6.4.1.
+
+mod event;
+mod fault;
+mod members;
+mod message;
+mod payload;
+mod replica;
+
+pub use self::{
+    event::{Action, Event, Refusal, Role, Settings, Status},
+    fault::Fault,
+    members::{Identity, Member, Members},
+    message::{Body, Content, Entry, Image, Message, Record, Snapshot, Vote},
+    payload::Payload,
+    replica::Replica,
+};
+
+use crate::time::Span;
+
+/// Interval between a leader's heartbeats.
+pub const HEARTBEAT: Span = Span::from_millis(400);
+
+/// Longest time between two ticks that a process may leave.
+pub const TICK: Span = Span::from_millis(50);
+
+/// Length of the leader lease, counted from the send time of the heartbeats that a majority
+/// answered.
+pub const LEASE: Span = Span::from_millis(1_000);
+
+/// Largest difference in rate between two replicas' clocks, in percent.
+pub const CLOCK_DRIFT_PERCENT: u64 = 5;
+
+/// Shortest time without a leader after which a replica votes for another one.
+///
+/// Longer than [`LEASE`] by the clock drift bound and one millisecond for each rounded clock.
+pub const ELECTION_MIN: Span =
+    Span::from_millis(LEASE.as_millis() * (100 + CLOCK_DRIFT_PERCENT) / 100 + 2);
+
+/// Longest time without a leader after which a replica stands for election.
+pub const ELECTION_MAX: Span = Span::from_millis(1_600);
