--- a/crates/core/src/consensus.rs
+++ b/crates/core/src/consensus.rs
@@ -6,15 +6,22 @@
 //! with the single-server membership changes of Ongaro's dissertation
 //! (section 4.1) and the lease of its section 6.4.1.
 
+mod append;
+mod election;
 mod event;
 mod fault;
+mod journal;
+mod lead;
+mod leader;
+mod log;
 mod members;
 mod message;
 mod payload;
 mod replica;
+mod transfer;
 
 pub use self::{
-    event::{Action, Event, Refusal, Role, Settings, Status},
+    event::{Action, Event, Limits, Refusal, Role, Settings, Status},
     fault::Fault,
     members::{Identity, Member, Members},
     message::{Body, Content, Entry, Image, Message, Record, Snapshot, Vote},
--- a/crates/core/src/consensus/event.rs
+++ b/crates/core/src/consensus/event.rs
@@ -6,10 +6,40 @@
 pub struct Settings {
     /// Seed of the election timeouts; differs between replicas.
     pub seed: u64,
+    /// Sizes of messages and of what stays in memory.
+    pub limits: Limits,
     /// A deliberate fault; only tests set one.
     pub fault: Option<Fault>,
 }
 
+/// Sizes of messages and of what stays in memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Most entries of a leader's log that wait for the majority.
+    pub uncommitted: u64,
+    /// Most entries in one message.
+    pub batch_entries: usize,
+    /// Approximate bytes of the entries in one message.
+    pub batch_bytes: usize,
+    /// Most bytes of a snapshot in one message.
+    pub chunk_bytes: usize,
+    /// Entries that stay in memory behind a snapshot, for followers that are a little behind.
+    pub trailing: u64,
+}
+
+impl Default for Limits {
+    /// A batch and a chunk fit an RPC request of 10 MB even when every byte is escaped.
+    fn default() -> Self {
+        Self {
+            uncommitted: 8_192,
+            batch_entries: 1_024,
+            batch_bytes: 256 * 1_024,
+            chunk_bytes: 256 * 1_024,
+            trailing: 1_000,
+        }
+    }
+}
+
 plain! {
     /// An input of a replica.
     #[derive(Eq)]
--- a/crates/core/src/consensus/members.rs
+++ b/crates/core/src/consensus/members.rs
@@ -55,3 +55,97 @@
         pub removed: Vec<Identity>,
     }
 }
+
+impl Members {
+    /// Returns whether the replica counts toward the majority.
+    #[must_use]
+    pub fn is_voter(&self, id: Identity) -> bool {
+        find(&self.voters, id).is_ok()
+    }
+
+    /// Returns whether the replica receives the log without counting.
+    #[must_use]
+    pub fn is_learner(&self, id: Identity) -> bool {
+        find(&self.learners, id).is_ok()
+    }
+
+    /// Returns whether the replica was removed.
+    #[must_use]
+    pub fn is_removed(&self, id: Identity) -> bool {
+        self.removed.binary_search(&id).is_ok()
+    }
+
+    /// Returns the voter or learner.
+    #[must_use]
+    pub fn member(&self, id: Identity) -> Option<&Member> {
+        let voter = find(&self.voters, id).ok().map(|at| &self.voters[at]);
+        voter.or_else(|| find(&self.learners, id).ok().map(|at| &self.learners[at]))
+    }
+
+    /// Returns the number of voters that is a majority.
+    #[must_use]
+    pub const fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns the replica set with another learner.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the replica can't be added.
+    pub fn with_learner(&self, member: Member) -> Result<Self, String> {
+        if self.is_removed(member.id) {
+            return Err(format!("identity {} was removed for good", member.id));
+        }
+        if self.member(member.id).is_some() {
+            return Err(format!("identity {} is already a replica", member.id));
+        }
+        let mut next = self.clone();
+        insert(&mut next.learners, member);
+        Ok(next)
+    }
+
+    /// Returns the replica set with the learner as a voter.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the replica can't be promoted.
+    pub fn with_promoted(&self, id: Identity) -> Result<Self, String> {
+        let at = find(&self.learners, id).map_err(|_| format!("identity {id} is not a learner"))?;
+        let mut next = self.clone();
+        let member = next.learners.remove(at);
+        insert(&mut next.voters, member);
+        Ok(next)
+    }
+
+    /// Returns the replica set without the replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the replica can't be removed.
+    pub fn without(&self, id: Identity) -> Result<Self, String> {
+        let mut next = self.clone();
+        next.voters.retain(|m| m.id != id);
+        next.learners.retain(|m| m.id != id);
+        if next == *self {
+            return Err(format!("identity {id} is not a replica"));
+        }
+        if next.voters.is_empty() {
+            return Err("the last voter can't be removed".to_owned());
+        }
+        if let Err(at) = next.removed.binary_search(&id) {
+            next.removed.insert(at, id);
+        }
+        Ok(next)
+    }
+}
+
+fn find(list: &[Member], id: Identity) -> Result<usize, usize> {
+    list.binary_search_by_key(&id, |m| m.id)
+}
+
+fn insert(list: &mut Vec<Member>, member: Member) {
+    if let Err(at) = find(list, member.id) {
+        list.insert(at, member);
+    }
+}
