Add storage of the log and the data folder on the file system

Frames carry length, CRC32 and number; one frame and one sync hold all records of a write. A mark after each synced frame tells later damage from a torn write.

--- a/crates/core/src/storage.rs
+++ b/crates/core/src/storage.rs
@@ -1,10 +1,59 @@
 //! Records of the replicated log in one data folder.
 //!
-//! A record counts only once it is synced. After the first error the store
-//! takes no more records, because a failed sync may have lost earlier ones.
+//! The folder holds an identity file, the latest snapshot and numbered log segments. A segment is a
+//! sequence of frames, one for each write, with length, CRC32 and number. A record counts only once
+//! it is synced. After the first error the folder takes no more records, because a failed sync may
+//! have lost any of the writes before it.
+
+mod folder;
+mod frame;
+mod load;
+mod recovery;
+mod terms;
+
+pub use self::{
+    folder::Folder,
+    recovery::{Recovery, recover},
+};
 
 use std::io;
 
+use crate::consensus::Identity;
+
+/// Size from which a segment is full.
+pub const SEGMENT_BYTES: u64 = 4 * 1_024 * 1_024;
+
+/// Why a data folder can't be used any more.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file operation failed.
+    #[error("can't {operation} {file} in the data folder: {source}")]
+    Disk {
+        /// The operation.
+        operation: &'static str,
+        /// The file.
+        file: String,
+        /// The file system's error.
+        source: io::Error,
+    },
+    /// A file has content that no crash explains.
+    #[error("{file} in the data folder is damaged at byte {offset}: {problem}")]
+    Damaged {
+        /// The file.
+        file: String,
+        /// Where the damaged part starts.
+        offset: usize,
+        /// What was found.
+        problem: String,
+    },
+    /// The folder belongs to a replica already.
+    #[error("the data folder already belongs to replica {0}")]
+    Occupied(Identity),
+    /// An earlier write failed, so nothing after it may count.
+    #[error("the data folder takes no more records after an earlier error")]
+    Stopped,
+}
+
 /// File operations of one flat data folder.
 ///
 /// File names have no path separators. A file that was created or renamed survives a crash only
--- /dev/null
+++ b/crates/core/src/storage/frame.rs
@@ -0,0 +1,62 @@
+use super::Error;
+
+/// Bytes before a frame's body: length and CRC32 with 4 bytes each, and number with 8 bytes, all
+/// little-endian. The CRC32 covers the number and the body.
+pub const HEADER_BYTES: usize = 16;
+
+/// Largest distance between the number of a missing frame and that of a later one.
+const MAX_AHEAD: u64 = 1 << 20;
+
+/// A frame that was read. A frame without a body marks that the frame of its number is synced.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Frame<'a> {
+    pub number: u64,
+    pub body: &'a [u8],
+}
+
+/// Returns the frame as bytes.
+pub fn encode(number: u64, body: &[u8]) -> Result<Vec<u8>, Error> {
+    let length = u32::try_from(body.len()).map_err(|_| Error::Damaged {
+        file: String::new(),
+        offset: 0,
+        problem: format!("a record of {} bytes is too long", body.len()),
+    })?;
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes.extend_from_slice(&checksum(number, body).to_le_bytes());
+    bytes.extend_from_slice(&number.to_le_bytes());
+    bytes.extend_from_slice(body);
+    Ok(bytes)
+}
+
+/// Returns the frame at the start of `bytes` and its length, or `None` if it is not whole.
+pub fn decode(bytes: &[u8]) -> Option<(Frame<'_>, usize)> {
+    let (length, rest) = bytes.split_first_chunk::<4>()?;
+    let (crc, rest) = rest.split_first_chunk::<4>()?;
+    let (number, rest) = rest.split_first_chunk::<8>()?;
+    let length = usize::try_from(u32::from_le_bytes(*length)).ok()?;
+    let body = rest.get(..length)?;
+    let number = u64::from_le_bytes(*number);
+    let whole = checksum(number, body) == u32::from_le_bytes(*crc);
+    whole.then_some((Frame { number, body }, HEADER_BYTES + length))
+}
+
+/// Returns whether `bytes` has a whole frame with `number` or one of the next numbers anywhere.
+///
+/// Writes are synced one after the other, so such a frame shows that what comes before it had been
+/// synced and was damaged later.
+pub fn has_later(bytes: &[u8], number: u64) -> bool {
+    (0..bytes.len().saturating_sub(HEADER_BYTES - 1)).any(|at| {
+        let tail = &bytes[at..];
+        let found = tail[8..].first_chunk::<8>().map(|n| u64::from_le_bytes(*n));
+        found.is_some_and(|n| (number..number.saturating_add(MAX_AHEAD)).contains(&n))
+            && decode(tail).is_some()
+    })
+}
+
+fn checksum(number: u64, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&number.to_le_bytes());
+    hasher.update(body);
+    hasher.finalize()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,4 +3,5 @@
 //! The decisions are in [`masticlock_core`]; this crate does their input and
 //! output.
 
+pub mod disk;
 pub mod port;
