--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -43,7 +43,10 @@
         Some(answered + LEASE)
     }
 
-    pub(super) fn may_act(&self, now: Time) -> bool {
+    /// Returns whether the replica may answer reads and send orders: it leads, has committed an
+    /// entry of its term and holds the lease.
+    #[must_use]
+    pub fn may_act(&self, now: Time) -> bool {
         let elected = matches!(&self.state, State::Leader(lead) if lead.elected);
         elected && self.lease(now).is_some_and(|end| now < end)
     }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -3,8 +3,8 @@
 
 use super::{
     Action, Body, Content, ELECTION_MAX, ELECTION_MIN, Entry, Event, Fault, Identity, Image,
-    Limits, Message, Record, Refusal, Role, Settings, Status, Vote, journal::Journal, lead::Lead,
-    log::Log, transfer::Incoming,
+    Limits, Members, Message, Record, Refusal, Role, Settings, Status, Vote, journal::Journal,
+    lead::Lead, log::Log, transfer::Incoming,
 };
 use crate::time::{Span, Time};
 
@@ -97,18 +97,36 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the current term.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        self.vote.term
+    }
+
+    /// Returns what the replica does in its term.
+    #[must_use]
+    pub const fn role(&self) -> Role {
+        match self.state {
+            State::Follower => Role::Follower,
+            State::PreCandidate(_) => Role::PreCandidate,
+            State::Candidate(_) => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// Returns the replica set of the latest entry that has one, committed or not.
+    #[must_use]
+    pub const fn members(&self) -> &Members {
+        self.log.members()
+    }
+
     /// Returns the state for status pages.
     #[must_use]
     pub fn status(&self, now: Time) -> Status {
         let members = self.log.members();
         Status {
             id: self.id,
-            role: match self.state {
-                State::Follower => Role::Follower,
-                State::PreCandidate(_) => Role::PreCandidate,
-                State::Candidate(_) => Role::Candidate,
-                State::Leader(_) => Role::Leader,
-            },
+            role: self.role(),
             term: self.vote.term,
             leader: self.leader,
             commit: self.commit,
--- a/crates/core/src/storage.rs
+++ b/crates/core/src/storage.rs
@@ -16,7 +16,7 @@
     recovery::{Recovery, recover},
 };
 
-use std::io;
+use std::{fmt, io};
 
 use crate::consensus::Identity;
 
@@ -58,7 +58,7 @@
 ///
 /// File names have no path separators. A file that was created or renamed survives a crash only
 /// after [`Disk::sync_folder`], and its content only after [`Disk::sync`].
-pub trait Disk: std::fmt::Debug {
+pub trait Disk: fmt::Debug + Send {
     /// Creates an empty file, or empties an existing one.
     ///
     /// # Errors
--- a/crates/core/src/storage/load.rs
+++ b/crates/core/src/storage/load.rs
@@ -14,6 +14,8 @@
     vote: Vote,
     terms: Terms,
     entries: Vec<Entry>,
+    /// Index of the latest snapshot that the lines name.
+    snapshot_index: u64,
     /// Number of the next frame, if one was read.
     number: Option<u64>,
     /// Whether the last frame has its mark, or there is none.
@@ -199,10 +201,12 @@
         match line {
             Line::Head {
                 vote,
+                base,
                 last_index,
                 last_term,
                 ..
             } if is_first => {
+                self.snapshot_index = base;
                 self.terms.reset(last_index, last_term);
                 self.vote = vote;
             }
@@ -231,14 +235,23 @@
         Ok(())
     }
 
+    /// Adds an entry.
+    ///
+    /// The oldest segment may replace entries of segments that are gone. They are below the
+    /// snapshot then, so only the term of the last one matters.
     fn entry(&mut self, entry: Entry) -> Result<(), String> {
+        if let Some(segment) = self.segments.last_mut() {
+            segment.high = segment.high.max(entry.index);
+        }
+        if (self.snapshot_index + 1..=self.terms.base()).contains(&entry.index) {
+            self.terms.reset(entry.index, entry.term);
+            self.entries.clear();
+            return Ok(());
+        }
         let at = self
             .terms
             .append(entry.index, entry.term)
             .ok_or_else(|| format!("entry {} leaves a gap", entry.index))?;
-        if let Some(segment) = self.segments.last_mut() {
-            segment.high = segment.high.max(entry.index);
-        }
         self.entries.truncate(at);
         self.entries.push(entry);
         Ok(())
@@ -246,6 +259,7 @@
 
     /// Takes a snapshot into account: keeps the entries after it if the log has its last entry.
     fn align(&mut self, index: u64, term: u64) {
+        self.snapshot_index = index;
         match self.terms.cut(index, term) {
             Some(covered) => drop(self.entries.drain(..covered)),
             None => self.reset(index, term),
@@ -253,6 +267,7 @@
     }
 
     fn reset(&mut self, index: u64, term: u64) {
+        self.snapshot_index = index;
         self.terms.reset(index, term);
         self.entries.clear();
         self.segments.iter_mut().for_each(|s| s.high = 0);
--- /dev/null
+++ b/crates/core/tests/consensus/chaos.rs
@@ -0,0 +1,246 @@
+//! Seeded schedules of faults, and the operator who repairs the replica set.
+
+use masticlock_core::consensus::{Event, Fault, Identity};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    check::Violation,
+    disk::Failure,
+    world::{Odds, World, member},
+};
+
+/// Virtual time of the faults in a schedule, in milliseconds.
+const LENGTH: u64 = 12_000;
+
+/// Virtual time after the faults in which the replicas must commit again.
+const CALM: u64 = 12_000;
+
+/// Weights of the faults of a schedule.
+#[derive(Debug)]
+struct Weights {
+    crash: u32,
+    wipe: u32,
+    partition: u32,
+    disk: u32,
+    operator: u32,
+    /// Whether the operator removes a lost replica before adding its successor.
+    removes_first: bool,
+}
+
+/// Runs the schedule of a seed.
+pub fn schedule(seed: u64, fault: Option<Fault>) -> Result<(), Violation> {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let odds = Odds {
+        loss: [0.0, 0.02, 0.2][random.random_range(0..3)],
+        repeat: [0.0, 0.1][random.random_range(0..2)],
+        delay: [3, 30, 300][random.random_range(0..3)],
+        sync: [0, 10, 300][random.random_range(0..3)],
+        snapshot_every: [3, 10, 1_000][random.random_range(0..3)],
+    };
+    let weights = Weights {
+        crash: random.random_range(0..8),
+        wipe: random.random_range(0..3),
+        partition: random.random_range(0..10),
+        disk: random.random_range(0..3),
+        operator: random.random_range(5..40),
+        removes_first: random.random(),
+    };
+    let voters = [3, 3, 5][random.random_range(0..3)];
+    let spare = random.random_range(0..=1);
+    let mut world = World::new(seed, voters, spare, odds, fault);
+    let start = random.random_range(500..2_500);
+    world.run(start)?;
+    while world.now < LENGTH {
+        disturb(&mut world, &weights)?;
+        let pause = world.random.random_range(1..=60);
+        world.run(pause)?;
+    }
+    settle(&mut world)
+}
+
+fn disturb(world: &mut World, weights: &Weights) -> Result<(), Violation> {
+    let node = pick(world);
+    let kinds = [
+        50,
+        20,
+        weights.operator,
+        weights.crash,
+        weights.wipe,
+        weights.partition,
+        weights.partition,
+        weights.disk,
+    ];
+    match draw(world, &kinds) {
+        0 => world.propose(node),
+        1 => {
+            let ticket = world.ticket();
+            world.step(node, Event::Read { ticket })
+        }
+        2 => operate(world, weights.removes_first),
+        3 => {
+            world.crash(node);
+            restart(world, node);
+            Ok(())
+        }
+        4 => {
+            if can_lose(world, node) {
+                world.wipe(node);
+                restart(world, node);
+            }
+            Ok(())
+        }
+        5 => {
+            partition(world, node);
+            Ok(())
+        }
+        6 => {
+            world.blocked.clear();
+            Ok(())
+        }
+        _ => {
+            let failure = [Failure::Sync, Failure::Full][world.random.random_range(0..2)];
+            let operations = world.random.random_range(0..4);
+            world.nodes[node].disk.fail_after(operations, failure);
+            Ok(())
+        }
+    }
+}
+
+fn draw(world: &mut World, kinds: &[u32]) -> usize {
+    let mut left = world.random.random_range(0..kinds.iter().sum::<u32>());
+    for (kind, &weight) in kinds.iter().enumerate() {
+        if left < weight {
+            return kind;
+        }
+        left -= weight;
+    }
+    0
+}
+
+/// Picks a node that acts in half of the cases, and any node otherwise.
+fn pick(world: &mut World) -> usize {
+    let any = world.random.random_range(0..world.nodes.len());
+    let acting = world.leader();
+    if world.random.random() {
+        acting.unwrap_or(any)
+    } else {
+        any
+    }
+}
+
+fn restart(world: &mut World, node: usize) {
+    let pause = [50, 1_000, 4_000][world.random.random_range(0..3)];
+    world.start_in(pause, node);
+}
+
+/// Blocks one or both directions between a node and one or all others.
+fn partition(world: &mut World, node: usize) {
+    let (inbound, outbound) =
+        [(true, true), (true, false), (false, true)][world.random.random_range(0..3)];
+    let one = world.random.random_range(0..world.nodes.len());
+    let is_single: bool = world.random.random();
+    for other in 0..world.nodes.len() {
+        if other == node || is_single && other != one {
+            continue;
+        }
+        if inbound {
+            world.blocked.push((other, node));
+        }
+        if outbound {
+            world.blocked.push((node, other));
+        }
+    }
+}
+
+/// Returns whether every replica set that a replica knows keeps a majority without the node.
+fn can_lose(world: &World, node: usize) -> bool {
+    let others = (0..world.nodes.len()).filter(|&other| other != node);
+    let intact: Vec<_> = others.map(|other| world.id(other)).collect();
+    world.nodes.iter().all(|n| {
+        let known: Vec<Identity> = match &n.process {
+            Some(p) => p.replica.members().voters.iter().map(|m| m.id).collect(),
+            None => n.known.clone(),
+        };
+        let left = known.iter().filter(|id| intact.contains(id)).count();
+        known.is_empty() || left > known.len() / 2
+    })
+}
+
+/// Takes the next step of a repair: every node's current identity becomes a voter, and its former
+/// ones are removed.
+pub fn operate(world: &mut World, removes_first: bool) -> Result<(), Violation> {
+    let Some(leader) = world.leader() else {
+        return Ok(());
+    };
+    let event = (0..world.nodes.len()).find_map(|node| next(world, leader, node, removes_first));
+    let Some(event) = event else {
+        return Ok(());
+    };
+    let ticket = world.ticket();
+    world.step(leader, event(ticket))
+}
+
+type Request = Box<dyn FnOnce(u64) -> Event>;
+
+fn next(world: &World, leader: usize, node: usize, removes_first: bool) -> Option<Request> {
+    let members = world.nodes[leader].process.as_ref()?.replica.members();
+    let (id, former) = world.nodes[node].ids.split_last()?;
+    let id = *id;
+    let former = former
+        .iter()
+        .copied()
+        .find(|&id| members.member(id).is_some());
+    if let Some(id) = former
+        && (removes_first || members.is_voter(world.id(node)))
+    {
+        return Some(Box::new(move |ticket| Event::Remove { ticket, id }));
+    }
+    if members.is_learner(id) {
+        return Some(Box::new(move |ticket| Event::Promote { ticket, id }));
+    }
+    if members.is_voter(id) {
+        return None;
+    }
+    let member = member(node, id);
+    Some(Box::new(move |ticket| Event::AddLearner { ticket, member }))
+}
+
+/// Ends all faults and checks that the replicas commit again and nothing acknowledged is lost.
+fn settle(world: &mut World) -> Result<(), Violation> {
+    world.blocked.clear();
+    world.odds.loss = 0.0;
+    world.odds.repeat = 0.0;
+    world.odds.delay = 5;
+    world.odds.sync = 5;
+    for node in 0..world.nodes.len() {
+        world.start_in(0, node);
+    }
+    let goal = world.history.acknowledged;
+    let done = world.run_until(CALM, |world| {
+        if let Some(leader) = world.leader() {
+            world.propose(leader)?;
+            operate(world, false)?;
+        }
+        Ok(world.history.acknowledged > goal && is_repaired(world))
+    })?;
+    if !done {
+        return Err("no progress after all faults ended".to_owned());
+    }
+    if let Some(leader) = world.leader() {
+        let ticket = world.ticket();
+        world.step(leader, Event::Read { ticket })?;
+    }
+    Ok(())
+}
+
+/// Returns whether every node's current identity is a voter, as the leader sees it.
+fn is_repaired(world: &World) -> bool {
+    let leader = world.leader();
+    let process = leader.and_then(|leader| world.nodes[leader].process.as_ref());
+    process.is_some_and(|p| {
+        let members = p.replica.members();
+        members.voters.len() == world.nodes.len()
+            && (0..world.nodes.len()).all(|node| members.is_voter(world.id(node)))
+    })
+}
