--- a/crates/core/src/consensus/lead.rs
+++ b/crates/core/src/consensus/lead.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use super::{Body, Fault, Identity, Members};
+use super::{Body, ELECTION_MIN, Fault, Identity, Members, Snapshot};
 use crate::time::Time;
 
 /// What a leader knows about its followers and about the proposals that wait.
@@ -47,8 +47,9 @@
 /// Progress of a snapshot on its way to a follower.
 #[derive(Debug)]
 pub struct Transfer {
-    /// Index of the snapshot.
-    pub index: u64,
+    /// The snapshot. It is not replaced by a newer one, so a transfer ends even if snapshots are
+    /// taken faster than they are sent.
+    pub snapshot: Snapshot,
     /// Offset of the part that is due or on the way.
     pub offset: u64,
     /// When the latest part was sent.
@@ -100,7 +101,7 @@
             } => {
                 self.answered = self.answered.max(Some(sent));
                 if let Some(transfer) = &mut self.transfer
-                    && transfer.index == index
+                    && transfer.snapshot.index == index
                     && transfer.sent <= sent
                     && transfer.offset != offset
                 {
@@ -152,6 +153,18 @@
         self.followers.get_mut(at)
     }
 
+    /// Returns the lowest index of the snapshots that are being sent to followers that answer.
+    ///
+    /// The entries after it are kept, since the follower needs them next.
+    pub fn transfer_index(&self, now: Time) -> Option<u64> {
+        let answers = |f: &&Follower| f.answered.is_some_and(|at| now.since(at) < ELECTION_MIN);
+        let transfers = self.followers.iter().filter(answers);
+        transfers
+            .filter_map(|f| f.transfer.as_ref())
+            .map(|transfer| transfer.snapshot.index)
+            .min()
+    }
+
     /// Returns the highest index that a majority has synced.
     pub fn majority_index(&self, members: &Members, own: Identity, fault: Option<Fault>) -> u64 {
         let values = self.values(members, own, fault, Some(self.synced), |f| Some(f.matched));
--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -117,9 +117,8 @@
         }
     }
 
-    /// Takes a snapshot of an index of this log and keeps `trailing` entries behind it.
-    pub fn compact(&mut self, snapshot: Snapshot, trailing: u64) {
-        let base = snapshot.index.saturating_sub(trailing);
+    /// Takes a snapshot of an index of this log and drops the entries up to `base`.
+    pub fn compact(&mut self, snapshot: Snapshot, base: u64) {
         self.snapshot = snapshot;
         if base > self.base
             && let Some(term) = self.term_at(base)
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -2,6 +2,7 @@
     Action, Body, Identity, Message, Payload, Record, Replica, Snapshot,
     lead::{Follower, Transfer},
     log::Log,
+    replica::State,
 };
 use crate::time::Time;
 
@@ -30,7 +31,13 @@
             data,
         };
         self.journal.record(Record::Snapshot(snapshot.clone()));
-        self.log.compact(snapshot, self.limits.trailing);
+        let mut base = index.saturating_sub(self.limits.trailing);
+        if let State::Leader(lead) = &self.state
+            && let Some(needed) = lead.transfer_index(self.now)
+        {
+            base = base.min(needed);
+        }
+        self.log.compact(snapshot, base);
     }
 
     pub(super) fn chunk(&mut self, message: Message) {
@@ -112,18 +119,15 @@
 }
 
 impl Follower {
-    /// Returns the next part of the latest snapshot.
+    /// Returns the next part of the snapshot that is being sent, or the first one of the latest.
     pub(super) fn chunk(&mut self, log: &Log, sent: Time, size: usize) -> Body {
-        let snapshot = log.snapshot();
-        let offset = match &self.transfer {
-            Some(transfer) if transfer.index == snapshot.index => transfer.offset,
-            _ => 0,
-        };
-        self.transfer = Some(Transfer {
-            index: snapshot.index,
-            offset,
+        let transfer = self.transfer.get_or_insert_with(|| Transfer {
+            snapshot: log.snapshot().clone(),
+            offset: 0,
             sent,
         });
+        transfer.sent = sent;
+        let (snapshot, offset) = (&transfer.snapshot, transfer.offset);
         let bytes = snapshot.data.as_bytes();
         let start = usize::try_from(offset).map_or(bytes.len(), |o| o.min(bytes.len()));
         let end = part_end(bytes, start, size);
--- a/crates/core/src/storage/folder.rs
+++ b/crates/core/src/storage/folder.rs
@@ -280,8 +280,10 @@
         while self.segments.len() > 1 && self.segments[0].high <= index {
             let segment = self.segments.remove(0);
             self.remove(&segment.file)?;
+            // Without a sync in between, a crash could bring back an older segment alone.
+            self.sync_folder()?;
         }
-        self.sync_folder()
+        Ok(())
     }
 
     pub(super) fn identity(&mut self) -> Result<Option<Identity>, Error> {
--- a/crates/core/src/storage/load.rs
+++ b/crates/core/src/storage/load.rs
@@ -73,6 +73,9 @@
     }
 
     /// Reads the newest snapshot and removes what a crash left of older ones.
+    ///
+    /// An older one shows that the process stopped while it replaced the snapshot. The name of the
+    /// newest may not be on stable storage then, so it is written again first.
     fn load_snapshot(&mut self) -> Result<Snapshot, Error> {
         let mut files = self.list()?;
         if files.iter().any(|f| f == TEMPORARY) {
@@ -83,6 +86,10 @@
             return Err(damaged(SNAPSHOT, 0, "there is no snapshot"));
         };
         let snapshot = self.read_whole(&newest)?;
+        if !files.is_empty() {
+            let bytes = self.read(&newest)?;
+            self.replace_bytes(&newest, &bytes)?;
+        }
         for file in files {
             self.remove(&file)?;
         }
--- a/crates/core/tests/consensus/disk.rs
+++ b/crates/core/tests/consensus/disk.rs
@@ -57,6 +57,11 @@
         self.content().failure = Some((operations, failure));
     }
 
+    /// Takes back a failure that has not struck.
+    pub fn heal(&self) {
+        self.content().failure = None;
+    }
+
     pub fn syncs(&self) -> u64 {
         self.content().syncs
     }
