--- a/crates/core/src/consensus/event.rs
+++ b/crates/core/src/consensus/event.rs
@@ -17,6 +17,8 @@
 pub struct Limits {
     /// Most entries of a leader's log that wait for the majority.
     pub uncommitted: u64,
+    /// Most bytes of a payload.
+    pub payload_bytes: usize,
     /// Most entries in one message.
     pub batch_entries: usize,
     /// Approximate bytes of the entries in one message.
@@ -28,10 +30,12 @@
 }
 
 impl Default for Limits {
-    /// A batch and a chunk fit an RPC request of 10 MB even when every byte is escaped.
+    /// A payload, a batch and a chunk fit an RPC request of 10 MB, even if they are not text and
+    /// take up to 4 bytes of JSON for each byte.
     fn default() -> Self {
         Self {
             uncommitted: 8_192,
+            payload_bytes: 2 * 1_024 * 1_024,
             batch_entries: 1_024,
             batch_bytes: 256 * 1_024,
             chunk_bytes: 256 * 1_024,
@@ -172,7 +176,7 @@
         /// The learner has not received the whole log.
         #[error("the learner has not caught up")]
         NotCaughtUp,
-        /// The change does not fit the replica set.
+        /// The payload or the membership change can't be accepted.
         #[error("{0}")]
         Unfit(String),
     }
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -72,13 +72,18 @@
     }
 
     pub(super) fn propose(&mut self, ticket: u64, payload: Payload) {
-        let full = self.log.last_index() - self.commit >= self.limits.uncommitted;
-        let checked = self.check_lead().and(if full {
-            Err(Refusal::Overloaded)
-        } else {
-            Ok(())
+        let limits = self.limits;
+        let checked = self.check_lead().and_then(|()| {
+            if payload.as_bytes().len() > limits.payload_bytes {
+                let problem = format!("a payload has at most {} bytes", limits.payload_bytes);
+                return Err(Refusal::Unfit(problem));
+            }
+            if self.log.last_index() - self.commit >= limits.uncommitted {
+                return Err(Refusal::Overloaded);
+            }
+            Ok(Content::Payload(payload))
         });
-        self.submit(ticket, checked.map(|()| Content::Payload(payload)));
+        self.submit(ticket, checked);
     }
 
     /// Starts a membership change, one at a time.
--- a/crates/core/tests/consensus/chaos.rs
+++ b/crates/core/tests/consensus/chaos.rs
@@ -7,7 +7,7 @@
 use super::{
     check::Violation,
     disk::Failure,
-    world::{Odds, World, member},
+    world::{Node, Odds, World, member},
 };
 
 /// Virtual time of the faults in a schedule, in milliseconds.
@@ -147,6 +147,42 @@
     }
 }
 
+/// Loses a replica's data, repairs the replica set, and loses a second replica after `moment`
+/// milliseconds of the repair.
+pub fn repair(
+    voters: usize,
+    (first, second): (usize, usize),
+    moment: u64,
+    removes_first: bool,
+    is_data_lost: bool,
+) -> Result<(), Violation> {
+    let mut world = World::new(moment, voters, 0, Odds::GOOD, None);
+    world.run_until(5_000, |world| {
+        if let Some(leader) = world.leader() {
+            world.propose(leader)?;
+        }
+        Ok(world.history.acknowledged > 30)
+    })?;
+    world.wipe(first);
+    world.start_in(50, first);
+    let end = world.now + moment;
+    while world.now < end {
+        world.run(10)?;
+        operate(&mut world, removes_first)?;
+        if let Some(leader) = world.leader() {
+            world.propose(leader)?;
+        }
+    }
+    if is_data_lost || can_lose(&world, second) {
+        world.wipe(second);
+    } else {
+        world.crash(second);
+    }
+    world.start_in(2_000, second);
+    world.run(1_000)?;
+    settle(&mut world)
+}
+
 fn restart(world: &mut World, node: usize) {
     let pause = [50, 1_000, 4_000][world.random.random_range(0..3)];
     world.start_in(pause, node);
@@ -285,7 +321,9 @@
             world.propose(leader)?;
             operate(world, false)?;
         }
-        Ok(world.history.acknowledged > goal && is_repaired(world))
+        let reached = |n: &Node| n.process.as_ref().is_some_and(|p| p.machine.index >= goal);
+        let all = world.nodes.iter().all(reached);
+        Ok(world.history.acknowledged > goal && all && is_repaired(world))
     })?;
     if !done {
         return Err(NO_PROGRESS.to_owned());
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -3,6 +3,7 @@
 mod chaos;
 mod check;
 mod disk;
+mod rules;
 mod storage;
 mod world;
 
@@ -86,3 +87,24 @@
         println!("{fault:?} was caught by seed {seed}: {violation}");
     }
 }
+
+/// Guards against entries that are lost, or a log that stops, when a second replica is lost at any
+/// step of the repair of a first one.
+#[test]
+fn a_second_replica_is_lost_during_a_repair() {
+    for voters in [3, 5] {
+        for moment in (0..3_000).step_by(20) {
+            let (first, second) = (0, 1 + usize::try_from(moment / 20).unwrap() % (voters - 1));
+            let lost = (first, second);
+            for removes_first in [false, true] {
+                let case = format!("{voters} {second} {moment} {removes_first}");
+                let result = chaos::repair(voters, lost, moment, removes_first, false);
+                assert_eq!(result, Ok(()), "{case}");
+                // Without a majority the log stops, and still contradicts nothing.
+                let result = chaos::repair(voters, lost, moment, removes_first, true);
+                let stops = Err(chaos::NO_PROGRESS.to_owned());
+                assert!(result == Ok(()) || result == stops, "{case}: {result:?}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/consensus/rules.rs
@@ -0,0 +1,195 @@
+//! Tests of single rules of the log.
+
+use masticlock_core::{
+    consensus::{
+        Action, Body, ELECTION_MAX, Event, HEARTBEAT, Identity, Image, LEASE, Limits, Members,
+        Message, Payload, Record, Refusal, Replica, Role, Settings,
+    },
+    time::Time,
+};
+
+use super::world::{Odds, World, member};
+
+const OWN: Identity = Identity::from_random(1);
+const OTHER: Identity = Identity::from_random(2);
+const REMOVED: Identity = Identity::from_random(3);
+
+fn replica(voters: &[Identity]) -> Replica {
+    let members = Members {
+        voters: voters.iter().map(|&id| member(0, id)).collect(),
+        learners: Vec::new(),
+        removed: vec![REMOVED],
+    };
+    let image = Image::founding(OWN, members);
+    Replica::new(&Settings::default(), image, Time::ZERO)
+}
+
+fn message(from: Identity, to: Identity, body: Body) -> Event {
+    Event::Received(Message {
+        from,
+        to,
+        term: 9,
+        body,
+    })
+}
+
+/// Returns a single voter that leads, and the time.
+fn leader() -> (Replica, Time) {
+    let mut replica = replica(&[OWN]);
+    let now = Time::ZERO + ELECTION_MAX;
+    replica.step(Event::Tick, now);
+    replica.step(Event::Synced(1), now);
+    let actions = replica.step(Event::Synced(2), now);
+    assert!(
+        matches!(actions[..], [Action::Elected { term: 1 }]),
+        "{actions:?}"
+    );
+    (replica, now)
+}
+
+/// Guards against identities that vote or lead after their removal, and against messages that
+/// reach a replica which replaced the one they were for.
+#[test]
+fn removed_and_foreign_identities_are_ignored() {
+    let ask = |last_index| Body::Ask {
+        pre: false,
+        last_index,
+        last_term: 0,
+    };
+    let append = Body::Append {
+        prev_index: 0,
+        prev_term: 0,
+        entries: Vec::new(),
+        commit: 0,
+        sent: Time::ZERO,
+    };
+    let unknown = Identity::from_random(8);
+    let cases = [
+        (message(REMOVED, OWN, ask(5)), 0),
+        (message(REMOVED, OWN, append.clone()), 0),
+        (message(OTHER, REMOVED, ask(5)), 0),
+        (message(OTHER, unknown, append.clone()), 0),
+        (message(unknown, OWN, ask(0)), 0),
+        (message(unknown, OWN, ask(1)), 9),
+        (message(OTHER, OWN, ask(0)), 9),
+        (message(OTHER, OWN, append), 9),
+    ];
+    for (event, term) in cases {
+        let mut replica = replica(&[OWN, OTHER]);
+        let case = format!("{event:?}");
+        replica.step(event, Time::ZERO + ELECTION_MAX);
+        assert_eq!(replica.term(), term, "{case}");
+    }
+}
+
+/// Guards against one sync per proposal.
+#[test]
+fn proposals_share_a_write() {
+    let (mut replica, now) = leader();
+    let mut writes = Vec::new();
+    let mut propose = |replica: &mut Replica, ticket| {
+        let payload = Payload::from(vec![0xfe]);
+        let actions = replica.step(Event::Propose { ticket, payload }, now);
+        writes.extend(actions);
+    };
+    (0..100).for_each(|ticket| propose(&mut replica, ticket));
+    assert!(
+        matches!(writes[..], [Action::Write { sequence: 3, .. }]),
+        "{writes:?}"
+    );
+    let actions = replica.step(Event::Synced(3), now);
+    let Some(Action::Write { sequence, records }) = actions.last() else {
+        panic!("{actions:?}");
+    };
+    assert!(records.iter().all(|r| matches!(r, Record::Entry(_))));
+    assert_eq!((*sequence, records.len()), (4, 99));
+    let answers = replica.step(Event::Synced(4), now);
+    let is_answer = |a: &&Action| matches!(a, Action::Answer { outcome: Ok(_), .. });
+    assert_eq!(answers.iter().filter(is_answer).count(), 99);
+}
+
+/// Guards against membership changes that would stop the log or bring back an identity, and
+/// against payloads that don't fit a message.
+#[test]
+fn unfit_membership_changes_are_refused() {
+    let id = OTHER;
+    let add = |id| Event::AddLearner {
+        ticket: 1,
+        member: member(0, id),
+    };
+    let cases = [
+        Event::Remove { ticket: 1, id: OWN },
+        Event::Remove { ticket: 1, id },
+        Event::Promote { ticket: 1, id },
+        add(REMOVED),
+        add(OWN),
+        Event::Propose {
+            ticket: 1,
+            payload: Payload::from(vec![0; Limits::default().payload_bytes + 1]),
+        },
+    ];
+    let refused = |replica: &mut Replica, event, now, expected: fn(&Refusal) -> bool| {
+        let actions = replica.step(event, now);
+        let is_expected =
+            |a: &Action| matches!(a, Action::Answer { outcome: Err(r), .. } if expected(r));
+        assert!(actions.iter().any(is_expected), "{actions:?}");
+    };
+    let (mut replica, now) = leader();
+    for event in cases {
+        refused(&mut replica, event, now, |r| matches!(r, Refusal::Unfit(_)));
+    }
+    let member = member(1, id);
+    replica.step(Event::AddLearner { ticket: 1, member }, now);
+    let promote = |ticket| Event::Promote { ticket, id };
+    refused(&mut replica, promote(2), now, |r| {
+        *r == Refusal::ChangeUnderWay
+    });
+    replica.step(Event::Synced(3), now);
+    refused(&mut replica, promote(3), now, |r| {
+        *r == Refusal::NotCaughtUp
+    });
+}
+
+/// Guards against an isolated replica that ends the leader's term when it returns, and against an
+/// isolated leader that acts without its lease.
+#[test]
+fn isolated_replicas_neither_act_nor_disturb() {
+    for isolates_leader in [false, true] {
+        let mut world = World::new(4, 3, 0, Odds::GOOD, None);
+        assert_eq!(
+            world.run_until(5_000, |w| Ok(w.leader().is_some())),
+            Ok(true)
+        );
+        let leader = world.leader().unwrap();
+        let node = if isolates_leader {
+            leader
+        } else {
+            (leader + 1) % 3
+        };
+        let term = |world: &World, node: usize| {
+            let process = world.nodes[node].process.as_ref();
+            process.map_or(0, |p| p.replica.term())
+        };
+        let before = term(&world, leader);
+        for other in (0..3).filter(|&other| other != node) {
+            world.blocked.extend([(node, other), (other, node)]);
+        }
+        world
+            .run(LEASE.as_millis() + HEARTBEAT.as_millis())
+            .unwrap();
+        assert_ne!(world.leader(), Some(node));
+        world.run(20_000).unwrap();
+        assert_eq!(term(&world, node), before, "isolated replica {node}");
+        let process = world.nodes[node].process.as_ref().unwrap();
+        assert_ne!(process.replica.role(), Role::Leader);
+        let current = world.leader().unwrap();
+        let after = term(&world, current);
+        world.blocked.clear();
+        world.run(5_000).unwrap();
+        assert_eq!(
+            (world.leader(), term(&world, current)),
+            (Some(current), after)
+        );
+        assert_eq!(after, before + u64::from(isolates_leader));
+    }
+}
--- a/crates/core/tests/consensus/world.rs
+++ b/crates/core/tests/consensus/world.rs
@@ -22,6 +22,7 @@
 /// Small sizes, so that short schedules split batches and snapshots.
 const LIMITS: Limits = Limits {
     uncommitted: 64,
+    payload_bytes: 1_000,
     batch_entries: 1,
     batch_bytes: 1_000,
     chunk_bytes: 9,
@@ -77,6 +78,17 @@
     pub batch: usize,
 }
 
+impl Odds {
+    pub const GOOD: Self = Self {
+        loss: 0.0,
+        repeat: 0.0,
+        delay: 3,
+        sync: 5,
+        snapshot_every: 10,
+        batch: 2,
+    };
+}
+
 #[derive(Debug)]
 pub struct World {
     pub random: ChaCha8Rng,
