Let a replica that is no voter in its own log stand for election

Such a replica now stands without counting itself, after a longer timeout, and ends its term with its first commit instead of acting (Ongaro, section 4.2.2).

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -1,6 +1,24 @@
-use super::{Body, ELECTION_MIN, Fault, Identity, Message, Replica, Vote, replica::State};
+use super::{
+    Body, ELECTION_MAX, ELECTION_MIN, Fault, Identity, Message, Replica, Vote, replica::State,
+};
+use crate::time::Span;
 
 impl Replica {
+    /// Returns how long the replica waits for a leader before it stands for election.
+    ///
+    /// A replica that is no voter in its own log stands too, without counting itself: it may have a
+    /// later log than a majority whose own log already counts it (Ongaro, section 4.2.2). It waits
+    /// longer, so that a voter is elected if one can be.
+    pub(super) fn patience(&self) -> Option<Span> {
+        let members = self.log.members();
+        if members.is_voter(self.id) {
+            return Some(self.timeout());
+        }
+        let is_gone = members.is_removed(self.id) && self.log.members_index() <= self.commit;
+        let stands = !members.voters.is_empty() && !is_gone;
+        stands.then(|| self.timeout().plus(ELECTION_MAX))
+    }
+
     /// Asks the voters whether they would grant a vote, without a new term.
     ///
     /// A replica that was isolated thus can't end the leader's term when it returns.
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -255,20 +255,23 @@
         self.finish_commit();
     }
 
+    /// Reports the election after the first commit of the term, or ends the term if the leader is
+    /// not a voter.
     fn finish_commit(&mut self) {
         let (id, commit) = (self.id, self.commit);
         let State::Leader(lead) = &mut self.state else {
             return;
         };
-        if !lead.elected && commit >= lead.first {
+        if commit < lead.first {
+            return;
+        }
+        if self.log.members_index() <= commit && !self.log.members().is_voter(id) {
+            self.follow();
+        } else if !lead.elected {
             lead.elected = true;
             let term = lead.term;
             self.act(Action::Elected { term });
         }
-        let members = self.log.members();
-        if self.log.members_index() <= commit && !members.is_voter(id) {
-            self.follow();
-        }
     }
 
     /// Answers the tickets of a committed entry.
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -142,8 +142,8 @@
     fn tick(&mut self) {
         if matches!(self.state, State::Leader(_)) {
             self.lead_tick();
-        } else if self.now.since(self.waiting_since) >= self.timeout
-            && self.log.members().is_voter(self.id)
+        } else if let Some(patience) = self.patience()
+            && self.now.since(self.waiting_since) >= patience
         {
             self.probe();
         }
@@ -264,6 +264,10 @@
         self.act(Action::StepDown { term: lead.term });
     }
 
+    pub(super) const fn timeout(&self) -> Span {
+        self.timeout
+    }
+
     pub(super) fn restart_timeout(&mut self) {
         self.waiting_since = self.now;
         self.timeout = draw_timeout(&mut self.random);
--- a/crates/core/tests/consensus/rules.rs
+++ b/crates/core/tests/consensus/rules.rs
@@ -193,3 +193,56 @@
         assert_eq!(after, before + u64::from(isolates_leader));
     }
 }
+
+/// Guards against a log that stops for good because the only replica with the latest entry is a
+/// learner in its own log and a voter in the others', as in schedule 1109103.
+#[test]
+fn a_learner_with_the_latest_entry_is_elected_and_does_not_act() {
+    let (voters, learner) = ([OWN, OTHER], Identity::from_random(4));
+    let mut image = Image::founding(learner, Members::default());
+    image.snapshot.members.voters = voters.map(|id| member(0, id)).to_vec();
+    image.snapshot.members.learners = vec![member(0, learner)];
+    let mut replica = Replica::new(&Settings::default(), image, Time::ZERO);
+    let now = Time::ZERO + ELECTION_MAX.times(2);
+    let sent = |actions: &[Action]| {
+        let is_ask =
+            |a: &&Action| matches!(a, Action::Send(m) if matches!(m.body, Body::Ask { .. }));
+        actions.iter().filter(is_ask).count()
+    };
+    assert_eq!(
+        sent(&replica.step(Event::Tick, Time::ZERO + ELECTION_MAX)),
+        0
+    );
+    assert_eq!(sent(&replica.step(Event::Tick, now)), 2);
+    let answer = |from, body| {
+        Event::Received(Message {
+            from,
+            to: learner,
+            term: 1,
+            body,
+        })
+    };
+    let vote = |pre| Body::Vote { pre, granted: true };
+    for from in voters {
+        replica.step(answer(from, vote(true)), now);
+    }
+    assert_eq!(sent(&replica.step(Event::Synced(1), now)), 2);
+    for from in voters {
+        replica.step(answer(from, vote(false)), now);
+    }
+    assert_eq!(replica.role(), Role::Leader);
+    let mut actions = Vec::new();
+    for from in voters {
+        let body = Body::Appended {
+            index: 1,
+            matched: true,
+            sent: now,
+        };
+        actions.extend(replica.step(answer(from, body), now));
+        assert!(!replica.may_act(now));
+    }
+    assert!(
+        actions.contains(&Action::StepDown { term: 1 }),
+        "{actions:?}"
+    );
+}
