--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod settings;
 pub mod slot;
 pub mod time;
+pub mod timeline;
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -115,7 +115,8 @@
 ///
 /// A shorter code would be easier to guess and is refused.
 fn unhex(text: &str) -> Option<[u8; CODE_BYTES]> {
-    if text.len() != 2 * CODE_BYTES || !text.is_ascii() {
+    // `from_str_radix` alone would also take a plus sign, and so a second spelling of a code.
+    if text.len() != 2 * CODE_BYTES || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
         return None;
     }
     let mut code = [0; CODE_BYTES];
