--- a/crates/core/tests/examples.rs
+++ b/crates/core/tests/examples.rs
@@ -1,6 +1,6 @@
 //! Tests of the example inventories and rules.
 
-use std::{fs, path::Path};
+use std::{fmt::Write as _, fs, path::Path};
 
 use masticlock_core::{
     config::{Change, Config, Standing},
@@ -27,10 +27,12 @@
 }
 
 fn example_hash(name: &str) -> String {
-    Sha256::digest(format!("example-key-{name}"))
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    let digest = Sha256::digest(format!("example-key-{name}"));
+    digest.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a string can't fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
 }
 
 /// Names of a deployment and the number of its engines by name prefix.
