Add the scenario language

Cause: failure scenarios have to be readable and repeatable. Options: JSON files (no place for a time line a person can read), Rust code (not scripts), a line-based language parsed by winnow. Choice: the last.

--- /dev/null
+++ b/scenario/src/lib.rs
@@ -0,0 +1,12 @@
+//! Scripted failure scenarios in a small, line-based test language.
+//!
+//! ```
+//! let script = masticlock_scenario::syntax::parse(
+//!     "seed 7\nat 2s crash carnarvon-1\nat 9s expect one leader\n",
+//! )
+//! .unwrap();
+//! assert_eq!(script.steps.len(), 2);
+//! ```
+
+pub mod script;
+pub mod syntax;
