--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -42,3 +42,14 @@
         pub revision: u64,
     }
 }
+
+impl Outcome {
+    /// Returns a refusal that lost against no other command.
+    #[must_use]
+    pub const fn refused(error: error::Error) -> Self {
+        Self::Refused {
+            error,
+            winner: None,
+        }
+    }
+}
