Add the feed, the control methods and their client

Cause: entry instances need the configuration, and the command line and the request path need a client that follows the leader.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -176,6 +176,20 @@
     }
 }
 
+/// Removes the element of a sorted vector that compares equal; returns whether it was present.
+pub fn remove_sorted_by<T, F>(list: &mut Vec<T>, compare: F) -> bool
+where
+    F: FnMut(&T) -> std::cmp::Ordering,
+{
+    match list.binary_search_by(compare) {
+        Ok(at) => {
+            list.remove(at);
+            true
+        }
+        Err(_) => false,
+    }
+}
+
 impl Config {
     /// Returns the configuration after `change`, one revision later.
     ///
--- /dev/null
+++ b/crates/core/src/feed/client.rs
@@ -0,0 +1,357 @@
+use std::sync::Arc;
+
+use super::{
+    Confirmation, Contact, Cursor, Delta, HOLD, LAPSE, LEASE, Poll, Record, Reply, STALE, Server,
+    Source, Sources, Update,
+};
+use crate::{
+    config::Config,
+    name,
+    time::{Span, Time},
+};
+
+/// Why an answer was not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// An instance without a configuration needs an answer within the lease.
+    #[error("the answer is {0} old and this instance has no configuration yet")]
+    Stale(Span),
+    /// The server has another content for the same revision.
+    #[error("revision {revision} has digest {theirs} at the server and {ours} here")]
+    Diverged {
+        /// The revision.
+        revision: u64,
+        /// Digest at the server.
+        theirs: String,
+        /// Digest of this instance.
+        ours: String,
+    },
+    /// The content does not have the digest that the answer names.
+    #[error("the content of revision {0} does not have the digest that was sent with it")]
+    Damaged(u64),
+}
+
+/// What an answer led to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Progress {
+    /// Whether a later revision was applied.
+    pub changed: bool,
+    /// Records that this instance did not have.
+    pub records: Vec<Record>,
+}
+
+/// A poll on its way.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// The poll.
+    pub poll: Poll,
+    /// When it was sent.
+    pub sent: Time,
+    /// Number of the first record that it carries.
+    pub first: u64,
+}
+
+/// Who the instance is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// The instance.
+    pub instance: name::Instance,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// Address at which it answers other instances.
+    pub address: String,
+    /// Random number of this start; also the id of its records.
+    pub incarnation: u64,
+}
+
+/// The side of an entry instance.
+#[derive(Clone, Debug)]
+pub struct Client {
+    seat: Seat,
+    /// Serves the instances that poll this one; holds the configuration.
+    server: Server,
+    has_config: bool,
+    valid: Time,
+    sources: Sources,
+    cursor: Cursor,
+    /// The server and number up to which this instance's records were sent.
+    sent: Cursor,
+    /// Confirmations from below that were not sent yet.
+    unsent: bool,
+    leaving: bool,
+}
+
+impl Client {
+    /// Returns an instance without a configuration.
+    #[must_use]
+    pub fn new(seat: Seat, control: Vec<String>, now: Time) -> Self {
+        let config = Config::default();
+        let digest = config.digest();
+        let id = seat.incarnation;
+        Self {
+            seat,
+            server: Server::new(id, Arc::new(config), digest, now),
+            has_config: false,
+            valid: Time::ZERO,
+            sources: Sources::new(control),
+            cursor: Cursor::default(),
+            sent: Cursor::default(),
+            unsent: false,
+            leaving: false,
+        }
+    }
+
+    /// Returns the configuration once there is one.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.has_config.then(|| self.server.config())
+    }
+
+    /// Returns the digest of the configuration.
+    #[must_use]
+    pub fn digest(&self) -> &str {
+        self.server.digest()
+    }
+
+    /// Returns the end of the configuration lease; `None` without a configuration.
+    #[must_use]
+    pub fn lease_end(&self) -> Option<Time> {
+        self.has_config.then(|| self.valid + LEASE)
+    }
+
+    /// Returns whether the configuration lease holds.
+    #[must_use]
+    pub fn is_connected(&self, now: Time) -> bool {
+        self.lease_end().is_some_and(|end| now < end)
+    }
+
+    /// Returns the contact instances of all failure domains.
+    #[must_use]
+    pub fn contacts(&self) -> &[Contact] {
+        self.server.contacts()
+    }
+
+    /// Returns where to poll.
+    #[must_use]
+    pub fn source(&self, now: Time) -> Option<Source> {
+        self.sources.pick(now)
+    }
+
+    /// Returns the next poll.
+    ///
+    /// An urgent poll carries confirmations and records and is answered at
+    /// once, while another poll is held.
+    #[must_use]
+    pub fn poll(&self, urgent: bool, now: Time) -> Outgoing {
+        let own = Confirmation {
+            instance: self.seat.instance.clone(),
+            domain: self.seat.domain.clone(),
+            address: self.seat.address.clone(),
+            incarnation: self.seat.incarnation,
+            revision: self.server.config().revision,
+            age: Span::ZERO,
+            leaving: self.leaving,
+        };
+        let digest = if self.has_config {
+            self.server.digest().to_owned()
+        } else {
+            String::new()
+        };
+        let first = self.server.records().first_after(self.sent.next);
+        let records = self.server.records().from(first);
+        let poll = Poll {
+            own,
+            digest,
+            below: self.server.peers(now).filter(|c| c.age < LAPSE).collect(),
+            records,
+            cursor: self.cursor,
+            contacts: self.server.contacts_digest(),
+            hold: if urgent { Span::ZERO } else { HOLD },
+        };
+        Outgoing {
+            sent: now,
+            first,
+            poll,
+        }
+    }
+
+    /// Returns whether there is something that should not wait for the held poll to end.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.unsent || (self.sent.server != 0 && self.sent.next < self.server.records().end())
+    }
+
+    /// Records that an urgent poll is on its way. [`Client::failed`] makes it due again.
+    pub const fn urgent_sent(&mut self) {
+        self.unsent = false;
+    }
+
+    /// Takes the answer to a poll.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the answer was not taken. The instance keeps its
+    /// configuration and should ask another source.
+    pub fn answered(
+        &mut self,
+        outgoing: &Outgoing,
+        reply: Reply,
+        now: Time,
+    ) -> Result<Progress, Fault> {
+        // The poll arrived no earlier than it was sent, and was held after that.
+        let valid = (outgoing.sent + reply.held - reply.age).min(now);
+        if !self.has_config && now.since(valid) >= LEASE {
+            return Err(Fault::Stale(now.since(valid)));
+        }
+        let changed = match reply.update {
+            Update::Same => false,
+            Update::Deltas(deltas) => self.take_deltas(deltas)?,
+            Update::Full { config, digest } => self.take_full(*config, digest)?,
+        };
+        // A held answer may arrive after a later one.
+        self.valid = self.valid.max(valid);
+        if let Some(contacts) = reply.contacts {
+            self.sources
+                .set_contacts(&contacts, &self.seat.domain, &self.seat.instance);
+            self.server.set_contacts(contacts);
+        }
+        let records = self.take_records(outgoing, reply.records, reply.cursor);
+        Ok(Progress { changed, records })
+    }
+
+    fn take_deltas(&mut self, deltas: Vec<Delta>) -> Result<bool, Fault> {
+        let mut changed = false;
+        for delta in deltas {
+            let current = self.server.config();
+            // The answers to two polls may overlap.
+            if delta.revision <= current.revision {
+                continue;
+            }
+            let next = current
+                .changed(&delta.change)
+                .ok()
+                .filter(|next| next.revision == delta.revision && next.digest() == delta.digest)
+                .ok_or(Fault::Damaged(delta.revision))?;
+            self.server
+                .publish(&delta.change, Arc::new(next), delta.digest);
+            changed = true;
+        }
+        Ok(changed)
+    }
+
+    fn take_full(&mut self, config: Config, digest: String) -> Result<bool, Fault> {
+        if config.digest() != digest {
+            return Err(Fault::Damaged(config.revision));
+        }
+        let ours = self.server.config().revision;
+        if self.has_config && config.revision == ours && digest != self.server.digest() {
+            return Err(Fault::Diverged {
+                revision: ours,
+                theirs: digest,
+                ours: self.server.digest().to_owned(),
+            });
+        }
+        if self.has_config && config.revision <= ours {
+            return Ok(false);
+        }
+        self.server.reset(Arc::new(config), digest);
+        self.has_config = true;
+        Ok(true)
+    }
+
+    fn take_records(
+        &mut self,
+        outgoing: &Outgoing,
+        records: Vec<Record>,
+        cursor: Cursor,
+    ) -> Vec<Record> {
+        let before = self.server.records().end();
+        let carried = outgoing.first + outgoing.poll.records.len() as u64;
+        let mut next = if self.sent.server == cursor.server {
+            self.sent.next
+        } else {
+            // Another server has none of the records that the last one was sent.
+            0
+        };
+        if outgoing.first <= next {
+            next = next.max(carried);
+        }
+        self.server.merge(records);
+        let end = self.server.records().end();
+        if next == before {
+            // The records of the answer need not go back to where they came from.
+            next = end;
+        }
+        self.sent = Cursor {
+            server: cursor.server,
+            next,
+        };
+        // The answer to an earlier poll must not move the cursor back.
+        if self.cursor.server != cursor.server || self.cursor.next < cursor.next {
+            self.cursor = cursor;
+        }
+        self.server.records().all_from(before)
+    }
+
+    /// Records that a source gave no answer, or one that was not taken.
+    pub fn failed(&mut self, source: &Source, now: Time) {
+        self.sources.failed(source, now);
+        self.unsent = true;
+    }
+
+    /// Leaves a relay whose own contact to control is old.
+    pub fn check_age(&mut self, source: &Source, now: Time) {
+        if matches!(source, Source::Relay(_)) && now.since(self.valid) >= STALE {
+            self.sources.failed(source, now);
+        }
+    }
+
+    /// Puts the control replica first that another one named as the leader.
+    pub fn set_leader(&mut self, address: &str) {
+        self.sources.set_leader(address);
+    }
+
+    /// Takes a poll from an instance below. Returns it for [`Client::answer`].
+    pub fn hear(&mut self, poll: Poll, now: Time) -> Poll {
+        // The contacts come from control; a relay knows its own part only.
+        let contacts = self.server.contacts().to_vec();
+        let (poll, news) = self.server.hear(poll, now);
+        self.server.set_contacts(contacts);
+        self.unsent |= news;
+        poll
+    }
+
+    /// Returns whether a poll from below is to be answered at once.
+    #[must_use]
+    pub fn has_news(&self, poll: &Poll) -> bool {
+        self.server.has_news(poll)
+    }
+
+    /// Answers a poll from below; `None` without a configuration.
+    #[must_use]
+    pub fn answer(&self, poll: &Poll, arrived: Time, now: Time) -> Option<Reply> {
+        self.has_config
+            .then(|| self.server.answer(poll, self.valid, arrived, now))
+    }
+
+    /// Adds records of this instance; returns whether any was new.
+    pub fn merge<I>(&mut self, records: I) -> bool
+    where
+        I: IntoIterator<Item = Record>,
+    {
+        let news = self.server.merge(records);
+        self.unsent |= news;
+        news
+    }
+
+    /// Announces that the instance stops.
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+        self.unsent = true;
+    }
+
+    /// Drops instances below that are silent.
+    pub fn forget(&mut self, now: Time) {
+        self.server.forget(LAPSE, now);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config;
 pub mod consensus;
 pub mod error;
+pub mod feed;
 pub mod inventory;
 pub mod ledger;
 pub mod machine;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -26,6 +26,9 @@
 /// Longest time that a permit for a suspect request is granted for.
 pub const MAX_PERMIT: Span = Span::from_secs(600);
 
+/// Distance to a time that is surely later.
+const TICK: Span = Span::from_millis(1);
+
 /// Most permits that are held at once.
 pub const MAX_PERMITS: usize = 10_000;
 
@@ -37,6 +40,8 @@
         pub instance: name::Instance,
         /// Its failure domain.
         pub domain: name::Domain,
+        /// Random number of its start.
+        pub incarnation: u64,
     }
 
     /// A request for the exclusive right to run a suspect request.
@@ -282,7 +287,15 @@
             .members
             .binary_search_by(|m| m.instance.cmp(&member.instance))
         {
-            Ok(at) => self.members[at] = member.clone(),
+            Ok(at) => {
+                // The calls of the earlier start ended with it. The new start
+                // claims none before this entry is applied.
+                if self.members[at].incarnation != member.incarnation {
+                    let now = self.now;
+                    self.claims.instance_gone(&member.instance, now + TICK, now);
+                }
+                self.members[at] = member.clone();
+            }
             Err(at) => self.members.insert(at, member.clone()),
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,4 +3,6 @@
 //! The decisions are in [`masticlock_core`]; this crate does their input and
 //! output.
 
+pub mod client;
 pub mod port;
+pub mod rpc;
