--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,5 +4,6 @@
 //! output.
 
 pub mod client;
+pub mod disk;
 pub mod port;
 pub mod rpc;
