--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,19 @@
+//! The control replica: log, state machine, feed and bills behind JSON-RPC.
+
+mod bills;
+mod disk;
+mod http;
+mod job;
+mod lead;
+mod peer;
+mod replicas;
+mod run;
+mod settings;
+mod state;
+
+pub use self::{
+    bills::Bills,
+    http::serve,
+    run::{Begin, Error, Handle, start, start_on},
+    settings::{Error as SettingsError, Raw, Replica, Settings},
+};
--- /dev/null
+++ b/crates/node/src/control/replicas.rs
@@ -0,0 +1,47 @@
+use masticlock_core::consensus::{Event, Member, Status};
+
+use super::{
+    job::Reply,
+    state::{State, Waiting, send},
+};
+
+impl State {
+    /// Adds a replica that has a new data folder.
+    pub fn join(&mut self, member: Member, reply: Reply<()>) {
+        if !self.may_act() {
+            return send(reply, Err(self.not_leader()));
+        }
+        let status = self.replica.status(self.clock.now());
+        let known = |m: &Member| m.id == member.id;
+        if status.voters.iter().chain(&status.learners).any(known) {
+            return send(reply, Ok(()));
+        }
+        log::info!("replica {} of {} joins", member.id, member.instance);
+        let ticket = self.ticket(Waiting::Join(reply));
+        self.step(Event::AddLearner { ticket, member });
+    }
+
+    /// Makes a learner that has caught up a voter, after the removal of the
+    /// identity that its instance had before.
+    pub fn promote(&mut self, status: &Status) {
+        let Some(learner) = status
+            .learners
+            .iter()
+            .find(|l| status.caught_up.contains(&l.id))
+        else {
+            return;
+        };
+        let old = status
+            .voters
+            .iter()
+            .find(|v| v.instance == learner.instance);
+        let ticket = self.ticket(Waiting::Nothing);
+        self.step(match old {
+            Some(old) => Event::Remove { ticket, id: old.id },
+            None => Event::Promote {
+                ticket,
+                id: learner.id,
+            },
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/run.rs
@@ -0,0 +1,345 @@
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+
+use jsonrpsee::Methods;
+use masticlock_core::{
+    consensus::{self, Event, Identity, Image, Member, Members},
+    ledger,
+    time::Span,
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use super::{
+    bills::Bills,
+    disk::{Content, Disk, Done},
+    http,
+    job::{self, Job, MAX_JOBS},
+    peer::Peers,
+    settings::Settings,
+    state::{Parts, State},
+};
+use crate::{
+    client::{ATTEMPT, Control, Pool},
+    clock::Clock,
+    rpc,
+};
+
+/// Interval of the housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+
+/// Interval at which bills of other replicas are fetched.
+const BILL_EXCHANGE: Duration = Duration::from_secs(5);
+
+/// Interval at which a new replica asks to take part.
+const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long open proposals may take after the stop was asked for.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// What a replica without data does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Founds a new log together with all replicas of the settings. Used once.
+    Found,
+    /// Joins the log of the other replicas with a new identity.
+    Join,
+}
+
+/// Why a control replica ended.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The address can't be bound or a thread can't be started.
+    #[error("can't start: {0}")]
+    Start(String),
+    /// The data folder can't be used.
+    #[error("data folder: {0}")]
+    Storage(String),
+    /// The replica stopped because its data can't be trusted any more.
+    #[error("stopped: {0}")]
+    Halted(String),
+}
+
+/// A running control replica.
+#[derive(Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    thread: thread::JoinHandle<Result<(), Error>>,
+}
+
+impl Handle {
+    /// Returns the address at which it answers.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks it to finish its open calls and end.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Returns whether it has ended.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it ended before it was asked to.
+    pub fn wait(self) -> Result<(), Error> {
+        self.thread
+            .join()
+            .unwrap_or_else(|_| Err(Error::Halted("the control thread panicked".into())))
+    }
+}
+
+/// Starts a control replica on the address of its settings.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound or the data folder can't be used.
+pub fn start(settings: Settings, begin: Begin) -> Result<Handle, Error> {
+    let listener = std::net::TcpListener::bind(settings.own.address)
+        .map_err(|e| Error::Start(format!("{}: {e}", settings.own.address)))?;
+    start_on(settings, begin, listener)
+}
+
+/// Starts a control replica on a listener that is bound to the address of its settings.
+///
+/// # Errors
+///
+/// Returns an error if the data folder can't be used.
+pub fn start_on(
+    settings: Settings,
+    begin: Begin,
+    listener: std::net::TcpListener,
+) -> Result<Handle, Error> {
+    let failed = |e: std::io::Error| Error::Start(e.to_string());
+    let address = listener.local_addr().map_err(failed)?;
+    let (stop, stopped) = watch::channel(false);
+    let (done, disk_done) = mpsc::unbounded_channel();
+    let fresh = fresh_image(&settings, begin);
+    let (disk, content) = Disk::open(&settings.folder, fresh, done).map_err(Error::Storage)?;
+    let part = Part {
+        settings,
+        listener,
+        disk,
+        content,
+        disk_done,
+        stopped,
+    };
+    let thread = thread::Builder::new()
+        .name("control".into())
+        .spawn(move || {
+            tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .map_err(failed)?
+                .block_on(part.run())
+        })
+        .map_err(failed)?;
+    Ok(Handle {
+        address,
+        stop,
+        thread,
+    })
+}
+
+fn fresh_image(settings: &Settings, begin: Begin) -> Image {
+    match begin {
+        Begin::Found => {
+            let members = Members {
+                voters: settings.founders(),
+                ..Members::default()
+            };
+            Image::founding(settings.founding_identity(&settings.own.instance), members)
+        }
+        Begin::Join => Image::empty(Identity::from_random(rand::random())),
+    }
+}
+
+struct Part {
+    settings: Settings,
+    listener: std::net::TcpListener,
+    disk: Disk,
+    content: Content,
+    disk_done: mpsc::UnboundedReceiver<Done>,
+    stopped: watch::Receiver<bool>,
+}
+
+impl Part {
+    async fn run(self) -> Result<(), Error> {
+        let settings = Arc::new(self.settings);
+        let start = |e: &dyn std::fmt::Display| Error::Start(e.to_string());
+        let pool = Arc::new(Pool::new(&settings.secret).map_err(|e| start(&e))?);
+        let own = settings.member(self.content.image.id);
+        let bills = read_bills(&self.content.bills)?;
+        let joins = self.content.image.snapshot.members.voters.is_empty()
+            && self.content.image.entries.is_empty();
+        let mut state = State::new(Parts {
+            clock: Clock::start(),
+            seed: rand::random(),
+            image: self.content.image,
+            bills,
+            disk: self.disk,
+            peers: Peers::new(Arc::clone(&pool), own.clone()),
+        })
+        .map_err(Error::Storage)?;
+        state.housekeeping();
+        let (jobs, receiver) = mpsc::channel(MAX_JOBS);
+        let methods = job::methods(jobs.clone()).map_err(|e| start(&e))?;
+        let server = tokio::spawn(serve(
+            self.listener,
+            methods.into(),
+            Arc::clone(&settings),
+            self.stopped.clone(),
+        ));
+        if joins {
+            tokio::spawn(join(Arc::clone(&settings), own));
+        }
+        tokio::spawn(exchange_bills(Arc::clone(&settings), pool, jobs));
+        let inputs = Inputs {
+            jobs: receiver,
+            disk: self.disk_done,
+            stopped: self.stopped,
+        };
+        let result = inputs.run(&mut state).await;
+        if result.is_ok() {
+            // A join error is a panic of the server, which was reported where it happened.
+            let _panic = server.await;
+        }
+        result
+    }
+}
+
+fn read_bills(lines: &[String]) -> Result<Bills, Error> {
+    let mut bills = Bills::default();
+    for (at, line) in lines.iter().enumerate() {
+        let bill: ledger::Bill = serde_json::from_str(line)
+            .map_err(|e| Error::Storage(format!("line {} of the bills: {e}", at + 1)))?;
+        bills.put(bill);
+    }
+    Ok(bills)
+}
+
+async fn serve(
+    listener: std::net::TcpListener,
+    methods: Methods,
+    settings: Arc<Settings>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let stop = async move {
+        // The sender goes only with the handle, which ends nothing.
+        if stopped.wait_for(|stop| *stop).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    };
+    if let Err(error) = http::serve(listener, methods, &settings.secret, stop).await {
+        log::error!("the listener failed: {error}");
+    }
+}
+
+struct Inputs {
+    jobs: mpsc::Receiver<Job>,
+    disk: mpsc::UnboundedReceiver<Done>,
+    stopped: watch::Receiver<bool>,
+}
+
+impl Inputs {
+    async fn run(mut self, state: &mut State) -> Result<(), Error> {
+        let mut tick = interval(consensus::TICK.to_std());
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut second = interval(HOUSEKEEPING);
+        second.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut drained: Option<oneshot::Receiver<()>> = None;
+        loop {
+            tokio::select! {
+                Some(done) = self.disk.recv() => state.done(done),
+                Some(job) = self.jobs.recv() => state.job(job),
+                _ = tick.tick() => state.step(Event::Tick),
+                _ = second.tick() => state.housekeeping(),
+                () = wait_for(&mut drained) => return Ok(()),
+                Ok(_) = self.stopped.wait_for(|stop| *stop), if drained.is_none() => {
+                    drained = Some(drain());
+                }
+            }
+            // Whatever happened may have answered a poll or put a revision in force.
+            state.wake();
+            if let Some(reason) = state.halted.take() {
+                return Err(Error::Halted(reason));
+            }
+        }
+    }
+}
+
+fn drain() -> oneshot::Receiver<()> {
+    let (sender, receiver) = oneshot::channel();
+    tokio::spawn(async move {
+        sleep(DRAIN).await;
+        // The loop may have ended for another reason.
+        let _ended = sender.send(());
+    });
+    receiver
+}
+
+async fn wait_for(drained: &mut Option<oneshot::Receiver<()>>) {
+    match drained {
+        // The task that sends ends only after it has sent.
+        Some(receiver) => drop(receiver.await),
+        None => std::future::pending().await,
+    }
+}
+
+async fn join(settings: Arc<Settings>, member: Member) {
+    let control = match Control::new(settings.others(), &settings.secret) {
+        Ok(control) => control,
+        Err(error) => return log::error!("can't join: {error}"),
+    };
+    let join = rpc::Join { member };
+    loop {
+        let joined: Result<(), _> = control
+            .call(rpc::REPLICA_JOIN, &join, ATTEMPT, ATTEMPT.times(2))
+            .await;
+        match joined {
+            Ok(()) => return log::info!("joined as {}", join.member.id),
+            Err(error) => log::warn!("not joined yet: {error}"),
+        }
+        sleep(JOIN_INTERVAL).await;
+    }
+}
+
+async fn exchange_bills(settings: Arc<Settings>, pool: Arc<Pool>, jobs: mpsc::Sender<Job>) {
+    let mut positions: Vec<(String, u64)> = settings.others().into_iter().map(|a| (a, 0)).collect();
+    loop {
+        sleep(BILL_EXCHANGE).await;
+        for (address, from) in &mut positions {
+            let params = rpc::BillsFrom { from: *from };
+            let page: Result<rpc::BillPage, _> = pool
+                .call(address, rpc::BILL_LIST, &params, Span::from_secs(2))
+                .await;
+            let Ok(page) = page else { continue };
+            // A replica that lost its disk starts its list again.
+            if page.end < *from {
+                *from = 0;
+                continue;
+            }
+            if page.bills.is_empty() {
+                continue;
+            }
+            let (reply, stored) = oneshot::channel();
+            let put = Job::Put(rpc::Bills { bills: page.bills }, reply);
+            if jobs.send(put).await.is_err() {
+                return;
+            }
+            if matches!(stored.await, Ok(Ok(_))) {
+                *from = page.next;
+            }
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,9 @@
 //! output.
 
 pub mod client;
+pub mod clock;
+pub mod control;
 pub mod disk;
+pub mod logging;
 pub mod port;
 pub mod rpc;
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -59,6 +59,8 @@
     /// Parameters of [`REPLICA_MESSAGE`].
     #[derive(Eq)]
     pub struct Messages {
+        /// The sender. A replica that has just joined knows no address to answer to.
+        pub from: consensus::Member,
         /// Messages of one sender in order.
         pub messages: Vec<consensus::Message>,
     }
--- /dev/null
+++ b/crates/node/tests/control.rs
@@ -0,0 +1,236 @@
+//! Tests of control replicas on loopback.
+
+use std::{net::TcpListener, path::PathBuf, time::Duration};
+
+use masticlock::{
+    client::Control,
+    control::{self, Begin, Handle, Raw, Replica, Settings},
+    rpc,
+};
+use masticlock_core::{
+    claim,
+    command::{Command, Outcome},
+    config::{Change, Limit},
+    error, inventory, name, request, settings,
+    time::Span,
+};
+
+const SECRET: &str = "a-secret-for-the-tests";
+
+const INVENTORY: &str = r#"{
+    "domains": [{"name": "east", "region": "r"}, {"name": "west", "region": "r"}],
+    "versions": [], "upstreams": [], "accounts": []
+}"#;
+
+/// Control replicas in one process. The folder is removed at the end.
+struct World {
+    folder: PathBuf,
+    replicas: Vec<Replica>,
+    handles: Vec<Option<Handle>>,
+}
+
+impl World {
+    fn start(name: &str, count: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!(
+            "masticlock-{name}-{}-{:?}",
+            std::process::id(),
+            std::thread::current().id()
+        ));
+        let listeners: Vec<_> = (0..count)
+            .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let replica = |at: usize, listener: &TcpListener| Replica {
+            instance: name::Instance::try_from(format!("control-{at}")).unwrap(),
+            address: listener.local_addr().unwrap(),
+            domain: name::Domain::try_from(format!("d{at}")).unwrap(),
+        };
+        let replicas = listeners
+            .iter()
+            .enumerate()
+            .map(|(at, l)| replica(at, l))
+            .collect();
+        let mut world = Self {
+            folder,
+            replicas,
+            handles: Vec::new(),
+        };
+        for (at, listener) in listeners.into_iter().enumerate() {
+            let settings = world.settings(at);
+            let handle = control::start_on(settings, Begin::Found, listener).unwrap();
+            world.handles.push(Some(handle));
+        }
+        world
+    }
+
+    fn settings(&self, at: usize) -> Settings {
+        let raw = Raw {
+            instance: self.replicas[at].instance.clone(),
+            folder: self.folder.join(at.to_string()),
+            secret: SECRET.into(),
+            replicas: self.replicas.clone(),
+            weight_store: None,
+            json_log: false,
+            statsd: None,
+        };
+        Settings::try_from(raw).unwrap()
+    }
+
+    fn client(&self) -> Control {
+        let addresses = self.replicas.iter().map(|r| r.address.to_string());
+        Control::new(addresses.collect(), SECRET).unwrap()
+    }
+
+    fn stop(&mut self, at: usize) {
+        let handle = self.handles[at].take().unwrap();
+        handle.stop();
+        handle.wait().unwrap();
+    }
+
+    fn restart(&mut self, at: usize) {
+        let handle = control::start(self.settings(at), Begin::Join).unwrap();
+        self.handles[at] = Some(handle);
+    }
+
+    async fn leader(&self, client: &Control) -> usize {
+        let status = client.status(LIMIT).await.unwrap();
+        let leader = status.replica.id;
+        let member = status.replica.voters.iter().find(|m| m.id == leader);
+        let instance = &member.unwrap().instance;
+        self.replicas
+            .iter()
+            .position(|r| r.instance == *instance)
+            .unwrap()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for handle in self.handles.iter_mut().filter_map(Option::take) {
+            handle.stop();
+            let _ended = handle.wait();
+        }
+        std::fs::remove_dir_all(&self.folder).unwrap();
+    }
+}
+
+const LIMIT: Span = Span::from_secs(10);
+
+fn command(id: &str, expects: Option<u64>, change: Change) -> rpc::Submit {
+    rpc::Submit {
+        command: Command {
+            id: name::Command::try_from(id).unwrap(),
+            operator: "tester".into(),
+            expects,
+            change,
+        },
+        wait: Span::ZERO,
+    }
+}
+
+fn import() -> Change {
+    let raw: inventory::Raw = settings::parse("inventory.json", INVENTORY).unwrap();
+    Change::Import(raw)
+}
+
+fn take_out(domain: &str) -> Change {
+    Change::Restrict(Limit::TakeOut(name::Domain::try_from(domain).unwrap()))
+}
+
+fn claim(key: &str, request: &str) -> claim::Ask {
+    let account = name::Account::try_from("mill").unwrap();
+    claim::Ask {
+        fingerprint: request::Fingerprint::of(&account, b"body"),
+        key: claim::Key {
+            account,
+            key: key.into(),
+        },
+        request: name::Request::try_from(request).unwrap(),
+        instance: name::Instance::try_from("entry-1").unwrap(),
+    }
+}
+
+async fn begin(client: &Control, ask: &claim::Ask) -> claim::Verdict {
+    let short = Span::from_secs(2);
+    client
+        .call(rpc::CLAIM_BEGIN, ask, short, LIMIT)
+        .await
+        .unwrap()
+}
+
+async fn finish(client: &Control, ask: &claim::Ask, end: claim::End) {
+    let finish = claim::Finish {
+        key: ask.key.clone(),
+        request: ask.request.clone(),
+        end,
+    };
+    let () = client
+        .call(rpc::CLAIM_FINISH, &finish, Span::from_secs(2), LIMIT)
+        .await
+        .unwrap();
+}
+
+/// Guards against an accepted command, a conflict or a claim whose outcome
+/// changes when the leader is lost and the call is sent again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outcomes_survive_the_leader() {
+    let mut world = World::start("leader", 3);
+    let client = world.client();
+    let first = command("c1", Some(0), import());
+    let racing = command("c2", Some(0), import());
+    let accepted = client.submit(&first, LIMIT).await.unwrap();
+    assert_eq!(accepted.outcome, Outcome::Accepted { revision: 1 });
+    let lost = client.submit(&racing, LIMIT).await.unwrap();
+    let ask = claim("k1", "r1");
+    assert_eq!(begin(&client, &ask).await, claim::Verdict::Granted);
+    let answer = claim::Answer {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: b"booked".to_vec(),
+    };
+    finish(&client, &ask, claim::End::Answered(answer.clone())).await;
+
+    let leader = world.leader(&client).await;
+    world.stop(leader);
+    let client = world.client();
+    assert_eq!(
+        client.submit(&first, LIMIT).await.unwrap().outcome,
+        accepted.outcome
+    );
+    assert_eq!(
+        client.submit(&racing, LIMIT).await.unwrap().outcome,
+        lost.outcome
+    );
+    let Outcome::Refused { error, winner } = lost.outcome else {
+        panic!("two commands with the same expected revision were accepted");
+    };
+    assert_eq!(error.kind, error::Kind::Conflict);
+    assert_eq!(winner.unwrap().id, first.command.id);
+    let again = claim("k1", "r2");
+    assert_eq!(begin(&client, &again).await, claim::Verdict::Done(answer));
+
+    world.restart(leader);
+    let next = command("c3", Some(1), take_out("east"));
+    let accepted = client.submit(&next, LIMIT).await.unwrap();
+    assert_eq!(accepted.outcome, Outcome::Accepted { revision: 2 });
+    // With the second replica gone, the restarted one is part of every majority.
+    let leader = world.leader(&client).await;
+    world.stop(leader);
+    assert_eq!(
+        client.submit(&next, LIMIT).await.unwrap().outcome,
+        accepted.outcome
+    );
+}
+
+/// Guards against a call that is answered without the cluster secret.
+#[tokio::test]
+async fn calls_need_the_secret() {
+    let world = World::start("secret", 1);
+    let address = world.replicas[0].address.to_string();
+    for secret in ["another-secret-text", "a-secret-for-the-test", "x"] {
+        let client = Control::new(vec![address.clone()], secret).unwrap();
+        let status = client.status(Span::from_millis(300)).await;
+        assert!(status.is_err(), "{secret}");
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    world.client().status(LIMIT).await.unwrap();
+}
