Add pooled evidence and extend the policy interface

Predictions and roll-outs need counters of all instances that merge without double counting. Each origin writes its own cells, and merging takes the larger value of each field. Epochs age by each instance's clock and jump to the highest epoch heard, so no clocks are compared.

Plan carries the arm that its evidence counts for, View says how long ago the configuration lease ended (rules may shorten service per version), Supply can hint at warm prefixes, and Planner takes in evidence with learn().

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod command;
 pub mod config;
 pub mod error;
+pub mod evidence;
 pub mod inventory;
 pub mod ledger;
 pub mod name;
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -2,7 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{config, error, name, request, time::Time};
+use crate::{
+    config, error, evidence, name, request,
+    time::{Span, Time},
+};
+
+/// Confidence of an engine below which the answer of a cascade's first step is not kept.
+pub const ESCALATE_BELOW: f64 = 0.5;
 
 plain! {
     /// A plan: one version, or a cascade of versions from cheap to dear.
@@ -17,6 +23,9 @@
         pub millis: f64,
         /// Whether it was taken to learn about its version.
         pub explores: bool,
+        /// The side of a comparison that its evidence counts for.
+        #[serde(default)]
+        pub arm: evidence::Arm,
     }
 
     /// A plan that was considered, for `masticlock explain`.
@@ -55,10 +64,24 @@
     pub total: u32,
 }
 
+/// A hint that engines hold the start of a prompt in their cache.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmth {
+    /// Share of the prompt's tokens, from 0 to 1.
+    pub share: f64,
+    /// When the engine last reported or served it.
+    pub at: Time,
+}
+
 /// Reports what is free.
 pub trait Supply {
     /// Returns the room for a version.
     fn room(&self, version: &name::Version) -> Room;
+
+    /// Returns what engines of the version are thought to hold of the prompt.
+    fn warmth(&self, _version: &name::Version, _ask: &request::Ask) -> Option<Warmth> {
+        None
+    }
 }
 
 /// What a choice is made from.
@@ -67,8 +90,8 @@
     pub config: &'a config::Config,
     /// Free slots.
     pub supply: &'a dyn Supply,
-    /// Whether the configuration lease has ended.
-    pub cut_off: bool,
+    /// How long ago the configuration lease ended; `None` while it is valid.
+    pub cut_off: Option<Span>,
     /// The current time.
     pub now: Time,
 }
@@ -85,4 +108,7 @@
         ask: &request::Ask,
         view: &View<'_>,
     ) -> Result<(Plan, Vec<Considered>), error::Error>;
+
+    /// Takes in evidence. Calls every second or so keep predictions fresh.
+    fn learn(&mut self, _pool: &evidence::Pool, _config: &config::Config) {}
 }
--- /dev/null
+++ b/crates/core/tests/evidence.rs
@@ -0,0 +1,211 @@
+//! Tests of pooled evidence.
+
+use masticlock_core::{
+    evidence::{
+        Arm, Delta, EPOCH, EPOCHS_KEPT, Event, Key, Pool, Role,
+        counts::{BUCKETS, bucket, bucket_bound},
+    },
+    name,
+    request::Size,
+    time::Time,
+};
+use proptest::prelude::*;
+
+fn key(version: usize, arm: Arm) -> Key {
+    Key {
+        version: name::Version::try_from(format!("m@{version}")).unwrap(),
+        task: name::Task::try_from("photo-tag").unwrap(),
+        size: Size::Small,
+        role: Role::Alone,
+        arm,
+    }
+}
+
+fn pool(origin: &str) -> Pool {
+    let origin = name::Instance::try_from(origin).unwrap();
+    Pool::new(origin, 1, Time::ZERO)
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::Started),
+        Just(Event::Failed),
+        Just(Event::Crashed),
+        Just(Event::Escalated),
+        (0.0..=1.0).prop_map(Event::Rated),
+        (0_u64..90_000, 0_u64..90_000, 0_u64..2_000).prop_map(|(first_ms, stream_ms, tokens)| {
+            Event::Completed {
+                first_ms,
+                stream_ms,
+                tokens,
+            }
+        }),
+    ]
+}
+
+/// States of one instance after each of its events; any of them may arrive anywhere.
+fn history(origin: &'static str) -> impl Strategy<Value = Vec<Delta>> {
+    proptest::collection::vec((0_usize..3, 0_u64..3, event(), any::<bool>()), 1..20).prop_map(
+        move |events| {
+            let mut pool = pool(origin);
+            let mut now = Time::ZERO;
+            let mut deltas = Vec::new();
+            for (version, since, event, next_epoch) in events {
+                if next_epoch {
+                    now += EPOCH;
+                    pool.tick(now);
+                }
+                let mark = pool.mark();
+                pool.record(&key(version, Arm::Candidate(since)), event);
+                deltas.push(pool.delta(mark));
+            }
+            deltas
+        },
+    )
+}
+
+fn state(pool: &Pool) -> Delta {
+    pool.delta(0)
+}
+
+proptest! {
+    /// Guards against counters that are counted twice or lost when gossip
+    /// repeats, reorders or relays them.
+    #[test]
+    fn merge_is_commutative_associative_and_idempotent(
+        a in history("a"),
+        b in history("b"),
+        order in any::<u64>(),
+    ) {
+        let all: Vec<_> = a.iter().chain(&b).cloned().collect();
+        let mut direct = pool("x");
+        for delta in &all {
+            direct.merge(delta, Time::ZERO);
+        }
+        let mut shuffled = pool("x");
+        let mut relay = pool("y");
+        let mut seed = order;
+        for round in 0..2 * all.len() {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(round as u64 | 1);
+            let at = usize::try_from(seed >> 33).unwrap() % all.len();
+            relay.merge(&all[at], Time::ZERO);
+            shuffled.merge(&all[at], Time::ZERO);
+        }
+        for delta in all.iter().rev() {
+            relay.merge(delta, Time::ZERO);
+        }
+        shuffled.merge(&state(&relay), Time::ZERO);
+        shuffled.merge(&state(&relay), Time::ZERO);
+        prop_assert_eq!(state(&shuffled), state(&direct));
+        prop_assert_eq!(state(&relay), state(&direct));
+    }
+
+    /// Guards against totals that differ from the number of events.
+    #[test]
+    fn totals_match_the_events(events in proptest::collection::vec(event(), 0..50)) {
+        let mut pool = pool("a");
+        for event in &events {
+            pool.record(&key(0, Arm::Plain), *event);
+        }
+        let total = pool.total(|_| true);
+        let count = |f: fn(&Event) -> bool| events.iter().filter(|e| f(e)).count() as u64;
+        prop_assert_eq!(total.started, count(|e| *e == Event::Started));
+        prop_assert_eq!(total.errors, count(|e| matches!(e, Event::Failed | Event::Crashed)));
+        prop_assert_eq!(total.ratings, count(|e| matches!(e, Event::Rated(_))));
+        prop_assert_eq!(total.ratings, total.rating_levels.iter().sum::<u64>());
+        prop_assert_eq!(total.completed, total.first_buckets.iter().sum::<u64>());
+    }
+}
+
+/// Guards against a restart that hides or repeats the counters of the time before it.
+#[test]
+fn restart_begins_new_counters() {
+    let origin = name::Instance::try_from("a").unwrap();
+    let mut before = Pool::new(origin.clone(), 1, Time::ZERO);
+    let mut after = Pool::new(origin, 2, Time::ZERO);
+    for _ in 0..5 {
+        before.record(&key(0, Arm::Plain), Event::Started);
+    }
+    after.record(&key(0, Arm::Plain), Event::Started);
+    after.merge(&state(&before), Time::ZERO);
+    after.merge(&state(&before), Time::ZERO);
+    assert_eq!(after.total(|_| true).started, 6);
+}
+
+/// Guards against old evidence that stays, or comes back from a slow peer.
+#[test]
+fn old_epochs_are_dropped_and_stay_dropped() {
+    let mut pool = pool("a");
+    pool.record(&key(0, Arm::Plain), Event::Started);
+    let old = state(&pool);
+    let mut now = Time::ZERO;
+    for age in 1..=EPOCHS_KEPT {
+        now += EPOCH;
+        pool.tick(now);
+        let kept = pool.records().next().map(|(_, age)| age);
+        assert_eq!(kept, (age < EPOCHS_KEPT).then_some(age));
+    }
+    pool.merge(&old, now);
+    assert_eq!(pool.records().count(), 0);
+}
+
+/// Guards against deltas that repeat what the peer has, or leave out a change.
+#[test]
+fn delta_has_exactly_the_changes() {
+    let mut pool = pool("a");
+    pool.record(&key(0, Arm::Plain), Event::Started);
+    let mark = pool.mark();
+    assert!(pool.delta(mark).records.is_empty());
+    pool.record(&key(1, Arm::Plain), Event::Started);
+    let delta = pool.delta(mark);
+    assert_eq!(delta.records.len(), 1);
+    assert_eq!(delta.records[0].key, key(1, Arm::Plain));
+    let merged = pool.mark();
+    pool.merge(&delta, Time::ZERO);
+    assert_eq!(pool.mark(), merged, "a repeat is no change");
+}
+
+/// Guards against records that are too large for gossip: a busy cell stays under 512 bytes.
+#[test]
+fn records_are_compact() {
+    let mut pool = pool("entry-carnarvon-1");
+    for at in 0..100_000_u64 {
+        let event = match at % 10 {
+            0..4 => Event::Started,
+            4 => Event::Rated(0.1 * f64::from(u32::try_from(at % 11).unwrap())),
+            _ => Event::Completed {
+                first_ms: 200 + at % 800,
+                stream_ms: 4_000,
+                tokens: 300,
+            },
+        };
+        pool.record(&key(0, Arm::Plain), event);
+    }
+    let delta = pool.delta(0);
+    let bytes = serde_json::to_string(&delta.records[0]).unwrap().len();
+    assert!(bytes < 512, "{bytes} bytes");
+    let copy: Delta = serde_json::from_str(&serde_json::to_string(&delta).unwrap()).unwrap();
+    assert_eq!(copy, delta);
+}
+
+/// Guards against a rating that is no number and would spoil all sums.
+#[test]
+fn odd_ratings_are_kept_in_bounds() {
+    for (rating, ratings, sum) in [(f64::NAN, 0, 0), (7.0, 1, 1_000), (-1.0, 1, 0)] {
+        let mut pool = pool("a");
+        pool.record(&key(0, Arm::Plain), Event::Rated(rating));
+        let total = pool.total(|_| true);
+        assert_eq!((total.ratings, total.rating_sum), (ratings, sum));
+    }
+}
+
+/// Guards against a time that is put above its bucket's bound or too far below it.
+#[test]
+fn buckets_enclose_their_times() {
+    for first_ms in [0, 1, 8, 9, 100, 1_000, 20_000, 27_000, 10_000_000] {
+        let at = bucket(first_ms);
+        let millis = f64::from(u32::try_from(first_ms).unwrap());
+        assert!(at == BUCKETS - 1 || millis <= bucket_bound(at) + 1e-9);
+        assert!(at == 0 || millis > bucket_bound(at - 1) - 1e-9);
+    }
+}
