--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -106,7 +106,7 @@
             /// The stage that is left, so that a repeat does not skip one.
             from: usize,
         },
-        /// Stops a roll-out and rolls it back.
+        /// Stops a roll-out and rolls it back, also after it has finished.
         RollBack {
             /// The version that is rolled out.
             version: name::Version,
@@ -345,10 +345,15 @@
 
     fn roll_back(&mut self, version: &name::Version, reason: &str) -> Result<(), error::Error> {
         let since = self.revision + 1;
-        let rollout = self.running(version)?;
+        let rollout = self
+            .rollouts
+            .iter_mut()
+            .find(|r| r.version == *version && r.progress != Progress::RolledBack)
+            .ok_or_else(|| invalid(format!("no roll-out of {version} is running or finished")))?;
         rollout.progress = Progress::RolledBack;
         rollout.reason = Some(reason.to_owned());
         rollout.since = since;
+        remove_sorted(&mut self.promoted, version);
         Ok(())
     }
 
--- /dev/null
+++ b/crates/core/src/rollout/watch.rs
@@ -0,0 +1,251 @@
+//! The watch on stable versions.
+//!
+//! A stable version has no control arm, so its latest requests are compared
+//! with its own earlier ones, by the same test as in roll-outs. Ratings are
+//! compared per kind, size and role, because the planner moves work between
+//! versions. What moves for the other versions too has a common cause and
+//! stops nothing. Times to the first token depend on load and are left to the
+//! predictions.
+
+use crate::{
+    config::{Change, Config, Limit, Progress, Standing},
+    evidence::{Counts, Key, Pool, Role},
+    name, request,
+    time::{Span, Time},
+};
+
+use super::{
+    Action, ERROR_MARGIN, QUALITY_MARGIN,
+    wealth::{self, Sample},
+};
+
+/// Time between two points from which windows begin.
+const STEP: Span = Span::from_secs(10);
+
+/// Points that are kept.
+const POINTS: usize = 64;
+
+/// Windows that begin at a point in a day, for each version.
+const WINDOWS_A_DAY: f64 = 8_640.0;
+
+/// Highest probability of a false alarm of one version in a day.
+const FALSE_ALARM_A_DAY: f64 = 0.01;
+
+/// Fewest requests or ratings before a window that it is compared with.
+const REFERENCE: f64 = 100.0;
+
+/// Change of mean ratings that makes the rating service strange.
+const SHIFT: f64 = 0.08;
+
+/// Standard deviations by which mean ratings must have changed to be strange.
+const SHIFT_DEVIATIONS: f64 = 3.0;
+
+/// Evidence that the other versions fail too, at which errors have a common cause.
+const COMMON_CAUSE: f64 = 3.0;
+
+/// Counters of a version on one kind of work.
+#[derive(Clone, Debug, PartialEq)]
+struct Stratum {
+    place: (name::Version, name::Task, request::Size, Role),
+    counts: Counts,
+}
+
+/// Counters by version, kind, size and role, over all origins, epochs and arms.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Strata {
+    /// Sorted.
+    list: Vec<Stratum>,
+}
+
+impl Strata {
+    fn of(pool: &Pool) -> Self {
+        let mut strata = Self::default();
+        for (record, _) in pool.records() {
+            strata.add(&record.key, &record.counts);
+        }
+        strata
+    }
+
+    /// Adds counters.
+    pub fn add(&mut self, key: &Key, counts: &Counts) {
+        let place = (key.version.clone(), key.task.clone(), key.size, key.role);
+        match self.list.binary_search_by(|s| s.place.cmp(&place)) {
+            Ok(at) => self.list[at].counts.add(counts),
+            Err(at) => {
+                let counts = counts.clone();
+                self.list.insert(at, Stratum { place, counts });
+            }
+        }
+    }
+
+    /// Returns what was counted after `earlier`.
+    fn minus(&self, earlier: &Self) -> Self {
+        let rest = self.list.iter().map(|s| Stratum {
+            place: s.place.clone(),
+            counts: match earlier.get(&s.place) {
+                Some(before) => s.counts.minus(before),
+                None => s.counts.clone(),
+            },
+        });
+        Self {
+            list: rest.collect(),
+        }
+    }
+
+    fn get(&self, place: &(name::Version, name::Task, request::Size, Role)) -> Option<&Counts> {
+        let at = self.list.binary_search_by(|s| s.place.cmp(place)).ok()?;
+        Some(&self.list[at].counts)
+    }
+
+    fn filtered<F>(&self, filter: F) -> Self
+    where
+        F: Fn(&name::Version) -> bool,
+    {
+        let list = self.list.iter().filter(|s| filter(&s.place.0));
+        Self {
+            list: list.cloned().collect(),
+        }
+    }
+
+    fn total(&self) -> Counts {
+        let mut total = Counts::default();
+        for stratum in &self.list {
+            total.add(&stratum.counts);
+        }
+        total
+    }
+
+    fn started(&self) -> u64 {
+        self.list.iter().map(|s| s.counts.started).sum()
+    }
+}
+
+/// Returns whether mean ratings have changed between two times, on the same mix of work.
+#[must_use]
+pub fn has_shifted(now: &Strata, before: &Strata) -> bool {
+    let (mut size, mut difference, mut variance) = (0.0, 0.0, 0.0);
+    for stratum in &now.list {
+        let Some(earlier) = before.get(&stratum.place) else {
+            continue;
+        };
+        let (late, early) = (
+            Sample::shortfall(&stratum.counts),
+            Sample::shortfall(earlier),
+        );
+        if early.size() < 1.0 || late.size() < 1.0 {
+            continue;
+        }
+        let weight = late.size();
+        size += weight;
+        difference += weight * (late.mean() - early.mean());
+        variance += weight * weight * (late.variance() + early.variance());
+    }
+    let moved = difference.abs();
+    moved > SHIFT * size && moved > SHIFT_DEVIATIONS * variance.sqrt()
+}
+
+/// Compares the latest requests of stable versions with earlier ones.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    /// Oldest first.
+    points: Vec<(Time, Strata)>,
+}
+
+impl Watch {
+    /// Returns what to do about stable versions that turned bad.
+    pub fn step(&mut self, config: &Config, pool: &Pool, now: Time) -> Vec<Action> {
+        let current = Strata::of(pool);
+        // Totals fall when an epoch is dropped; older points can't be compared then.
+        if (self.points.last()).is_some_and(|(_, p)| p.started() > current.started()) {
+            self.points.clear();
+        }
+        if (self.points.last()).is_none_or(|(at, _)| now.since(*at) >= STEP) {
+            if self.points.len() == POINTS {
+                self.points.remove(0);
+            }
+            self.points.push((now, current.clone()));
+        }
+        let versions = config.inventory.versions.iter().map(|v| &v.name);
+        versions
+            .filter(|v| config.standing(v) == Standing::Stable)
+            .filter_map(|v| {
+                let reason = self.finding(v, &current)?;
+                Some(action(config, v, reason))
+            })
+            .collect()
+    }
+
+    /// Returns why a version counts as turned bad.
+    fn finding(&self, version: &name::Version, current: &Strata) -> Option<String> {
+        let limit = (WINDOWS_A_DAY / FALSE_ALARM_A_DAY).ln() + 2.0_f64.ln();
+        // Windows double in length, so a few of them cover all points.
+        let starts = (0..).map(|power| 1_usize << power);
+        let starts = starts.take_while(|back| *back <= self.points.len());
+        for back in starts {
+            let earlier = &self.points[self.points.len() - back].1;
+            let window = current.minus(earlier);
+            let is_own = |v: &name::Version| v == version;
+            let (own, own_before) = (window.filtered(is_own), earlier.filtered(is_own));
+            let others = || window.filtered(|v| !is_own(v));
+            let others_before = || earlier.filtered(|v| !is_own(v));
+            if errors(&own, &own_before) >= limit
+                && errors(&others(), &others_before()) < COMMON_CAUSE
+            {
+                return Some("errors rose in service".to_owned());
+            }
+            if ratings(&own, &own_before) >= limit && !has_shifted(&others(), &others_before()) {
+                return Some("ratings fell in service".to_owned());
+            }
+        }
+        None
+    }
+}
+
+/// Returns the log of the evidence that errors rose.
+fn errors(now: &Strata, before: &Strata) -> f64 {
+    let (now, before) = (
+        Sample::errors(&now.total()),
+        Sample::errors(&before.total()),
+    );
+    if before.size() < REFERENCE {
+        return 0.0;
+    }
+    wealth::worse(&now, &before, ERROR_MARGIN)
+}
+
+/// Returns the log of the evidence that ratings fell on any kind of work; the bets share one wealth.
+fn ratings(now: &Strata, before: &Strata) -> f64 {
+    let compared = now.list.iter().filter_map(|stratum| {
+        let early = Sample::shortfall(before.get(&stratum.place)?);
+        let late = Sample::shortfall(&stratum.counts);
+        (early.size() >= REFERENCE).then(|| wealth::worse(&late, &early, QUALITY_MARGIN))
+    });
+    let (count, sum) = compared.fold((0.0_f64, 0.0), |(count, sum), log| {
+        (count + 1.0, sum + log.exp())
+    });
+    (sum / count.max(1.0)).ln().max(0.0)
+}
+
+fn action(config: &Config, version: &name::Version, reason: String) -> Action {
+    let promoted =
+        (config.rollouts.iter()).any(|r| r.version == *version && r.progress == Progress::Finished);
+    if promoted {
+        return Action::Change(Change::RollBack {
+            version: version.clone(),
+            reason,
+        });
+    }
+    let model = |v: &name::Version| config.inventory.version(v).map(|e| e.model.clone());
+    let replaced = config.inventory.versions.iter().any(|other| {
+        other.name != *version
+            && Some(&other.model) == model(version).as_ref()
+            && config.standing(&other.name) == Standing::Stable
+    });
+    if replaced {
+        return Action::Change(Change::Restrict(Limit::Withdraw(version.clone())));
+    }
+    Action::Alarm {
+        version: version.clone(),
+        reason,
+    }
+}
