Add the request path of an entry instance

Three socket tests pass: a plain answer, a stream and a booking that is sent three times and runs once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,13 +16,17 @@
 #[macro_use]
 mod plain;
 
+pub mod attempt;
+pub mod budget;
 pub mod claim;
 pub mod command;
 pub mod config;
+pub mod directory;
 pub mod error;
 pub mod inventory;
 pub mod ledger;
 pub mod name;
+pub mod pick;
 pub mod policy;
 pub mod request;
 pub mod session;
--- /dev/null
+++ b/crates/node/src/entry/driver.rs
@@ -0,0 +1,528 @@
+//! Carries out the actions of one request.
+
+use std::{
+    collections::VecDeque,
+    future::{Future, poll_fn},
+    pin::Pin,
+    sync::{Arc, PoisonError},
+    task::{Context, Poll},
+};
+
+use futures_util::future::BoxFuture;
+use masticlock_core::{
+    attempt::{Action, Event, Fault, Machine, Step},
+    claim,
+    config::Standing,
+    error, name, policy, slot,
+    time::{Span, Time},
+};
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::{
+    Active, Shared,
+    job::{Job, Kind},
+    send, sse,
+    wire::{Answer, Signal, Wire},
+};
+use crate::port::Part;
+
+/// The result of an operation outside of the request's connections.
+pub(super) struct Outcome {
+    pub(super) event: Event,
+    /// The answer that a status lookup found.
+    pub(super) answer: Option<Answer>,
+}
+
+impl From<Event> for Outcome {
+    fn from(event: Event) -> Self {
+        Self {
+            event,
+            answer: None,
+        }
+    }
+}
+
+/// What the current event brought.
+enum Payload {
+    None,
+    Bytes(Vec<u8>),
+    Answer(Answer),
+}
+
+/// Longest time until a request sees that the instance must end.
+pub(super) const CUT_CHECK: Span = Span::from_millis(500);
+
+/// One request with its connections.
+pub(super) struct Driver {
+    pub(super) shared: Arc<Shared>,
+    pub(super) job: Job,
+    machine: Machine,
+    wires: Vec<Option<Wire>>,
+    /// Slots of the live attempts, for cancelling.
+    leases: Vec<Option<slot::Lease>>,
+    operations: Vec<BoxFuture<'static, Outcome>>,
+    queue: VecDeque<Event>,
+    out: VecDeque<Part>,
+    payload: Payload,
+    kept: Vec<u8>,
+    answer: Option<Answer>,
+    has_head: bool,
+    sleep: Pin<Box<Sleep>>,
+    sleeps_until: Time,
+    started: Time,
+    _active: Active,
+}
+
+impl Driver {
+    pub(super) fn begin(shared: Arc<Shared>, job: Job) -> Self {
+        let (machine, actions) = Machine::begin(job.ask.clone(), shared.settings.attempt);
+        let started = shared.now();
+        let mut driver = Self {
+            _active: Active::new(&shared),
+            sleep: Box::pin(sleep_until(shared.instant(started + CUT_CHECK))),
+            sleeps_until: started + CUT_CHECK,
+            shared,
+            job,
+            machine,
+            wires: Vec::new(),
+            leases: Vec::new(),
+            operations: Vec::new(),
+            queue: VecDeque::new(),
+            out: VecDeque::new(),
+            payload: Payload::None,
+            kept: Vec::new(),
+            answer: None,
+            has_head: false,
+            started,
+        };
+        driver.carry_out(actions);
+        driver
+    }
+
+    /// Returns the next part of the caller's answer; `None` after its end.
+    pub(super) async fn next(&mut self) -> Option<Part> {
+        poll_fn(|context| self.poll_next(context)).await
+    }
+
+    /// Runs the request to its end without a caller.
+    pub(super) async fn finish(mut self: Box<Self>, caller_is_gone: bool) {
+        if caller_is_gone {
+            self.on(Event::CallerGone);
+        }
+        while self.next().await.is_some() {}
+        // Slots and claims that still arrive have to be returned.
+        while !self.operations.is_empty() {
+            let outcome = poll_fn(|context| self.poll_operations(context)).await;
+            self.on(outcome.event);
+        }
+    }
+
+    /// Returns whether nothing is left to do.
+    pub(super) fn is_idle(&self) -> bool {
+        self.machine.is_over() && self.operations.is_empty()
+    }
+
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Part>> {
+        loop {
+            if let Some(event) = self.queue.pop_front() {
+                self.on(event);
+                continue;
+            }
+            if self.machine.is_over() {
+                return Poll::Ready(self.out.pop_front());
+            }
+            // Everything that is ready goes to the caller in one write.
+            match self.poll_event(context) {
+                Poll::Ready(event) => self.on(event),
+                Poll::Pending => match self.out.pop_front() {
+                    Some(part) => return Poll::Ready(Some(part)),
+                    None => return Poll::Pending,
+                },
+            }
+        }
+    }
+
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Event> {
+        for at in 0..self.wires.len() {
+            if let Some(wire) = &mut self.wires[at]
+                && let Poll::Ready(signal) = wire.poll(context)
+            {
+                return Poll::Ready(self.event_of(at, signal));
+            }
+        }
+        if let Poll::Ready(outcome) = self.poll_operations(context) {
+            if let Some(answer) = outcome.answer {
+                self.payload = Payload::Answer(answer);
+            }
+            return Poll::Ready(outcome.event);
+        }
+        self.poll_time(context)
+    }
+
+    fn poll_operations(&mut self, context: &mut Context<'_>) -> Poll<Outcome> {
+        for at in 0..self.operations.len() {
+            if let Poll::Ready(outcome) = self.operations[at].as_mut().poll(context) {
+                drop(self.operations.swap_remove(at));
+                return Poll::Ready(outcome);
+            }
+        }
+        Poll::Pending
+    }
+
+    /// Waits for the next time limit, or for the end of the instance.
+    ///
+    /// A timer that is due too early only costs a look at the clock, so it is
+    /// reset when a limit moves closer, and not at each piece of a stream.
+    fn poll_time(&mut self, context: &mut Context<'_>) -> Poll<Event> {
+        let wake = self.machine.wake();
+        loop {
+            if wake < self.sleeps_until {
+                self.set_timer(wake);
+            }
+            if self.sleep.as_mut().poll(context).is_pending() {
+                return Poll::Pending;
+            }
+            let now = self.shared.now();
+            self.set_timer(now + CUT_CHECK);
+            if self.shared.is_cut() {
+                return Poll::Ready(Event::Stop);
+            }
+            if now >= wake {
+                return Poll::Ready(Event::Tick);
+            }
+        }
+    }
+
+    fn set_timer(&mut self, at: Time) {
+        self.sleeps_until = at;
+        let instant: Instant = self.shared.instant(at);
+        self.sleep.as_mut().reset(instant);
+    }
+
+    fn event_of(&mut self, at: usize, signal: Signal) -> Event {
+        let attempt = u32::try_from(at).unwrap_or(u32::MAX);
+        match signal {
+            Signal::Head => Event::Head { attempt },
+            Signal::Progress => Event::Progress { attempt },
+            Signal::Piece {
+                offset,
+                bytes,
+                usage,
+            } => {
+                let bytes = match usage {
+                    Some(usage) => sse::with_cost(&bytes, self.machine.cost_with(usage)),
+                    None => bytes,
+                };
+                self.payload = Payload::Bytes(bytes);
+                Event::Piece { attempt, offset }
+            }
+            Signal::Answered { usage, certainty } => {
+                if let Some(mut wire) = self.wires[at].take() {
+                    self.payload = Payload::Answer(wire.take_answer());
+                }
+                Event::Answered {
+                    attempt,
+                    usage,
+                    certainty,
+                }
+            }
+            Signal::Failed(fault) => {
+                self.wires[at] = None;
+                Event::Failed { attempt, fault }
+            }
+        }
+    }
+
+    fn on(&mut self, event: Event) {
+        let now = self.shared.now();
+        let actions = self.machine.on(event, now, &self.shared.budget);
+        self.carry_out(actions);
+        self.payload = Payload::None;
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Plan => {
+                let plan = self.plan();
+                self.queue.push_back(Event::Planned(plan));
+            }
+            Action::Acquire {
+                attempt,
+                target,
+                avoid,
+                wait,
+                hold,
+            } => self.acquire(attempt, target, avoid, (wait, hold)),
+            Action::Release { lease, report } => self.shared.slots.release(lease, report),
+            Action::Claim => self.claim(),
+            Action::Send {
+                attempt,
+                lease,
+                version,
+                after,
+                resume,
+            } => self.send(attempt, lease, version.as_ref(), after, resume),
+            Action::Cancel {
+                attempt,
+                upstream,
+                discard,
+            } => self.cancel(attempt, upstream, discard),
+            Action::Keep => match std::mem::replace(&mut self.payload, Payload::None) {
+                Payload::None => {}
+                Payload::Bytes(bytes) => self.kept.extend_from_slice(&bytes),
+                Payload::Answer(answer) => self.answer = Some(answer),
+            },
+            Action::Forget => {
+                self.kept.clear();
+                self.answer = None;
+            }
+            Action::Flush => self.flush(),
+            Action::Open(bill) => {
+                let bills = self.shared.bills.clone();
+                self.operations.push(Box::pin(async move {
+                    if let Err(error) = bills.open(bill).await {
+                        log::warn!("no witness for an open bill: {error}");
+                    }
+                    Event::Opened.into()
+                }));
+            }
+            Action::Complete { version, cost } => self.complete(version.as_ref(), cost),
+            Action::Replay(answer) => self.replay(answer),
+            Action::Fail(error) => {
+                self.shared.metrics.failed(error.kind);
+                self.out.push_back(Part::Failed(error));
+            }
+            Action::Lookup => self.operations.push(send::lookup(&self.shared, &self.job)),
+            Action::FinishAnswered => {
+                if let Some(answer) = &self.answer {
+                    let end = claim::End::Answered(stored(answer));
+                    self.finish_claim(end);
+                }
+            }
+            Action::Finish(end) => self.finish_claim(end),
+            Action::Settle(bill) => self.shared.bills.settle(bill),
+        }
+    }
+
+    fn plan(&self) -> Result<Vec<Step>, error::Error> {
+        let Kind::Model { ask, .. } = &self.job.kind else {
+            return Ok(Vec::new());
+        };
+        let snapshot = self.shared.snapshot.load();
+        let view = policy::View {
+            config: &snapshot.config,
+            supply: &*self.shared.supply,
+            cut_off: snapshot.is_cut_off(),
+            now: self.shared.now(),
+        };
+        let mut planner = self
+            .shared
+            .planner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let (plan, _) = planner.plan(ask, &view)?;
+        drop(planner);
+        let steps = plan.steps.into_iter().map(|version| {
+            let entry = snapshot.config.inventory.version(&version);
+            Step {
+                prompt_cost: entry.map_or(0, |e| e.prompt_cost),
+                answer_cost: entry.map_or(0, |e| e.answer_cost),
+                version,
+            }
+        });
+        Ok(steps.collect())
+    }
+
+    fn acquire(
+        &mut self,
+        attempt: u32,
+        target: slot::Target,
+        avoid: Vec<name::Upstream>,
+        (wait, hold): (
+            masticlock_core::time::Span,
+            Option<masticlock_core::time::Span>,
+        ),
+    ) {
+        let ask = slot::Ask {
+            request: self.job.ask.id.clone(),
+            account: self.job.ask.account.clone(),
+            target,
+            avoid,
+            wait,
+            hold,
+        };
+        let slots = self.shared.slots.clone();
+        self.operations.push(Box::pin(async move {
+            let result = slots.acquire(ask).await;
+            Event::Slot { attempt, result }.into()
+        }));
+    }
+
+    fn claim(&mut self) {
+        let Some(key) = self.job.key.clone() else {
+            return;
+        };
+        let ask = claim::Ask {
+            key,
+            fingerprint: self.job.fingerprint,
+            request: self.job.ask.id.clone(),
+            instance: self.shared.settings.instance.clone(),
+        };
+        let claims = self.shared.claims.clone();
+        self.operations.push(Box::pin(async move {
+            Event::Claimed(claims.begin(ask).await).into()
+        }));
+    }
+
+    fn send(
+        &mut self,
+        attempt: u32,
+        lease: slot::Lease,
+        version: Option<&name::Version>,
+        after: Option<u64>,
+        resume: bool,
+    ) {
+        if let Some(fault) = self.closed(&lease, version) {
+            self.queue.push_back(Event::Failed { attempt, fault });
+            return;
+        }
+        let at = attempt as usize;
+        if self.wires.len() <= at {
+            self.wires.resize_with(at + 1, || None);
+            self.leases.resize(at + 1, None);
+        }
+        let wire = send::wire(&self.shared, &self.job, &lease, version, after, resume);
+        self.wires[at] = Some(wire);
+        self.leases[at] = Some(lease);
+    }
+
+    /// Returns why the upstream or version may get no new work. The
+    /// configuration may have changed while the request waited for its slot.
+    fn closed(&self, lease: &slot::Lease, version: Option<&name::Version>) -> Option<Fault> {
+        let snapshot = self.shared.snapshot.load();
+        let config = &snapshot.config;
+        if version.is_some_and(|v| config.standing(v) == Standing::Withdrawn) {
+            return Some(Fault::Withdrawn);
+        }
+        let domain = config
+            .inventory
+            .upstream(&lease.upstream)
+            .map(|u| &u.domain);
+        let closed = config.drained.binary_search(&lease.upstream).is_ok()
+            || domain.is_some_and(|d| config.taken_out.binary_search(d).is_ok());
+        closed.then_some(Fault::Closed)
+    }
+
+    fn cancel(&mut self, attempt: u32, upstream: bool, discard: bool) {
+        let at = attempt as usize;
+        let wire = self.wires.get_mut(at).and_then(Option::take);
+        let lease = self.leases.get_mut(at).and_then(Option::take);
+        drop(wire);
+        let Some(lease) = lease else {
+            return;
+        };
+        if discard {
+            self.shared.pools.discard(&lease.address);
+        }
+        if upstream && matches!(self.job.kind, Kind::Model { streamed: true, .. }) {
+            send::cancel(&self.shared, &lease, &self.job.ask.id);
+        }
+    }
+
+    fn flush(&mut self) {
+        if self.kept.is_empty() {
+            return;
+        }
+        if !self.has_head {
+            let headers = self.headers(self.machine.version().as_ref(), None);
+            self.push_head(200, headers);
+        }
+        let kept = std::mem::take(&mut self.kept);
+        match self.out.back_mut() {
+            Some(Part::Data(data)) => data.extend_from_slice(&kept),
+            _ => self.out.push_back(Part::Data(kept)),
+        }
+    }
+
+    fn push_head(&mut self, status: u16, headers: Vec<(String, String)>) {
+        self.has_head = true;
+        self.out.push_back(Part::Head { status, headers });
+    }
+
+    fn complete(&mut self, version: Option<&name::Version>, cost: u64) {
+        let millis = self.shared.now().since(self.started);
+        self.shared.metrics.completed(version, millis);
+        if self.has_head {
+            self.out.push_back(Part::Data(b"data: [DONE]\n\n".to_vec()));
+        } else if let Some(answer) = self.answer.take() {
+            let mut headers = self.headers(version, Some(cost));
+            headers.extend(answer.headers);
+            self.push_head(answer.status, headers);
+            self.out.push_back(Part::Data(answer.body));
+        }
+        self.out.push_back(Part::End);
+    }
+
+    fn replay(&mut self, answer: claim::Answer) {
+        let mut headers = self.headers(None, Some(0));
+        headers.push(("content-type".to_owned(), answer.content_type));
+        self.push_head(answer.status, headers);
+        self.out.push_back(Part::Data(answer.body));
+        self.out.push_back(Part::End);
+    }
+
+    /// Returns the answer headers of the router.
+    fn headers(&self, version: Option<&name::Version>, cost: Option<u64>) -> Vec<(String, String)> {
+        let mut headers = Vec::with_capacity(8);
+        let mut add = |name: &str, value: String| headers.push((name.to_owned(), value));
+        add("masticlock-request-id", self.job.ask.id.to_string());
+        if let Some(cost) = cost {
+            add("masticlock-cost", cost.to_string());
+        }
+        let (Some(version), Kind::Model { ask, streamed, .. }) = (version, &self.job.kind) else {
+            return headers;
+        };
+        add("masticlock-version", version.to_string());
+        let snapshot = self.shared.snapshot.load();
+        if let Some(entry) = snapshot.config.inventory.version(version) {
+            add("masticlock-model", entry.model.to_string());
+        }
+        if *streamed {
+            add("content-type", "text/event-stream".to_owned());
+            add("cache-control", "no-store".to_owned());
+        }
+        if let Some(session) = &ask.session {
+            let token = self.shared.signer.sign(&ask.account, &session.id, version);
+            add("masticlock-session", token);
+            if let Some(old) = session.version.as_ref().filter(|old| *old != version) {
+                add("masticlock-session-moved", format!("{old} to {version}"));
+            }
+        }
+        headers
+    }
+
+    fn finish_claim(&self, end: claim::End) {
+        if let Some(key) = self.job.key.clone() {
+            send::finish_claim(&self.shared, key, end);
+        }
+    }
+}
+
+fn stored(answer: &Answer) -> claim::Answer {
+    let content_type = answer
+        .headers
+        .iter()
+        .find(|(name, _)| name == "content-type")
+        .map(|(_, value)| value.clone());
+    claim::Answer {
+        status: answer.status,
+        content_type: content_type.unwrap_or_default(),
+        body: answer.body.clone(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/job.rs
@@ -0,0 +1,375 @@
+//! Admission: credential, headers and body of a request.
+
+use masticlock_core::{attempt, claim, config::Config, error, name, request, session, time::Time};
+use poem::http::{HeaderMap, Method, Uri, header};
+use serde_json::{Map, Value};
+use sha2::{Digest, Sha256};
+
+use super::{Shared, wire::HOP_BY_HOP};
+
+/// A request that was admitted.
+pub(super) struct Job {
+    pub(super) ask: attempt::Ask,
+    pub(super) kind: Kind,
+    pub(super) key: Option<claim::Key>,
+    pub(super) fingerprint: request::Fingerprint,
+}
+
+impl Job {
+    /// Returns whether the request may be sent more than once.
+    pub(super) const fn is_repeatable(&self) -> bool {
+        match &self.ask.work {
+            attempt::Work::Model { .. } => true,
+            attempt::Work::Call { safety, .. } => matches!(safety, attempt::Safety::Repeatable),
+        }
+    }
+}
+
+/// What is sent upstream.
+pub(super) enum Kind {
+    Model {
+        ask: request::Ask,
+        body: Map<String, Value>,
+        streamed: bool,
+    },
+    Call {
+        service: name::Service,
+        method: Method,
+        /// Path and query below the service.
+        target: String,
+        headers: HeaderMap,
+        body: Vec<u8>,
+        /// Path of the status lookup.
+        lookup: Option<String>,
+    },
+}
+
+/// Longest idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 256;
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Answer tokens that are expected when the caller names no limit.
+const ANSWER_TOKENS: u32 = 256;
+/// Kind of the requests that name none.
+const TASK: &str = "chat";
+
+fn bad<M>(message: M) -> error::Error
+where
+    M: Into<String>,
+{
+    error::Error::new(error::Kind::BadRequest, message)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, error::Error> {
+    headers
+        .get(name)
+        .map(|value| value.to_str())
+        .transpose()
+        .map_err(|_| bad(format!("header {name} has characters outside of ASCII")))
+}
+
+fn parsed<V>(headers: &HeaderMap, name: &str, accepted: &str) -> Result<Option<V>, error::Error>
+where
+    V: std::str::FromStr,
+{
+    text(headers, name)?
+        .map(|value| value.trim().parse())
+        .transpose()
+        .map_err(|_| bad(format!("header {name} is {accepted}")))
+}
+
+/// Returns the client account of the bearer key.
+///
+/// All keys are compared, each in constant time, so that the time shows
+/// neither which account matched nor how much of a digest did.
+pub(super) fn authenticate(
+    config: &Config,
+    headers: &HeaderMap,
+) -> Result<name::Account, error::Error> {
+    let refused = || error::Error::new(error::Kind::Unauthorized, "send Authorization: Bearer KEY");
+    let digest = bearer_digest(headers).ok_or_else(refused)?;
+    let mut found = None;
+    for account in &config.inventory.accounts {
+        if same(account.key_sha256.as_bytes(), &digest) {
+            found = Some(&account.name);
+        }
+    }
+    let account = found.ok_or_else(refused)?;
+    if config.blocked.binary_search(account).is_ok() {
+        let message = format!("client account {account} is blocked");
+        return Err(error::Error::new(error::Kind::Blocked, message));
+    }
+    Ok(account.clone())
+}
+
+/// Returns the SHA-256 of the bearer key, in hexadecimal.
+pub(super) fn bearer_digest(headers: &HeaderMap) -> Option<[u8; 64]> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then(|| digest(key.trim()))
+}
+
+/// Returns the SHA-256 of a key as an inventory holds it, in hexadecimal.
+#[must_use]
+pub fn key_digest(key: &str) -> String {
+    digest(key).into_iter().map(char::from).collect()
+}
+
+fn digest(key: &str) -> [u8; 64] {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let mut hex = [0; 64];
+    for (at, byte) in Sha256::digest(key.as_bytes()).iter().enumerate() {
+        hex[2 * at] = DIGITS[usize::from(byte >> 4)];
+        hex[2 * at + 1] = DIGITS[usize::from(byte & 15)];
+    }
+    hex
+}
+
+/// Compares two digests in a time that doesn't depend on where they differ.
+pub(super) fn same(left: &[u8], right: &[u8]) -> bool {
+    let differences = left.iter().zip(right).fold(0, |sum, (a, b)| sum | (a ^ b));
+    left.len() == right.len() && std::hint::black_box(differences) == 0
+}
+
+/// What admission needs besides the body.
+pub(super) struct Entrance<'a> {
+    pub(super) shared: &'a Shared,
+    pub(super) config: &'a Config,
+    pub(super) account: name::Account,
+    pub(super) headers: &'a HeaderMap,
+    pub(super) arrived: Time,
+}
+
+impl Entrance<'_> {
+    fn key(&self) -> Result<Option<claim::Key>, error::Error> {
+        let Some(key) = text(self.headers, "idempotency-key")? else {
+            return Ok(None);
+        };
+        if key.is_empty() || key.len() > MAX_KEY_BYTES {
+            return Err(bad(format!(
+                "header idempotency-key has 1 to {MAX_KEY_BYTES} bytes"
+            )));
+        }
+        Ok(Some(claim::Key {
+            account: self.account.clone(),
+            key: key.to_owned(),
+        }))
+    }
+
+    /// Returns the id of a request.
+    ///
+    /// A request with an idempotency key has the same id on every instance, so
+    /// that a repeat that runs anew doesn't make a second bill.
+    fn id(
+        &self,
+        key: Option<&claim::Key>,
+        fingerprint: request::Fingerprint,
+    ) -> Result<name::Request, error::Error> {
+        let id = match key {
+            Some(key) => {
+                let text = format!("{}\0{}\0{fingerprint}", key.account, key.key);
+                let hex = blake3::hash(text.as_bytes()).to_hex();
+                format!("k-{}", &hex[..32])
+            }
+            None => self.shared.next_id(),
+        };
+        name::Request::try_from(id)
+            .map_err(|e| error::Error::new(error::Kind::Internal, e.to_string()))
+    }
+
+    fn deadline(&self, default_ms: Option<u64>) -> Result<Time, error::Error> {
+        let limit = self.shared.settings.limits.total_ms;
+        let name = "masticlock-deadline-ms";
+        let asked = parsed::<u64>(self.headers, name, "a number of milliseconds")?;
+        if asked == Some(0) {
+            return Err(bad(format!("header {name} is at least 1")));
+        }
+        let millis = asked.or(default_ms).unwrap_or(limit).min(limit);
+        Ok(self.arrived + masticlock_core::time::Span::from_millis(millis))
+    }
+
+    fn session(&self) -> Result<Option<session::Bound>, error::Error> {
+        match text(self.headers, "masticlock-session")? {
+            None => Ok(None),
+            Some(session::NEW) => Ok(Some(session::Bound {
+                id: self.shared.next_id(),
+                version: None,
+            })),
+            Some(token) => self.shared.signer.verify(&self.account, token).map(Some),
+        }
+    }
+
+    /// Admits a request for a model.
+    pub(super) fn model(&self, raw: &[u8]) -> Result<Job, error::Error> {
+        let mut body: Map<String, Value> = serde_json::from_slice(raw)
+            .map_err(|e| bad(format!("the body is not a JSON object: {e}")))?;
+        let model = match body.get("model").and_then(Value::as_str) {
+            None => return Err(bad("field model is the name of a model, or auto")),
+            Some("auto") => None,
+            Some(model) => {
+                Some(name::Model::try_from(model).map_err(|e| bad(format!("field model: {e}")))?)
+            }
+        };
+        if !body.get("messages").is_some_and(Value::is_array) {
+            return Err(bad("field messages is a list"));
+        }
+        let streamed = body.get("stream") == Some(&Value::Bool(true));
+        if streamed {
+            // The bill needs the usage chunk.
+            let options = serde_json::json!({"include_usage": true});
+            body.insert("stream_options".to_owned(), options);
+        }
+        let task = text(self.headers, "masticlock-task")?.unwrap_or(TASK);
+        let task = name::Task::try_from(task).map_err(|e| bad(format!("masticlock-task: {e}")))?;
+        let rule = self.config.rules.task(&task);
+        let quality = parsed(self.headers, "masticlock-quality", "a number from 0 to 1")?
+            .or(rule.map(|r| r.quality))
+            .unwrap_or(0.0);
+        if !(0.0..=1.0).contains(&quality) {
+            return Err(bad("header masticlock-quality is a number from 0 to 1"));
+        }
+        let key = self.key()?;
+        let fingerprint = request::Fingerprint::of(&self.account, raw);
+        let id = self.id(key.as_ref(), fingerprint)?;
+        let deadline = self.deadline(rule.map(|r| r.deadline_ms))?;
+        let prompt_tokens = u32::try_from(raw.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
+        Ok(Job {
+            ask: attempt::Ask {
+                account: self.account.clone(),
+                id: id.clone(),
+                work: attempt::Work::Model { streamed },
+                deadline,
+                outlives_caller: key.is_some(),
+                prompt_tokens: u64::from(prompt_tokens),
+                seed: self.shared.next_seed(),
+            },
+            kind: Kind::Model {
+                ask: request::Ask {
+                    account: self.account.clone(),
+                    id,
+                    task,
+                    model,
+                    quality,
+                    deadline,
+                    prompt_tokens,
+                    answer_tokens: answer_tokens(&body),
+                    session: self.session()?,
+                    fingerprint,
+                },
+                body,
+                streamed,
+            },
+            key,
+            fingerprint,
+        })
+    }
+
+    /// Admits a call of a plain service.
+    pub(super) fn call(
+        &self,
+        method: &Method,
+        uri: &Uri,
+        body: Vec<u8>,
+    ) -> Result<Job, error::Error> {
+        let not_found = || error::Error::new(error::Kind::NotFound, "no such service");
+        let rest = uri.path().strip_prefix("/services/").unwrap_or_default();
+        let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let service = name::Service::try_from(service).map_err(|_| not_found())?;
+        if !self.config.inventory.has_service(&service) {
+            return Err(not_found());
+        }
+        let rules = &self.config.rules;
+        let allowed = rules
+            .account(&self.account)
+            .is_some_and(|r| r.services.binary_search(&service).is_ok());
+        if !allowed {
+            let message = format!("the client account may not call service {service}");
+            return Err(error::Error::new(error::Kind::Forbidden, message));
+        }
+        let path = format!("/{path}");
+        let target = uri
+            .query()
+            .map_or_else(|| path.clone(), |query| format!("{path}?{query}"));
+        let key = self.key()?;
+        let safety = match (rules.is_repeatable(&service, method.as_str(), &path), &key) {
+            (true, _) => attempt::Safety::Repeatable,
+            (false, Some(_)) => attempt::Safety::Claimed,
+            (false, None) => attempt::Safety::Once,
+        };
+        let lookup = rules
+            .service(&service, method.as_str(), &path)
+            .and_then(|r| r.lookup.as_ref())
+            .zip(key.as_ref())
+            .map(|(lookup, key)| lookup.replace("{key}", &escaped(&key.key)));
+        let mut content = format!("{service} {method} {target}\0").into_bytes();
+        content.extend_from_slice(&body);
+        let fingerprint = request::Fingerprint::of(&self.account, &content);
+        let claimed = key.as_ref().filter(|_| safety == attempt::Safety::Claimed);
+        let id = self.id(claimed, fingerprint)?;
+        Ok(Job {
+            ask: attempt::Ask {
+                account: self.account.clone(),
+                id,
+                work: attempt::Work::Call {
+                    service: service.clone(),
+                    safety,
+                    lookup: lookup.is_some(),
+                },
+                deadline: self.deadline(None)?,
+                outlives_caller: false,
+                prompt_tokens: 0,
+                seed: self.shared.next_seed(),
+            },
+            kind: Kind::Call {
+                service,
+                method: method.clone(),
+                target,
+                headers: passed_on(self.headers),
+                body,
+                lookup,
+            },
+            key,
+            fingerprint,
+        })
+    }
+}
+
+fn answer_tokens(body: &Map<String, Value>) -> u32 {
+    ["max_completion_tokens", "max_tokens"]
+        .iter()
+        .find_map(|field| body.get(*field).and_then(Value::as_u64))
+        .map_or(ANSWER_TOKENS, |n| u32::try_from(n).unwrap_or(u32::MAX))
+}
+
+/// Returns the headers that a service receives.
+///
+/// The caller's credential is for the router only.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let is_ours = |name: &header::HeaderName| {
+        *name == header::AUTHORIZATION
+            || HOP_BY_HOP.contains(name)
+            || name.as_str().starts_with("masticlock-")
+    };
+    headers
+        .iter()
+        .filter(|(name, _)| !is_ours(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Returns a key as a path segment, percent-encoded (RFC 3986, section 2.1).
+fn escaped(key: &str) -> String {
+    use std::fmt::Write as _;
+    let mut out = String::with_capacity(key.len());
+    for byte in key.bytes() {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_' | b'~') {
+            out.push(char::from(byte));
+        } else {
+            // Writing to a string can't fail.
+            let _ = write!(out, "%{byte:02X}");
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/node/src/entry/reply.rs
@@ -0,0 +1,58 @@
+//! Answers to callers.
+
+use masticlock_core::error::{self, Ran};
+use poem::{
+    Body, Response,
+    http::{HeaderName, HeaderValue, StatusCode, header},
+};
+use serde_json::{Value, json};
+
+/// Returns the error body.
+pub(super) fn error_value(error: &error::Error) -> Value {
+    let answer = error.kind.answer();
+    let ran = match answer.ran {
+        Ran::NotRun => "not_run",
+        Ran::Unknown => "unknown",
+        Ran::Ran => "ran",
+    };
+    json!({"error": {
+        "code": answer.code,
+        "message": error.message,
+        "ran": ran,
+        "repeat_safe": answer.repeat_safe,
+        "retry_after_ms": error.retry_after_ms,
+    }})
+}
+
+/// Returns an error as the answer of a request.
+pub(super) fn error_response(error: &error::Error) -> Response {
+    let answer = error.kind.answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(error_value(error).to_string());
+    if let Some(millis) = error.retry_after_ms {
+        let seconds = HeaderValue::from(millis.div_ceil(1_000));
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Returns an error as the last event of a stream.
+pub(super) fn error_event(error: &error::Error) -> Vec<u8> {
+    format!("event: error\ndata: {}\n\n", error_value(error)).into_bytes()
+}
+
+/// Returns a response with the headers of an answer.
+pub(super) fn response(status: u16, headers: Vec<(String, String)>, body: Body) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::builder().status(status).body(body);
+    for (name, value) in headers {
+        let parsed = (HeaderName::try_from(name), HeaderValue::try_from(value));
+        if let (Ok(name), Ok(value)) = parsed {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/node/src/fake.rs
@@ -0,0 +1,18 @@
+//! Upstreams and the rating service for tests, benches and the quickstart.
+//!
+//! Each serves its published protocol on a loopback port and has switches for
+//! its faults.
+
+mod announcer;
+mod engine;
+mod line;
+mod rating;
+mod service;
+mod town;
+
+pub use announcer::Announcer;
+pub use engine::{Engine, Mode, Profile, Record, text_of};
+pub use line::Line;
+pub use rating::Rating;
+pub use service::{Conduct, Service};
+pub use town::{KEY, Plan, Town, rules, settings};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,4 +3,7 @@
 //! The decisions are in [`masticlock_core`]; this crate does their input and
 //! output.
 
+pub mod entry;
+pub mod fake;
+pub mod local;
 pub mod port;
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -1,7 +1,30 @@
 //! Borders between the request path and the parts that need other processes.
 
-use futures_util::future::BoxFuture;
-use masticlock_core::{claim, error, ledger, slot};
+use std::{sync::Arc, time::Instant};
+
+use futures_util::{
+    future::{BoxFuture, pending},
+    stream::BoxStream,
+};
+pub use masticlock_core::slot::Report;
+use masticlock_core::{claim, config, directory, error, ledger, request, slot};
+
+/// The configuration in force on this instance.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// The configuration.
+    pub config: Arc<config::Config>,
+    /// When the configuration lease ends; `None` on an instance that needs none.
+    pub lease_end: Option<Instant>,
+}
+
+impl Snapshot {
+    /// Returns whether the configuration lease has ended.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.lease_end.is_some_and(|end| Instant::now() >= end)
+    }
+}
 
 /// Lends slots on upstreams.
 pub trait Slots: Send + Sync {
@@ -14,24 +37,24 @@
 
     /// Returns a slot, with what its holder saw of the upstream.
     fn release(&self, lease: slot::Lease, report: Report);
+
+    /// Resolves when the slot can't be renewed any more and its work must end.
+    fn lost(&self, _lease: &slot::Lease) -> BoxFuture<'static, ()> {
+        Box::pin(pending())
+    }
 }
 
-/// What the holder of a slot saw of the upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Report {
-    /// The work completed; the first token came after that many milliseconds.
-    Completed {
-        /// Milliseconds to the first token.
-        first_ms: u64,
-    },
-    /// The upstream refused the work as overloaded.
-    Refused,
-    /// No byte was sent.
-    NotSent,
-    /// The connection broke or went silent while the work ran.
-    Failed,
-    /// The work was cancelled by its caller.
-    Cancelled,
+/// Takes announcements of upstreams.
+pub trait Announcements: Send + Sync {
+    /// Records an announcement, or forwards it to the owner of the upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Kind::Fenced`] for an old incarnation.
+    fn announce(
+        &self,
+        announcement: directory::Announcement,
+    ) -> BoxFuture<'_, Result<slot::Answer, error::Error>>;
 }
 
 /// Claims calls that must not be repeated.
@@ -60,3 +83,52 @@
     /// Replaces the open record by the final bill and sees to its delivery.
     fn settle(&self, bill: ledger::Bill);
 }
+
+/// A part of a stored answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Status and headers.
+    Head {
+        /// HTTP status.
+        status: u16,
+        /// Headers, in lower case.
+        headers: Vec<(String, String)>,
+    },
+    /// A piece of the body.
+    Data(Vec<u8>),
+    /// The answer is complete.
+    End,
+    /// The work failed. A repeated request runs anew.
+    Failed(error::Error),
+}
+
+/// Takes the parts of an answer as they come.
+pub trait Recorder: Send {
+    /// Appends a part. Dropping the recorder before [`Part::End`] breaks the
+    /// answer off for all who follow it.
+    fn append(&mut self, part: Part);
+}
+
+/// What a request with an idempotency key does.
+pub enum Joined {
+    /// It runs the work and records the answer.
+    First(Box<dyn Recorder>),
+    /// It follows an answer from its start. The stream ends without
+    /// [`Part::End`] if the answer breaks off.
+    Follower(BoxStream<'static, Part>),
+}
+
+/// Keeps the answers of model requests with an idempotency key for a bounded
+/// time and size.
+pub trait Answers: Send + Sync {
+    /// Starts or joins the answer of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Kind::KeyReused`] if the key was used with another body.
+    fn join(
+        &self,
+        key: claim::Key,
+        fingerprint: request::Fingerprint,
+    ) -> BoxFuture<'_, Result<Joined, error::Error>>;
+}
--- /dev/null
+++ b/crates/node/tests/kit/mod.rs
@@ -0,0 +1,40 @@
+//! Callers for the tests of the request path.
+
+use masticlock::fake::{KEY, Plan, Profile, Town};
+use reqwest::{Client, RequestBuilder, Response};
+use serde_json::{Value, json};
+
+pub fn messages() -> Value {
+    json!([{"role": "user", "content": "when do the palms flower?"}])
+}
+
+/// Returns a request for a model that is ready to be sent.
+pub fn model(town: &Town, stream: bool) -> RequestBuilder {
+    let body = json!({"model": "auto", "stream": stream, "messages": messages()});
+    Client::new()
+        .post(format!("{}/v1/chat/completions", town.url()))
+        .bearer_auth(KEY)
+        .json(&body)
+}
+
+pub async fn ask(town: &Town, stream: bool) -> Response {
+    model(town, stream).send().await.unwrap()
+}
+
+/// Returns the content of a stream, and whether it ended with the end mark.
+pub fn content(text: &str) -> (String, bool) {
+    let data = text.lines().filter_map(|l| l.strip_prefix("data: "));
+    let tokens = data
+        .filter_map(|d| serde_json::from_str::<Value>(d).ok())
+        .filter_map(|v| Some(v["choices"][0]["delta"]["content"].as_str()?.to_owned()));
+    (tokens.collect(), text.ends_with("data: [DONE]\n\n"))
+}
+
+/// Starts a town with one engine for each profile.
+pub async fn town<const N: usize>(engines: [Profile; N]) -> Town {
+    let plan = Plan {
+        engines: engines.into(),
+        ..Plan::default()
+    };
+    Town::start(plan).await.unwrap()
+}
