--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,10 +16,13 @@
 #[macro_use]
 mod plain;
 
+pub mod attempt;
+pub mod budget;
 pub mod claim;
 pub mod command;
 pub mod config;
 pub mod consensus;
+pub mod directory;
 pub mod error;
 pub mod estimate;
 pub mod evidence;
@@ -29,6 +32,7 @@
 pub mod machine;
 pub mod name;
 pub mod order;
+pub mod pick;
 pub mod planner;
 pub mod policy;
 pub mod request;
