Lend slots by an owner with an echoed-token lease

An upstream needs one place that counts its slots, without a log and on an isolated side too. The owner's lease counts from the issue of the token that the upstream echoes, a new owner waits until slots of the old one have lapsed, and holders count from when they sent their request.

Report moves from node::port to core::slot and is re-exported, because the owner's table needs it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod claim;
 pub mod command;
 pub mod config;
+pub mod directory;
 pub mod error;
 pub mod inventory;
 pub mod ledger;
--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -1,6 +1,58 @@
 //! Slots on upstreams.
+//!
+//! Each upstream has one owner, which lends a slot for each request. The
+//! owner is the first of its failure domain's instances in rendezvous order
+//! (Thaler and Ravishankar, 1998). Its lease on the upstream is renewed by the
+//! upstream's announcements, which echo the owner's last token.
 
-use crate::{name, time::Span};
+mod holder;
+mod ownership;
+mod table;
+mod warmth;
+
+pub use holder::{Held, Holder};
+pub use ownership::{Ownership, Token};
+pub use table::{Handover, Table, Used};
+pub use warmth::Warmth;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    name,
+    time::{Span, Time},
+};
+
+/// How long an owner may grant slots after it issued the last echoed token.
+pub const OWNER_LEASE: Span = Span::from_secs(4);
+/// How long after the request for a slot its work may start.
+pub const SLOT_START: Span = Span::from_millis(250);
+/// How long a slot lasts without a renewal.
+pub const SLOT_LEASE: Span = Span::from_secs(3);
+/// How often the holder of a slot renews it.
+pub const RENEWAL: Span = Span::from_secs(1);
+/// Longest time for which a slot can be held without a renewal.
+pub const HOLD_MAX: Span = Span::from_secs(30);
+/// Largest deviation of the rate of a clock, in thousandths.
+pub const DRIFT_PERMILLE: u64 = 10;
+/// Interval between announcements.
+pub const ANNOUNCEMENT: Span = Span::from_secs(1);
+/// Interval between announcements until the owner's token has been echoed.
+pub const HANDSHAKE: Span = Span::from_millis(100);
+
+/// Returns the time to count here until `span` has passed on any other clock.
+///
+/// The slowest clock takes `1 / (1 - d)` and the fastest counts `1 + d` for
+/// each unit of time, so the factor is `(1 + d) / (1 - d)`, rounded up.
+#[must_use]
+pub const fn outlast(span: Span) -> Span {
+    let millis = span.as_millis() * (1_000 + DRIFT_PERMILLE);
+    Span::from_millis(millis.div_ceil(1_000 - DRIFT_PERMILLE) + 1)
+}
+
+/// How long a new owner waits before it grants slots on an engine.
+pub const TAKEOVER: Span = outlast(OWNER_LEASE.plus(SLOT_START).plus(SLOT_LEASE));
+/// How long a new owner waits before it grants slots on a plain service.
+pub const TAKEOVER_SERVICE: Span = outlast(OWNER_LEASE.plus(SLOT_START).plus(HOLD_MAX));
 
 plain! {
     /// A request for a slot.
@@ -21,7 +73,7 @@
     }
 
     /// What a request needs from an upstream.
-    #[derive(Eq)]
+    #[derive(Eq, PartialOrd, Ord)]
     pub enum Target {
         /// An engine that has the version loaded.
         Version(name::Version),
@@ -45,4 +97,88 @@
         /// Whether the upstream is in another failure domain.
         pub far: bool,
     }
+
+    /// The answer to an announcement.
+    #[derive(Eq)]
+    pub struct Answer {
+        /// The token that the next announcement echoes.
+        pub token: Token,
+        /// Time until the next announcement.
+        pub interval: Span,
+    }
+
+    /// What is closed for new work. Lists are sorted.
+    #[derive(Default, Eq)]
+    pub struct Closed {
+        /// Failure domains that are taken out.
+        pub domains: Vec<name::Domain>,
+        /// Upstreams that are drained.
+        pub upstreams: Vec<name::Upstream>,
+        /// Versions that are withdrawn.
+        pub versions: Vec<name::Version>,
+    }
+}
+
+/// What the holder of a slot saw of the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Report {
+    /// The work completed; the first token came after that many milliseconds.
+    Completed {
+        /// Milliseconds to the first token.
+        first_ms: u64,
+    },
+    /// The upstream refused the work as overloaded.
+    Refused,
+    /// No byte was sent.
+    NotSent,
+    /// The connection broke or went silent while the work ran.
+    Failed,
+    /// The work was cancelled by its caller.
+    Cancelled,
+}
+
+/// Why an owner grants no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The owner has no upstream that may run the work.
+    NoUpstream,
+    /// All slots are lent.
+    Full,
+    /// The owner may not grant yet; it can at that time on its clock at the earliest.
+    Waiting(Time),
+    /// The work would outlast [`HOLD_MAX`].
+    Long,
+}
+
+/// What an owner answers to a renewal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Renewal {
+    /// The slot lasts for another [`SLOT_LEASE`] from when the renewal was sent.
+    Renewed,
+    /// The owner may not renew now. The slot lasts as long as before.
+    Later,
+    /// The slot is not lent any more. Its work is cancelled.
+    Gone,
+}
+
+/// Returns the candidate that ranks highest for a key in rendezvous order.
+pub fn rendezvous<'a, I>(key: &str, candidates: I) -> Option<&'a name::Instance>
+where
+    I: IntoIterator<Item = &'a name::Instance>,
+{
+    candidates
+        .into_iter()
+        .max_by_key(|candidate| (weight(key, candidate), *candidate))
+}
+
+/// Returns the weight of an instance for a key, by BLAKE3.
+fn weight(key: &str, candidate: &name::Instance) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes());
+    // A name can't contain a NUL byte, so the two parts can't run together.
+    hasher.update(&[0]);
+    hasher.update(candidate.as_str().as_bytes());
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
 }
--- /dev/null
+++ b/crates/core/src/slot/holder.rs
@@ -0,0 +1,129 @@
+//! The slots that an instance holds.
+
+use crate::{
+    slot::{Lease, RENEWAL, Renewal, SLOT_LEASE, SLOT_START},
+    time::{Span, Time},
+};
+
+/// A slot that this instance holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The slot.
+    pub lease: Lease,
+    /// Until when the slot may be used.
+    pub until: Time,
+    started: bool,
+    start_by: Time,
+    renew_at: Option<Time>,
+}
+
+/// The slots that an instance holds, sorted by id and upstream.
+///
+/// Every limit counts from when the request to the owner was sent, which is
+/// before the owner's own count begins.
+#[derive(Clone, Debug, Default)]
+pub struct Holder {
+    held: Vec<Held>,
+}
+
+impl Holder {
+    fn find(&self, lease: &Lease) -> Result<usize, usize> {
+        self.held.binary_search_by(|held| {
+            (held.lease.id, &held.lease.upstream).cmp(&(lease.id, &lease.upstream))
+        })
+    }
+
+    /// Records a slot that was asked for at `sent`. Returns whether it can
+    /// still be started; if not, it is given back.
+    #[must_use]
+    pub fn granted(&mut self, lease: Lease, hold: Option<Span>, sent: Time, now: Time) -> bool {
+        if now >= sent + SLOT_START {
+            return false;
+        }
+        let Err(at) = self.find(&lease) else {
+            return false;
+        };
+        let renew_at = hold.is_none().then_some(sent + RENEWAL);
+        self.held.insert(
+            at,
+            Held {
+                lease,
+                until: sent + hold.unwrap_or(SLOT_LEASE),
+                started: false,
+                start_by: sent + SLOT_START,
+                renew_at,
+            },
+        );
+        true
+    }
+
+    /// Records that the work starts. Returns whether it may.
+    #[must_use]
+    pub fn start(&mut self, lease: &Lease, now: Time) -> bool {
+        let Ok(at) = self.find(lease) else {
+            return false;
+        };
+        let held = &mut self.held[at];
+        let may = held.started || now < held.start_by;
+        held.started = may;
+        may
+    }
+
+    /// Returns the slots to renew now.
+    pub fn renewals(&mut self, now: Time) -> Vec<Lease> {
+        let mut due = Vec::new();
+        for held in &mut self.held {
+            if held.renew_at.is_some_and(|at| at <= now) {
+                held.renew_at = Some(now + RENEWAL);
+                due.push(held.lease.clone());
+            }
+        }
+        due
+    }
+
+    /// Records the answer to a renewal that was sent at `sent`.
+    pub fn renewed(&mut self, lease: &Lease, renewal: Renewal, sent: Time, now: Time) {
+        let Ok(at) = self.find(lease) else {
+            return;
+        };
+        let held = &mut self.held[at];
+        match renewal {
+            Renewal::Renewed if held.renew_at.is_some() => {
+                held.until = held.until.max(sent + SLOT_LEASE);
+            }
+            Renewal::Renewed | Renewal::Later => {}
+            Renewal::Gone => held.until = held.until.min(now),
+        }
+    }
+
+    /// Removes the slots that lapsed or were not started in time, and returns
+    /// them. Their work is cancelled.
+    pub fn lapsed(&mut self, now: Time) -> Vec<Lease> {
+        let mut gone = Vec::new();
+        self.held.retain(|held| {
+            let valid = now < held.until && (held.started || now < held.start_by);
+            if !valid {
+                gone.push(held.lease.clone());
+            }
+            valid
+        });
+        gone
+    }
+
+    /// Removes a slot whose work ended. Returns whether it was held.
+    pub fn released(&mut self, lease: &Lease) -> bool {
+        match self.find(lease) {
+            Ok(at) => {
+                self.held.remove(at);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Returns the slots that are held.
+    #[must_use]
+    pub fn held(&self) -> &[Held] {
+        &self.held
+    }
+}
--- /dev/null
+++ b/crates/core/src/slot/table.rs
@@ -0,0 +1,394 @@
+//! The slots that an owner has lent.
+
+use crate::{
+    directory::{Announcement, State},
+    error, inventory, name,
+    slot::{
+        ANNOUNCEMENT, Answer, Ask, Closed, HANDSHAKE, HOLD_MAX, Lease, Ownership, Refusal, Renewal,
+        Report, SLOT_LEASE, SLOT_START, TAKEOVER, TAKEOVER_SERVICE, Target, Token, Warmth, outlast,
+    },
+    time::{Span, Time},
+};
+
+plain! {
+    /// A slot that is lent, as its owner keeps it.
+    #[derive(Eq)]
+    pub struct Used {
+        /// Id of the slot.
+        pub id: u64,
+        /// Who holds it.
+        pub holder: name::Instance,
+        /// When it lapses on the owner's clock.
+        pub until: Time,
+        /// Whether it lasts without renewals.
+        pub held: bool,
+        /// Number of cold starts before it was granted.
+        pub epoch: u32,
+    }
+
+    /// The slots of one upstream on their way to a new owner.
+    #[derive(Eq)]
+    pub struct Handover {
+        /// The upstream.
+        pub upstream: name::Upstream,
+        /// The old owner.
+        pub owner: name::Instance,
+        /// Process of the old owner.
+        pub boot: u64,
+        /// The last announcement.
+        pub announcement: Announcement,
+        /// The limit.
+        pub warmth: Warmth,
+        /// Slots in use; `until` counts from the start of the handover.
+        pub used: Vec<Used>,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    announcement: Announcement,
+    ownership: Ownership,
+    warmth: Warmth,
+    used: Vec<Used>,
+}
+
+/// The upstreams that an instance owns or is about to own.
+#[derive(Clone, Debug)]
+pub struct Table {
+    me: name::Instance,
+    boot: u64,
+    next: u64,
+    entries: Vec<Entry>,
+    closed: Closed,
+}
+
+impl Entry {
+    fn new(announcement: &Announcement, known: bool) -> Self {
+        Self {
+            announcement: announcement.clone(),
+            ownership: Ownership::new(announcement.incarnation, known),
+            warmth: Warmth::new(announcement.cold, announcement.warm),
+            used: Vec::new(),
+        }
+    }
+
+    fn lent(&self) -> u32 {
+        u32::try_from(self.used.len()).unwrap_or(u32::MAX)
+    }
+
+    fn free(&self) -> u32 {
+        self.warmth.limit().saturating_sub(self.lent())
+    }
+
+    fn sweep(&mut self, now: Time) {
+        self.used.retain(|used| now < used.until);
+    }
+
+    fn update(&mut self, announcement: &Announcement, now: Time) {
+        self.announcement.clone_from(announcement);
+        if self.ownership.restarted(announcement.incarnation, now) {
+            self.warmth.chill();
+        }
+        let says_cold = announcement.state == State::Cold;
+        self.warmth
+            .announced(announcement.cold, announcement.warm, says_cold);
+    }
+}
+
+impl Closed {
+    /// Returns whether the upstream may not get work for the target.
+    #[must_use]
+    pub fn closes(&self, announcement: &Announcement, target: &Target) -> bool {
+        let version = match target {
+            Target::Version(version) => self.versions.binary_search(version).is_ok(),
+            Target::Service(_) => false,
+        };
+        version
+            || self.domains.binary_search(&announcement.domain).is_ok()
+            || self.upstreams.binary_search(&announcement.upstream).is_ok()
+    }
+}
+
+impl Table {
+    /// Returns the empty table of a process. `boot` differs from the number of
+    /// every former process of this instance.
+    #[must_use]
+    pub fn new(me: name::Instance, boot: u64) -> Self {
+        let hash = blake3::hash(&boot.to_le_bytes());
+        let mut head = [0; 4];
+        head.copy_from_slice(&hash.as_bytes()[..4]);
+        Self {
+            me,
+            boot,
+            // Slots of a former process are not taken for those of this one.
+            next: u64::from(u32::from_le_bytes(head)) << 32,
+            entries: Vec::new(),
+            closed: Closed::default(),
+        }
+    }
+
+    /// Replaces what is closed for new work.
+    pub fn close(&mut self, closed: Closed) {
+        self.closed = closed;
+    }
+
+    fn find(&self, upstream: &name::Upstream) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|e| e.announcement.upstream.cmp(upstream))
+    }
+
+    /// Records an announcement and returns the answer. `known` says whether
+    /// another instance may have owned the upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Kind::Fenced`] for an old incarnation.
+    pub fn announced(
+        &mut self,
+        announcement: &Announcement,
+        known: bool,
+        now: Time,
+    ) -> Result<Answer, error::Error> {
+        let at = match self.find(&announcement.upstream) {
+            Ok(at) => at,
+            Err(at) => {
+                self.entries.insert(at, Entry::new(announcement, known));
+                at
+            }
+        };
+        let entry = &mut self.entries[at];
+        if announcement.incarnation < entry.announcement.incarnation {
+            let message = format!("{} has a newer incarnation", announcement.upstream);
+            return Err(error::Error::new(error::Kind::Fenced, message));
+        }
+        entry.sweep(now);
+        entry.update(announcement, now);
+        let token = Token {
+            owner: self.me.clone(),
+            boot: self.boot,
+            issued: now,
+        };
+        let wait = match announcement.offer {
+            inventory::Offer::Engine => TAKEOVER,
+            inventory::Offer::Service => TAKEOVER_SERVICE,
+        };
+        if entry
+            .ownership
+            .announced(&token, announcement.token.as_ref(), wait)
+        {
+            // Signs of a cold start may have been missed.
+            entry.warmth.chill();
+        }
+        let settled = entry.ownership.may_grant(now) || entry.ownership.free_from() > now;
+        Ok(Answer {
+            token,
+            interval: if settled { ANNOUNCEMENT } else { HANDSHAKE },
+        })
+    }
+
+    /// Grants a slot on the upstream with the largest free share.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no slot is granted.
+    pub fn acquire(
+        &mut self,
+        ask: &Ask,
+        holder: &name::Instance,
+        now: Time,
+    ) -> Result<Lease, Refusal> {
+        if ask.hold.is_some_and(|hold| hold > HOLD_MAX) {
+            return Err(Refusal::Long);
+        }
+        let mut best: Option<(u64, usize)> = None;
+        let mut refusal = Refusal::NoUpstream;
+        for (at, entry) in self.entries.iter_mut().enumerate() {
+            let announcement = &entry.announcement;
+            if announcement.state == State::Leaving
+                || !announcement.serves(&ask.target)
+                || ask.avoid.contains(&announcement.upstream)
+                || self.closed.closes(announcement, &ask.target)
+            {
+                continue;
+            }
+            if !entry.ownership.may_grant(now) {
+                if refusal == Refusal::NoUpstream {
+                    refusal = Refusal::Waiting(entry.ownership.free_from());
+                }
+                continue;
+            }
+            entry.sweep(now);
+            let free = entry.free();
+            if free == 0 {
+                refusal = Refusal::Full;
+                continue;
+            }
+            let share = u64::from(free) * 1_000 / u64::from(entry.warmth.limit());
+            if best.is_none_or(|(other, _)| share > other) {
+                best = Some((share, at));
+            }
+        }
+        let (_, at) = best.ok_or(refusal)?;
+        Ok(self.grant(at, ask.hold, holder, now))
+    }
+
+    fn grant(
+        &mut self,
+        at: usize,
+        hold: Option<Span>,
+        holder: &name::Instance,
+        now: Time,
+    ) -> Lease {
+        let id = self.next;
+        self.next += 1;
+        let entry = &mut self.entries[at];
+        entry.used.push(Used {
+            id,
+            holder: holder.clone(),
+            until: now + outlast(SLOT_START.plus(hold.unwrap_or(SLOT_LEASE))),
+            held: hold.is_some(),
+            epoch: entry.warmth.epoch(),
+        });
+        Lease {
+            id,
+            owner: self.me.clone(),
+            upstream: entry.announcement.upstream.clone(),
+            incarnation: entry.announcement.incarnation,
+            address: entry.announcement.address.clone(),
+            far: false,
+        }
+    }
+
+    /// Renews a slot.
+    pub fn renew(&mut self, upstream: &name::Upstream, id: u64, now: Time) -> Renewal {
+        let Ok(at) = self.find(upstream) else {
+            return Renewal::Later;
+        };
+        let entry = &mut self.entries[at];
+        if !entry.ownership.may_grant(now) {
+            return Renewal::Later;
+        }
+        entry.sweep(now);
+        match entry.used.iter_mut().find(|used| used.id == id) {
+            Some(used) => {
+                if !used.held {
+                    used.until = now + outlast(SLOT_START.plus(SLOT_LEASE));
+                }
+                Renewal::Renewed
+            }
+            None => Renewal::Gone,
+        }
+    }
+
+    /// Takes a slot back. A repeated or late release has no effect.
+    pub fn release(&mut self, upstream: &name::Upstream, id: u64, report: Report, now: Time) {
+        let Ok(at) = self.find(upstream) else {
+            return;
+        };
+        let entry = &mut self.entries[at];
+        entry.sweep(now);
+        let Some(at) = entry.used.iter().position(|used| used.id == id) else {
+            return;
+        };
+        let used = entry.used.swap_remove(at);
+        match report {
+            Report::Completed { first_ms } => entry.warmth.completed(first_ms, used.epoch),
+            Report::Refused if used.epoch == entry.warmth.epoch() => entry.warmth.chill(),
+            Report::Refused | Report::NotSent | Report::Failed | Report::Cancelled => {}
+        }
+    }
+
+    /// Returns the free slots and the sum of the limits for a target.
+    #[must_use]
+    pub fn room(&self, target: &Target, now: Time) -> (u32, u32) {
+        self.entries
+            .iter()
+            .filter(|e| {
+                e.announcement.serves(target)
+                    && e.announcement.state != State::Leaving
+                    && e.ownership.may_grant(now)
+                    && !self.closed.closes(&e.announcement, target)
+            })
+            .fold((0, 0), |(free, all), e| {
+                (free + e.free(), all + e.warmth.limit())
+            })
+    }
+
+    /// Returns the slots in use and the limit of an upstream.
+    #[must_use]
+    pub fn load(&self, upstream: &name::Upstream) -> Option<(u32, u32)> {
+        let entry = &self.entries[self.find(upstream).ok()?];
+        Some((entry.lent(), entry.warmth.limit()))
+    }
+
+    /// Returns whether the table grants on the upstream now.
+    #[must_use]
+    pub fn owns(&self, upstream: &name::Upstream, now: Time) -> bool {
+        self.find(upstream)
+            .is_ok_and(|at| self.entries[at].ownership.may_grant(now))
+    }
+
+    /// Forgets an upstream that is gone.
+    pub fn forget(&mut self, upstream: &name::Upstream) {
+        if let Ok(at) = self.find(upstream) {
+            self.entries.remove(at);
+        }
+    }
+
+    /// Stops granting and returns the slots of each owned upstream.
+    pub fn hand_over(&mut self, now: Time) -> Vec<Handover> {
+        let mut handovers = Vec::new();
+        for entry in &mut self.entries {
+            entry.sweep(now);
+            if !entry.ownership.may_grant(now) {
+                entry.ownership.surrender(now);
+                continue;
+            }
+            entry.ownership.surrender(now);
+            let relative = |used: &Used| Used {
+                until: Time::ZERO + used.until.since(now),
+                ..used.clone()
+            };
+            handovers.push(Handover {
+                upstream: entry.announcement.upstream.clone(),
+                owner: self.me.clone(),
+                boot: self.boot,
+                announcement: entry.announcement.clone(),
+                warmth: entry.warmth.clone(),
+                used: entry.used.iter().map(relative).collect(),
+            });
+        }
+        handovers
+    }
+
+    /// Takes over the slots of an upstream from an owner that stopped granting.
+    pub fn take_over(&mut self, handover: Handover, now: Time) {
+        let at = match self.find(&handover.upstream) {
+            Ok(at) => at,
+            Err(at) => {
+                let entry = Entry::new(&handover.announcement, true);
+                self.entries.insert(at, entry);
+                at
+            }
+        };
+        let entry = &mut self.entries[at];
+        if entry.announcement.incarnation > handover.announcement.incarnation
+            || entry.ownership.may_grant(now)
+        {
+            return;
+        }
+        if !entry.ownership.succeed(handover.owner, handover.boot) {
+            return;
+        }
+        entry.warmth = handover.warmth;
+        for used in handover.used {
+            if entry.used.iter().all(|own| own.id != used.id) {
+                let left = outlast(used.until.since(Time::ZERO));
+                entry.used.push(Used {
+                    until: now + left,
+                    ..used
+                });
+            }
+        }
+    }
+}
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -1,6 +1,7 @@
 //! Borders between the request path and the parts that need other processes.
 
 use futures_util::future::BoxFuture;
+pub use masticlock_core::slot::Report;
 use masticlock_core::{claim, error, ledger, slot};
 
 /// Lends slots on upstreams.
@@ -16,24 +17,6 @@
     fn release(&self, lease: slot::Lease, report: Report);
 }
 
-/// What the holder of a slot saw of the upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Report {
-    /// The work completed; the first token came after that many milliseconds.
-    Completed {
-        /// Milliseconds to the first token.
-        first_ms: u64,
-    },
-    /// The upstream refused the work as overloaded.
-    Refused,
-    /// No byte was sent.
-    NotSent,
-    /// The connection broke or went silent while the work ran.
-    Failed,
-    /// The work was cancelled by its caller.
-    Cancelled,
-}
-
 /// Claims calls that must not be repeated.
 pub trait Claims: Send + Sync {
     /// Claims a call. `Granted` is durable on a majority.
