--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -4,7 +4,7 @@
 //! Clocks", OPODIS 2014): close to wall time, and a cause always has a lower
 //! stamp than its effect, although the wall clocks of processes differ.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, fmt};
 
 use serde::{Deserialize, Serialize};
 
@@ -174,6 +174,14 @@
     }
 }
 
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Stamp { millis, count } = self.stamp;
+        write!(f, "{}.{:03}+{count} ", millis / 1_000, millis % 1_000)?;
+        write!(f, "{} {:?}", self.instance, self.fact)
+    }
+}
+
 /// The latest events of one process.
 #[derive(Debug)]
 pub struct Log {
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -3,14 +3,12 @@
 //! The quickstart, benches and tests use them. They keep their state in
 //! memory, so nothing here survives the end of the process.
 
-mod cheapest;
 mod fleet;
 mod ledger;
 mod register;
 mod shelf;
 mod site;
 
-pub use cheapest::Cheapest;
 pub use fleet::Fleet;
 pub use ledger::Ledger;
 pub use register::Register;
