--- a/crates/core/src/feed.rs
+++ b/crates/core/src/feed.rs
@@ -9,7 +9,7 @@
 mod source;
 
 pub use self::{
-    client::{Client, Fault, Outgoing, Progress, Seat},
+    client::{Client, Fault, Outgoing, Seat},
     record::Records,
     server::{Pending, Server},
     source::{Source, Sources, rank, relays},
@@ -74,7 +74,7 @@
     /// How far the records of one server were received.
     #[derive(Copy, Eq, Default)]
     pub struct Cursor {
-        /// Random id of the server's process.
+        /// Unique id of the server's process.
         pub server: u64,
         /// Number of its first record that was not received.
         pub next: u64,
@@ -89,7 +89,7 @@
         pub domain: name::Domain,
         /// Address at which it answers other instances.
         pub address: String,
-        /// Differs between two starts of the instance.
+        /// Grows from start to start of the instance.
         pub incarnation: u64,
         /// The revision that it applies.
         pub revision: u64,
--- a/crates/core/src/feed/client.rs
+++ b/crates/core/src/feed/client.rs
@@ -2,10 +2,10 @@
 
 use super::{
     Confirmation, Contact, Cursor, Delta, HOLD, LAPSE, LEASE, Poll, Record, Reply, STALE, Server,
-    Source, Sources, Update,
+    Source, Sources, Update, rank,
 };
 use crate::{
-    config::Config,
+    config::{Config, insert_sorted},
     name,
     time::{Span, Time},
 };
@@ -31,15 +31,6 @@
     Damaged(u64),
 }
 
-/// What an answer led to.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Progress {
-    /// Whether a later revision was applied.
-    pub changed: bool,
-    /// Records that this instance did not have.
-    pub records: Vec<Record>,
-}
-
 /// A poll on its way.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outgoing {
@@ -60,7 +51,7 @@
     pub domain: name::Domain,
     /// Address at which it answers other instances.
     pub address: String,
-    /// Random number of this start; also the id of its records.
+    /// Grows from start to start, such as the wall clock in milliseconds.
     pub incarnation: u64,
 }
 
@@ -76,8 +67,12 @@
     cursor: Cursor,
     /// The server and number up to which this instance's records were sent.
     sent: Cursor,
+    /// Number of the first record that [`Client::new_records`] has not returned.
+    read: u64,
     /// Confirmations from below that were not sent yet.
     unsent: bool,
+    /// Starts of instances below that control knows of, sorted.
+    admitted: Vec<(name::Instance, u64)>,
     leaving: bool,
 }
 
@@ -87,7 +82,7 @@
     pub fn new(seat: Seat, control: Vec<String>, now: Time) -> Self {
         let config = Config::default();
         let digest = config.digest();
-        let id = seat.incarnation;
+        let id = rank(&seat.incarnation.to_string(), &seat.instance);
         Self {
             seat,
             server: Server::new(id, Arc::new(config), digest, now),
@@ -96,7 +91,9 @@
             sources: Sources::new(control),
             cursor: Cursor::default(),
             sent: Cursor::default(),
+            read: 0,
             unsent: false,
+            admitted: Vec::new(),
             leaving: false,
         }
     }
@@ -186,7 +183,7 @@
         self.unsent = false;
     }
 
-    /// Takes the answer to a poll.
+    /// Takes the answer to a poll; returns whether a later revision was applied.
     ///
     /// # Errors
     ///
@@ -197,9 +194,14 @@
         outgoing: &Outgoing,
         reply: Reply,
         now: Time,
-    ) -> Result<Progress, Fault> {
+    ) -> Result<bool, Fault> {
         // The poll arrived no earlier than it was sent, and was held after that.
-        let valid = (outgoing.sent + reply.held - reply.age).min(now);
+        let arrival = outgoing.sent + reply.held;
+        if arrival.since(Time::ZERO) < reply.age {
+            // Older than this process's clock, which can't express it.
+            return Err(Fault::Stale(reply.age));
+        }
+        let valid = (arrival - reply.age).min(now);
         if !self.has_config && now.since(valid) >= LEASE {
             return Err(Fault::Stale(now.since(valid)));
         }
@@ -208,6 +210,12 @@
             Update::Deltas(deltas) => self.take_deltas(deltas)?,
             Update::Full { config, digest } => self.take_full(*config, digest)?,
         };
+        for below in &outgoing.poll.below {
+            insert_sorted(
+                &mut self.admitted,
+                (below.instance.clone(), below.incarnation),
+            );
+        }
         // A held answer may arrive after a later one.
         self.valid = self.valid.max(valid);
         if let Some(contacts) = reply.contacts {
@@ -215,8 +223,8 @@
                 .set_contacts(&contacts, &self.seat.domain, &self.seat.instance);
             self.server.set_contacts(contacts);
         }
-        let records = self.take_records(outgoing, reply.records, reply.cursor);
-        Ok(Progress { changed, records })
+        self.take_records(outgoing, reply.records, reply.cursor);
+        Ok(changed)
     }
 
     fn take_deltas(&mut self, deltas: Vec<Delta>) -> Result<bool, Fault> {
@@ -259,12 +267,7 @@
         Ok(true)
     }
 
-    fn take_records(
-        &mut self,
-        outgoing: &Outgoing,
-        records: Vec<Record>,
-        cursor: Cursor,
-    ) -> Vec<Record> {
+    fn take_records(&mut self, outgoing: &Outgoing, records: Vec<Record>, cursor: Cursor) {
         let before = self.server.records().end();
         let carried = outgoing.first + outgoing.poll.records.len() as u64;
         let mut next = if self.sent.server == cursor.server {
@@ -290,7 +293,13 @@
         if self.cursor.server != cursor.server || self.cursor.next < cursor.next {
             self.cursor = cursor;
         }
-        self.server.records().all_from(before)
+    }
+
+    /// Returns the records of other instances that came since the last call.
+    pub fn new_records(&mut self) -> Vec<Record> {
+        let records = self.server.records().all_from(self.read);
+        self.read = self.server.records().end();
+        records
     }
 
     /// Records that a source gave no answer, or one that was not taken.
@@ -327,6 +336,18 @@
         self.server.has_news(poll)
     }
 
+    /// Returns whether control knows the polling instance and all below it.
+    ///
+    /// An answer gives a configuration lease, so control must count the
+    /// instance among those that must confirm before it is answered.
+    #[must_use]
+    pub fn is_admitted(&self, poll: &Poll) -> bool {
+        std::iter::once(&poll.own).chain(&poll.below).all(|c| {
+            let start = (c.instance.clone(), c.incarnation);
+            self.admitted.binary_search(&start).is_ok()
+        })
+    }
+
     /// Answers a poll from below; `None` without a configuration.
     #[must_use]
     pub fn answer(&self, poll: &Poll, arrived: Time, now: Time) -> Option<Reply> {
@@ -339,8 +360,12 @@
     where
         I: IntoIterator<Item = Record>,
     {
+        let all_read = self.read == self.server.records().end();
         let news = self.server.merge(records);
         self.unsent |= news;
+        if all_read {
+            self.read = self.server.records().end();
+        }
         news
     }
 
@@ -353,5 +378,11 @@
     /// Drops instances below that are silent.
     pub fn forget(&mut self, now: Time) {
         self.server.forget(LAPSE, now);
+        let live: Vec<_> = self
+            .server
+            .peers(now)
+            .map(|c| (c.instance, c.incarnation))
+            .collect();
+        self.admitted.retain(|start| live.contains(start));
     }
 }
--- a/crates/core/src/feed/server.rs
+++ b/crates/core/src/feed/server.rs
@@ -39,12 +39,14 @@
     /// Takes a later or an earlier report. Returns whether the confirmation
     /// changed, and whether the instance moved or leaves.
     ///
-    /// Reports of one start are merged, because those of two relays come in
-    /// any order.
+    /// Reports of one start are merged, and those of an earlier start are
+    /// ignored, because reports of two relays come in any order. An earlier
+    /// incarnation that is heard long after the later one is taken: the
+    /// instance's wall clock was set back.
     fn update(&mut self, last: Confirmation, heard: Time) -> (bool, bool) {
         let old = &self.last;
         let same_start = old.incarnation == last.incarnation;
-        if !same_start && heard < self.heard {
+        if last.incarnation < old.incarnation && heard.since(self.heard) < LAPSE {
             return (false, false);
         }
         let later = heard >= self.heard;
@@ -94,7 +96,7 @@
 }
 
 impl Server {
-    /// Returns a server of the process with that random id.
+    /// Returns a server of the process with that unique id.
     #[must_use]
     pub fn new(id: u64, config: Arc<Config>, digest: String, now: Time) -> Self {
         Self {
@@ -140,8 +142,8 @@
     /// its cursor moved over its own records, and whether anything was new.
     pub fn hear(&mut self, mut poll: Poll, now: Time) -> (Poll, bool) {
         let mut news = self.confirm(poll.own.clone(), now);
-        for below in std::mem::take(&mut poll.below) {
-            news |= self.confirm(below, now);
+        for below in &poll.below {
+            news |= self.confirm(below.clone(), now);
         }
         let at_end = poll.cursor == self.records.cursor();
         news |= self.records.merge(std::mem::take(&mut poll.records));
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -40,7 +40,7 @@
         pub instance: name::Instance,
         /// Its failure domain.
         pub domain: name::Domain,
-        /// Random number of its start.
+        /// Differs between its starts.
         pub incarnation: u64,
     }
 
--- a/crates/node/src/control/lead.rs
+++ b/crates/node/src/control/lead.rs
@@ -119,8 +119,9 @@
 
     /// Answers the polls that have news or were held long enough.
     ///
-    /// An instance is answered only once it is listed among those that must
-    /// confirm, because the answer gives it a configuration lease.
+    /// An instance is answered only once it and those below it are listed
+    /// among those that must confirm, because the answer gives them a
+    /// configuration lease.
     pub fn wake(&mut self) {
         let now = self.clock.now();
         if !self.held.is_empty() && !self.may_act() {
@@ -130,15 +131,16 @@
             }
         }
         let (feed, members) = (&self.feed, self.machine.members());
-        let listed = |poll: &feed::Poll| {
-            poll.own.leaving
-                || members
-                    .binary_search_by(|m| m.instance.cmp(&poll.own.instance))
-                    .is_ok_and(|at| members[at].incarnation == poll.own.incarnation)
+        let listed = |c: &feed::Confirmation| {
+            let listed = members
+                .binary_search_by(|m| m.instance.cmp(&c.instance))
+                .is_ok_and(|at| members[at].incarnation >= c.incarnation);
+            c.leaving || listed
         };
         let due = |held: &mut Held| {
             let over = now.since(held.arrived) >= held.poll.hold.min(feed::HOLD);
-            listed(&held.poll) && (over || feed.has_news(&held.poll))
+            let mut heard = std::iter::once(&held.poll.own).chain(&held.poll.below);
+            heard.all(listed) && (over || feed.has_news(&held.poll))
         };
         for held in self.held.extract_if(.., due) {
             let reply = feed.answer(&held.poll, now, held.arrived, now);
