Add membership, the upstream directory and crash evidence

Instances of a failure domain need members, upstreams, restrictions and crash evidence without a log. Records merge by (incarnation, sequence); a push to three peers spreads them, a second push and an exchange of hashes repair loss.

A request that crashes what runs it crashes two upstreams in 500 seeds, because its evidence spreads before its caller hears of the failure.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -1,6 +1,18 @@
-//! Upstreams as they announce themselves.
+//! Upstreams as they announce themselves, and the view of a failure domain.
 
-use crate::{inventory, name, slot};
+use crate::{
+    config,
+    gossip::{Body, Key, Status, Store},
+    inventory, name, slot,
+    time::{Span, Time},
+};
+
+/// Time without an announcement after which its owner removes an upstream.
+pub const SILENCE: Span = Span::from_secs(5);
+/// Age after which the summary of another failure domain counts as empty.
+pub const SUMMARY_AGE: Span = Span::from_secs(5);
+/// Number of instances that represent a failure domain to others.
+pub const CONTACTS: usize = 2;
 
 /// Whether an upstream takes work.
 #[derive(
@@ -61,3 +73,168 @@
         }
     }
 }
+
+plain! {
+    /// An instance and its address.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct Contact {
+        /// The instance.
+        pub name: name::Instance,
+        /// Where other instances reach it.
+        pub address: String,
+    }
+
+    /// Free capacity for one target.
+    #[derive(Eq)]
+    pub struct Capacity {
+        /// What is offered.
+        pub target: slot::Target,
+        /// Free slots.
+        pub free: u32,
+        /// All slots.
+        pub total: u32,
+    }
+
+    /// What a failure domain tells others about itself.
+    #[derive(Eq)]
+    pub struct Summary {
+        /// The failure domain.
+        pub domain: name::Domain,
+        /// Its contact instances.
+        pub contacts: Vec<Contact>,
+        /// Free capacity, sorted by target.
+        pub capacity: Vec<Capacity>,
+        /// Age of the content.
+        pub age: Span,
+    }
+}
+
+/// Who and what is in a failure domain, as the merged records have it.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Members that can own upstreams, sorted by name.
+    pub members: Vec<Contact>,
+    /// Upstreams, sorted by name.
+    pub upstreams: Vec<Announcement>,
+    /// What local restrictions close. Lists are sorted.
+    pub closed: slot::Closed,
+    /// Client accounts that local restrictions block, sorted.
+    pub blocked: Vec<name::Account>,
+}
+
+impl View {
+    /// Returns the view that the records give.
+    #[must_use]
+    pub fn of(store: &Store) -> Self {
+        let mut view = Self::default();
+        for record in store.records() {
+            match (&record.key, &record.body) {
+                (Key::Member(name), Body::Member(member)) => {
+                    if matches!(member.status, Status::Alive | Status::Suspect) {
+                        view.members.push(Contact {
+                            name: name.clone(),
+                            address: member.address.clone(),
+                        });
+                    }
+                }
+                (Key::Upstream(_), Body::Upstream(upstream)) => {
+                    view.upstreams.push(upstream.clone());
+                }
+                (Key::Restriction(_), Body::Restriction(limit)) => view.restrict(limit),
+                _ => {}
+            }
+        }
+        view
+    }
+
+    fn restrict(&mut self, limit: &config::Limit) {
+        match limit {
+            config::Limit::Withdraw(version) => {
+                config::insert_sorted(&mut self.closed.versions, version.clone());
+            }
+            config::Limit::TakeOut(domain) => {
+                config::insert_sorted(&mut self.closed.domains, domain.clone());
+            }
+            config::Limit::Drain(upstream) => {
+                config::insert_sorted(&mut self.closed.upstreams, upstream.clone());
+            }
+            config::Limit::Block(account) => {
+                config::insert_sorted(&mut self.blocked, account.clone());
+            }
+        }
+    }
+
+    /// Returns the owner of an upstream.
+    #[must_use]
+    pub fn owner(&self, upstream: &name::Upstream) -> Option<&Contact> {
+        self.first(upstream.as_str())
+    }
+
+    fn first(&self, key: &str) -> Option<&Contact> {
+        let names = self.members.iter().map(|member| &member.name);
+        let first = slot::rendezvous(key, names)?;
+        self.members.iter().find(|member| member.name == *first)
+    }
+
+    /// Returns the instances that represent the failure domain to others.
+    #[must_use]
+    pub fn contacts(&self, domain: &name::Domain) -> Vec<Contact> {
+        let mut rest = self.clone();
+        let mut contacts = Vec::new();
+        while contacts.len() < CONTACTS {
+            let Some(first) = rest.first(domain.as_str()).cloned() else {
+                break;
+            };
+            rest.members.retain(|member| *member != first);
+            contacts.push(first);
+        }
+        contacts
+    }
+
+    /// Returns the upstreams that take work for a target.
+    pub fn serving(&self, target: &slot::Target) -> impl Iterator<Item = &Announcement> {
+        self.upstreams.iter().filter(|upstream| {
+            upstream.state != State::Leaving
+                && upstream.serves(target)
+                && !self.closed.closes(upstream, target)
+        })
+    }
+}
+
+/// Summaries of other failure domains, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub struct Summaries {
+    kept: Vec<(Time, Summary)>,
+}
+
+impl Summaries {
+    /// Merges a summary; the youngest content stays.
+    pub fn merge(&mut self, summary: Summary, now: Time) {
+        let made = now - summary.age;
+        match self
+            .kept
+            .binary_search_by(|(_, kept)| kept.domain.cmp(&summary.domain))
+        {
+            Ok(at) if self.kept[at].0 >= made => {}
+            Ok(at) => self.kept[at] = (made, summary),
+            Err(at) => self.kept.insert(at, (made, summary)),
+        }
+    }
+
+    /// Returns all summaries with their present age. Old ones keep their
+    /// contacts and have no capacity.
+    pub fn all(&self, now: Time) -> impl Iterator<Item = Summary> {
+        self.kept.iter().map(move |(made, summary)| {
+            let age = now.since(*made);
+            Summary {
+                age,
+                capacity: if age > SUMMARY_AGE {
+                    Vec::new()
+                } else {
+                    summary.capacity.clone()
+                },
+                ..summary.clone()
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/suspect.rs
@@ -0,0 +1,160 @@
+//! Tests of crash evidence.
+
+use masticlock_core::{
+    name,
+    request::Fingerprint,
+    suspect::{Evidence, Id, Set, Tracker, Verdict},
+    time::Time,
+};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn fingerprint(number: u8) -> Fingerprint {
+    Fingerprint::of(&name::Account::try_from("a").unwrap(), &[number])
+}
+
+fn upstream(number: usize) -> name::Upstream {
+    name::Upstream::try_from(format!("engine-{number}")).unwrap()
+}
+
+fn instance(number: usize) -> name::Instance {
+    name::Instance::try_from(format!("entry-{number}")).unwrap()
+}
+
+fn evidence() -> impl Strategy<Value = (Id, Evidence)> {
+    let id = (0..3usize, 0..3usize, 0..2u64).prop_map(|(engine, origin, number)| Id {
+        upstream: upstream(engine),
+        incarnation: 1,
+        origin: instance(origin),
+        boot: 1,
+        number,
+    });
+    id.prop_map(|id| {
+        // One id always carries the same content.
+        let first = u8::try_from(id.number).unwrap();
+        let mut running = vec![fingerprint(first), fingerprint(first + 1)];
+        running.sort_unstable();
+        let evidence = if id.number == 0 {
+            Evidence::Crash { running }
+        } else {
+            Evidence::Cleared {
+                fingerprint: running[0],
+                crashes: vec![(id.upstream.clone(), 1)],
+            }
+        };
+        (id, evidence)
+    })
+}
+
+fn set(list: &[(Id, Evidence)]) -> Set {
+    let mut set = Set::default();
+    for (id, evidence) in list {
+        set.add(id.clone(), evidence.clone());
+    }
+    set
+}
+
+proptest! {
+    /// Guards against verdicts that depend on the order or number of merges.
+    #[test]
+    fn merge_is_idempotent_and_commutative(
+        left in prop::collection::vec(evidence(), 0..12),
+        right in prop::collection::vec(evidence(), 0..12),
+    ) {
+        let (left, right) = (set(&left), set(&right));
+        let (mut one, mut two) = (left.clone(), right.clone());
+        one.merge(&right);
+        two.merge(&left);
+        prop_assert_eq!(&one, &two);
+        two.merge(&right);
+        prop_assert_eq!(&one, &two);
+    }
+}
+
+/// Guards against a request that crashes one upstream after the other while
+/// its caller resends it to any instance, and against innocent requests that
+/// stay suspect.
+#[test]
+fn a_request_crashes_at_most_two_upstreams() {
+    for seed in 0..500 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut trackers: Vec<_> = (0..9).map(|at| Tracker::new(instance(at), 1)).collect();
+        let bad = fingerprint(0);
+        let mut crashes = 0;
+        let mut now = 0;
+        for round in 0..40usize {
+            now += 10;
+            let at = rng.random_range(0..trackers.len());
+            let verdict = trackers[at].verdict(bad, Time::from_millis(now));
+            if !matches!(verdict, Verdict::Clear | Verdict::Alone) {
+                continue;
+            }
+            // Innocent requests share the upstream unless the request runs alone.
+            let innocent = fingerprint(1 + rng.random_range(0..3));
+            let engine = upstream(round);
+            let other = rng.random_range(0..trackers.len());
+            let shares = verdict == Verdict::Clear;
+            if shares {
+                trackers[other].started(innocent, engine.clone(), 1);
+            }
+            trackers[at].started(bad, engine.clone(), 1);
+            crashes += 1;
+            let mut reports = Vec::new();
+            for tracker in &mut trackers {
+                reports.extend(tracker.crashed(&engine, 1, Time::from_millis(now)));
+            }
+            // The evidence spreads before the caller hears of the failure.
+            let waiting = trackers[at].verdict(bad, Time::from_millis(now));
+            assert!(
+                !matches!(waiting, Verdict::Clear | Verdict::Alone),
+                "seed {seed}"
+            );
+            for (id, evidence) in reports {
+                for tracker in &mut trackers {
+                    tracker.merge(id.clone(), evidence.clone());
+                    tracker.spread(&id);
+                }
+            }
+            if shares {
+                let rerun = &mut trackers[other];
+                assert_eq!(
+                    rerun.verdict(innocent, Time::from_millis(now)),
+                    Verdict::Alone
+                );
+                rerun.started(innocent, upstream(100), 1);
+                let (id, clear) = rerun.ended(innocent, &upstream(100), 1, true).unwrap();
+                for tracker in &mut trackers {
+                    tracker.merge(id.clone(), clear.clone());
+                }
+                let verdict = trackers[at].verdict(innocent, Time::from_millis(now));
+                assert_eq!(verdict, Verdict::Clear, "seed {seed}");
+            }
+        }
+        assert_eq!(crashes, 2, "seed {seed}");
+        let verdict = trackers[0].verdict(bad, Time::from_millis(now));
+        assert_eq!(verdict, Verdict::Quarantined);
+    }
+}
+
+/// Guards against a second copy that runs while the first one's evidence is
+/// not known everywhere.
+#[test]
+fn a_copy_waits_until_evidence_has_spread() {
+    let mut tracker = Tracker::new(instance(0), 1);
+    let now = Time::from_millis(5);
+    tracker.started(fingerprint(0), upstream(0), 1);
+    tracker.started(fingerprint(0), upstream(1), 1);
+    let (id, _) = tracker.crashed(&upstream(0), 1, now).unwrap();
+    assert_eq!(tracker.verdict(fingerprint(0), now), Verdict::Pending);
+    tracker.spread(&id);
+    // The other copy still runs.
+    assert_eq!(tracker.verdict(fingerprint(0), now), Verdict::Pending);
+    assert!(
+        tracker
+            .ended(fingerprint(0), &upstream(1), 1, false)
+            .is_none()
+    );
+    assert_eq!(tracker.verdict(fingerprint(0), now), Verdict::Alone);
+    assert_eq!(tracker.verdict(fingerprint(1), now), Verdict::Clear);
+}
