--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,19 +16,32 @@
 #[macro_use]
 mod plain;
 
+pub mod attempt;
+pub mod budget;
 pub mod claim;
 pub mod command;
 pub mod config;
+pub mod consensus;
 pub mod directory;
 pub mod error;
+pub mod estimate;
+pub mod evidence;
+pub mod feed;
 pub mod gossip;
 pub mod inventory;
 pub mod ledger;
+pub mod machine;
 pub mod name;
+pub mod order;
+pub mod pick;
+pub mod planner;
 pub mod policy;
 pub mod request;
+pub mod rollout;
 pub mod session;
 pub mod settings;
 pub mod slot;
+pub mod storage;
 pub mod suspect;
 pub mod time;
+pub mod timeline;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,4 +3,13 @@
 //! The decisions are in [`masticlock_core`]; this crate does their input and
 //! output.
 
+pub mod client;
+pub mod clock;
+pub mod control;
+pub mod disk;
+pub mod entry;
+pub mod fake;
+pub mod local;
+pub mod logging;
 pub mod port;
+pub mod rpc;
