--- a/crates/node/src/local/site.rs
+++ b/crates/node/src/local/site.rs
@@ -6,10 +6,10 @@
 use arc_swap::ArcSwap;
 use masticlock_core::{
     config::{Change, Config},
-    error,
+    error, planner,
 };
 
-use super::{Cheapest, Fleet, Ledger, Register, Shelf};
+use super::{Fleet, Ledger, Register, Shelf};
 use crate::{
     entry::{self, Handle, Parts, Settings},
     port::Snapshot,
@@ -53,7 +53,7 @@
             bills: ledger.clone(),
             answers: Arc::new(Shelf::default()),
             supply: fleet.clone(),
-            planner: Arc::new(Mutex::new(Cheapest)),
+            planner: Arc::new(Mutex::new(planner::Adaptive::new())),
         })
         .await?;
         Ok(Self {
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -7,7 +7,7 @@
     stream::BoxStream,
 };
 pub use masticlock_core::slot::Report;
-use masticlock_core::{claim, config, directory, error, ledger, request, slot};
+use masticlock_core::{claim, config, directory, error, ledger, request, slot, time::Span};
 
 /// The configuration in force on this instance.
 #[derive(Clone, Debug)]
@@ -19,10 +19,12 @@
 }
 
 impl Snapshot {
-    /// Returns whether the configuration lease has ended.
+    /// Returns how long ago the configuration lease ended, or `None` while it is valid.
     #[must_use]
-    pub fn is_cut_off(&self) -> bool {
-        self.lease_end.is_some_and(|end| Instant::now() >= end)
+    pub fn cut_off(&self) -> Option<Span> {
+        let ago = Instant::now().checked_duration_since(self.lease_end?)?;
+        let millis = u64::try_from(ago.as_millis()).unwrap_or(u64::MAX);
+        Some(Span::from_millis(millis))
     }
 }
 
