--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -121,6 +121,7 @@
 
 /// What the holder of a slot saw of the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Report {
     /// The work completed; the first token came after that many milliseconds.
     Completed {
@@ -139,6 +140,7 @@
 
 /// Why an owner grants no slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// The owner has no upstream that may run the work.
     NoUpstream,
@@ -152,6 +154,7 @@
 
 /// What an owner answers to a renewal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Renewal {
     /// The slot lasts for another [`SLOT_LEASE`] from when the renewal was sent.
     Renewed,
