Add the operators' command line, the time line of control replicas and offline recovery

Cause: operators need one program for checks, changes, status, bills and the time line, and a way on when a majority of the control replicas is lost. Options for recovery: a flag of the control process (easy to leave on by mistake) or a command that works on the folder. Conclusion: exit codes separate refused, accepted but not in force, and unknown.

--- a/crates/node/src/bin/masticlock.rs
+++ b/crates/node/src/bin/masticlock.rs
@@ -1,3 +1,7 @@
-//! Starts the process.
+//! The operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    masticlock::cli::run()
+}
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -10,7 +10,7 @@
     core::{ClientError, client::ClientT, traits::ToRpcParams},
     http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder},
 };
-use masticlock_core::{error, time::Span};
+use masticlock_core::{config, error, ledger, time::Span};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::value::{RawValue, to_raw_value};
 use tokio::time::{Instant, sleep, timeout};
@@ -318,6 +318,44 @@
     }
 }
 
+impl Control {
+    /// Returns the accepted configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last failure when no leader answers within `limit`.
+    pub async fn config(&self, limit: Span) -> Result<config::Config, error::Error> {
+        self.call(rpc::OPERATOR_CONFIG, &Empty {}, ATTEMPT, limit)
+            .await
+    }
+
+    /// Returns all bills of one replica, with earlier versions of bills that were replaced.
+    ///
+    /// # Errors
+    ///
+    /// Returns the replica's failure.
+    pub async fn bills(
+        &self,
+        address: &str,
+        limit: Span,
+    ) -> Result<Vec<ledger::Bill>, error::Error> {
+        let mut bills = Vec::new();
+        let mut from = 0;
+        loop {
+            let page: rpc::BillPage = self
+                .pool()
+                .call(address, rpc::BILL_LIST, &rpc::BillsFrom { from }, limit)
+                .await
+                .map_err(|failure| failure.error)?;
+            bills.extend(page.bills);
+            if page.next >= page.end || page.next == from {
+                return Ok(bills);
+            }
+            from = page.next;
+        }
+    }
+}
+
 /// Parameters of methods without parameters.
 #[derive(Debug, Serialize)]
 struct Empty {}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,6 +6,7 @@
 mod job;
 mod lead;
 mod peer;
+mod recover;
 mod replicas;
 mod run;
 mod settings;
@@ -14,6 +15,7 @@
 pub use self::{
     bills::Bills,
     http::serve,
+    recover::{Recovered, recover},
     run::{Begin, Error, Handle, start, start_on},
     settings::{Error as SettingsError, Raw, Replica, Settings},
 };
--- a/crates/node/src/control/disk.rs
+++ b/crates/node/src/control/disk.rs
@@ -15,7 +15,7 @@
 use crate::disk;
 
 /// Folder of the log's records.
-const LOG: &str = "log";
+pub const LOG: &str = "log";
 
 /// File of the bills, one JSON object a line.
 const BILLS: &str = "bills";
--- a/crates/node/src/control/job.rs
+++ b/crates/node/src/control/job.rs
@@ -3,7 +3,7 @@
     core::RegisterMethodError,
     types::{ErrorObjectOwned, Params},
 };
-use masticlock_core::{claim, consensus, error, feed, machine};
+use masticlock_core::{claim, config, consensus, error, feed, machine, timeline};
 use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 
@@ -30,6 +30,10 @@
     Lookup(rpc::Lookup, Reply<rpc::Submitted>),
     /// The state of the system.
     Status(Reply<rpc::Status>),
+    /// The accepted configuration.
+    Config(Reply<config::Config>),
+    /// Events of this replica.
+    Timeline(rpc::TimelineFrom, Reply<Vec<timeline::Event>>),
     /// A poll for the configuration.
     Poll(feed::Poll, Reply<feed::Reply>),
     /// A claim.
@@ -137,6 +141,8 @@
     with(m, rpc::OPERATOR_SUBMIT, Job::Submit)?;
     with(m, rpc::OPERATOR_OUTCOME, Job::Lookup)?;
     without(m, rpc::OPERATOR_STATUS, Job::Status)?;
+    without(m, rpc::OPERATOR_CONFIG, Job::Config)?;
+    with(m, rpc::TIMELINE_READ, Job::Timeline)?;
     with(m, rpc::FEED_POLL, Job::Poll)?;
     with(m, rpc::CLAIM_BEGIN, Job::Begin)?;
     with(m, rpc::CLAIM_FINISH, Job::Finish)?;
--- a/crates/node/src/control/lead.rs
+++ b/crates/node/src/control/lead.rs
@@ -38,6 +38,8 @@
             }
             Job::Lookup(lookup, reply) => self.read(Read::Lookup(lookup, reply)),
             Job::Status(reply) => self.read(Read::Status(reply)),
+            Job::Config(reply) => self.read(Read::Config(reply)),
+            Job::Timeline(from, reply) => send(reply, Ok(self.journal.after(from.after))),
             Job::Claim(lookup, reply) => self.read(Read::Claim(lookup, reply)),
             Job::Poll(poll, reply) => self.poll(poll, reply),
             Job::Begin(ask, reply) => {
@@ -207,6 +209,7 @@
         match read {
             Read::Lookup(lookup, reply) => self.look_up(&lookup, reply),
             Read::Status(reply) => send(reply, Ok(self.status())),
+            Read::Config(reply) => send(reply, Ok(self.machine.config().clone())),
             Read::Claim(lookup, reply) => {
                 let state = self.machine.claims().get(&lookup.key);
                 send(reply, Ok(state.map(|r| r.state.clone())));
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -5,6 +5,7 @@
     consensus::{self, Event, Identity, Image, Member, Members},
     ledger,
     time::Span,
+    timeline::Fact,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -23,6 +24,7 @@
 use crate::{
     client::{ATTEMPT, Control, Pool},
     clock::Clock,
+    journal::Journal,
     rpc,
 };
 
@@ -182,6 +184,8 @@
         let bills = read_bills(&self.content.bills)?;
         let joins = self.content.image.snapshot.members.voters.is_empty()
             && self.content.image.entries.is_empty();
+        let journal = Journal::new(settings.own.instance.clone());
+        journal.record(Fact::Started);
         let mut state = State::new(Parts {
             clock: Clock::start(),
             seed: rand::random(),
@@ -189,6 +193,7 @@
             bills,
             disk: self.disk,
             peers: Peers::new(Arc::clone(&pool), own.clone()),
+            journal,
         })
         .map_err(Error::Storage)?;
         state.housekeeping();
--- a/crates/node/src/control/settings.rs
+++ b/crates/node/src/control/settings.rs
@@ -197,4 +197,24 @@
         let others = self.replicas.iter().filter(|r| **r != self.own);
         others.map(|r| r.address.to_string()).collect()
     }
+
+    /// Returns what is accepted but unsafe: failure domains that hold a majority of the replicas.
+    #[must_use]
+    pub fn warnings(&self) -> Vec<String> {
+        let mut domains: Vec<_> = self.replicas.iter().map(|r| &r.domain).collect();
+        domains.sort();
+        let majority = self.replicas.len() / 2 + 1;
+        let groups = domains.chunk_by(|a, b| a == b);
+        groups
+            .filter(|group| self.replicas.len() > 1 && group.len() >= majority)
+            .map(|group| {
+                format!(
+                    "failure domain {} holds {} of {} replicas; its loss stops all changes and claims",
+                    group[0],
+                    group.len(),
+                    self.replicas.len()
+                )
+            })
+            .collect()
+    }
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,11 +1,12 @@
 use std::sync::Arc;
 
 use masticlock_core::{
-    command,
+    command, config,
     consensus::{self, Action, Event, Image, Payload, Refusal, Replica},
     error, feed,
     machine::{Entry, Input, Machine, Output},
     time::{Span, Time},
+    timeline::Fact,
 };
 
 use super::{
@@ -16,6 +17,7 @@
 };
 use crate::{
     clock::Clock,
+    journal::Journal,
     rpc::{self, Failure},
 };
 
@@ -55,6 +57,8 @@
     Lookup(rpc::Lookup, Reply<rpc::Submitted>),
     /// The state of the system.
     Status(Reply<rpc::Status>),
+    /// The accepted configuration.
+    Config(Reply<config::Config>),
     /// A claim.
     Claim(
         rpc::ClaimLookup,
@@ -97,6 +101,7 @@
     pub bill_writes: Vec<(u64, usize, Option<Reply<usize>>)>,
     pub disk: Disk,
     pub peers: Peers,
+    pub journal: Journal,
     pub held: Vec<Held>,
     pub in_force: Vec<InForce>,
     /// Joins and departures that are proposed and not applied yet.
@@ -124,6 +129,7 @@
     pub bills: Bills,
     pub disk: Disk,
     pub peers: Peers,
+    pub journal: Journal,
 }
 
 impl State {
@@ -157,6 +163,7 @@
             bill_writes: Vec::new(),
             disk: parts.disk,
             peers: parts.peers,
+            journal: parts.journal,
             held: Vec::new(),
             in_force: Vec::new(),
             roster: Vec::new(),
@@ -266,10 +273,11 @@
                     self.machine.config().revision
                 );
                 self.elected = true;
+                self.journal.record(Fact::Elected { term });
                 self.feed.restart(self.clock.now());
             }
             Action::StepDown { term } => {
-                log::info!("no longer leads term {term}");
+                self.journal.record(Fact::SteppedDown { term });
                 self.step_down();
             }
             Action::Halt { reason } => self.halted = Some(reason),
@@ -294,6 +302,8 @@
             let config = Arc::new(self.machine.config().clone());
             self.feed
                 .publish(change, config, self.machine.digest().to_owned());
+            let revision = self.machine.config().revision;
+            self.journal.record(Fact::Applied { revision });
         }
         self.roster.retain(|input| *input != entry.input);
         self.last = Some((index, output));
@@ -447,6 +457,7 @@
         match self {
             Self::Lookup(_, reply) => send(reply, Err(failure)),
             Self::Status(reply) => send(reply, Err(failure)),
+            Self::Config(reply) => send(reply, Err(failure)),
             Self::Claim(_, reply) => send(reply, Err(failure)),
         }
     }
--- /dev/null
+++ b/crates/node/src/journal.rs
@@ -0,0 +1,64 @@
+//! The time line of this process, shared by its threads.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use masticlock_core::{
+    name,
+    timeline::{Event, Fact, Log, Stamp},
+};
+
+/// Events that are kept.
+const CAPACITY: usize = 4_096;
+
+/// Records events on the time line.
+#[derive(Clone, Debug)]
+pub struct Journal {
+    log: Arc<Mutex<Log>>,
+}
+
+/// Returns the wall clock in milliseconds since the Unix epoch, or 0 before it.
+#[must_use]
+pub fn wall() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |s| u64::try_from(s.as_millis()).unwrap_or(u64::MAX))
+}
+
+impl Journal {
+    /// Returns an empty time line.
+    #[must_use]
+    pub fn new(instance: name::Instance) -> Self {
+        Self {
+            log: Arc::new(Mutex::new(Log::new(instance, CAPACITY))),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Log> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records an event.
+    pub fn record(&self, fact: Fact) {
+        log::info!("event {fact:?}");
+        self.lock().record(fact, wall());
+    }
+
+    /// Returns the stamp to send with a message.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        self.lock().stamp(wall())
+    }
+
+    /// Takes note of a stamp that came with a message.
+    pub fn observe(&self, stamp: Stamp) {
+        self.lock().observe(stamp, wall());
+    }
+
+    /// Returns the events after a number.
+    #[must_use]
+    pub fn after(&self, sequence: u64) -> Vec<Event> {
+        self.lock().after(sequence)
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,12 +3,14 @@
 //! The decisions are in [`masticlock_core`]; this crate does their input and
 //! output.
 
+pub mod cli;
 pub mod client;
 pub mod clock;
 pub mod control;
 pub mod disk;
 pub mod entry;
 pub mod fake;
+pub mod journal;
 pub mod local;
 pub mod logging;
 pub mod port;
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -2,7 +2,8 @@
 
 use jsonrpsee::types::ErrorObjectOwned;
 use masticlock_core::{
-    claim, command, consensus, error, feed, ledger, machine, name, plain, request, time::Span,
+    claim, command, config, consensus, error, feed, ledger, machine, name, plain, policy, request,
+    time::Span,
 };
 
 /// Log messages between control replicas.
@@ -34,6 +35,15 @@
 /// Lists the bills of the replica's disk.
 pub const BILL_LIST: &str = "bill.list";
 
+/// The accepted configuration, as the leader has it.
+pub const OPERATOR_CONFIG: &str = "operator.config";
+/// A restriction that holds at one entry instance at once, without the majority.
+pub const OPERATOR_RESTRICT: &str = "operator.restrict";
+/// Events of one process.
+pub const TIMELINE_READ: &str = "timeline.read";
+/// Why a request got its plan.
+pub const REQUEST_EXPLAIN: &str = "request.explain";
+
 /// Largest request or answer in bytes.
 pub const MAX_BODY_BYTES: usize = 16 * 1_024 * 1_024;
 
@@ -163,6 +173,41 @@
         /// Position behind the last bill of the replica.
         pub end: u64,
     }
+
+    /// Parameters of [`OPERATOR_RESTRICT`].
+    #[derive(Eq)]
+    pub struct Restrict {
+        /// Id that an accepted revision names to lift it.
+        pub id: name::Restriction,
+        /// The restriction.
+        pub limit: config::Limit,
+    }
+
+    /// Parameters of [`TIMELINE_READ`].
+    #[derive(Copy, Eq)]
+    pub struct TimelineFrom {
+        /// Number of the last event that is known.
+        pub after: u64,
+    }
+
+    /// Parameters of [`REQUEST_EXPLAIN`].
+    #[derive(Eq)]
+    pub struct Explain {
+        /// The request.
+        pub request: name::Request,
+    }
+
+    /// Result of [`REQUEST_EXPLAIN`].
+    pub struct Explanation {
+        /// Kind of request.
+        pub task: name::Task,
+        /// Quality target.
+        pub quality: f64,
+        /// Milliseconds to the deadline when the plan was chosen.
+        pub deadline_ms: u64,
+        /// Plans that were considered.
+        pub considered: Vec<policy::Considered>,
+    }
 }
 
 impl Failure {
