Add the follower that keeps an entry instance's configuration current

Cause: the pure feed client needs its input and output; instances must serve the polls of others, apply local restrictions at once and know their lease.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -371,6 +371,26 @@
         Ok(())
     }
 
+    /// Returns the configuration with restrictions that no accepted revision made.
+    ///
+    /// The revision stays the same. What names nothing known has no effect.
+    #[must_use]
+    pub fn restricted<'a, I>(&self, limits: I) -> Self
+    where
+        I: IntoIterator<Item = &'a Limit>,
+    {
+        let mut next = self.clone();
+        for limit in limits {
+            match limit {
+                Limit::Withdraw(v) => insert_sorted(&mut next.withdrawn, v.clone()),
+                Limit::TakeOut(d) => insert_sorted(&mut next.taken_out, d.clone()),
+                Limit::Drain(u) => insert_sorted(&mut next.drained, u.clone()),
+                Limit::Block(a) => insert_sorted(&mut next.blocked, a.clone()),
+            };
+        }
+        next
+    }
+
     /// Returns what the version may be used for.
     #[must_use]
     pub fn standing(&self, version: &name::Version) -> Standing {
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -31,4 +31,12 @@
         let millis = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
         Time::ZERO + START.plus(Span::from_millis(millis))
     }
+
+    /// Returns a time as the standard library's timers take it.
+    ///
+    /// Times before the start of the clock give its start.
+    #[must_use]
+    pub fn instant(&self, time: Time) -> Instant {
+        self.start + time.since(Time::ZERO + START).to_std()
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod disk;
 pub mod entry;
 pub mod fake;
+pub mod follower;
 pub mod journal;
 pub mod local;
 pub mod logging;
