Report evidence to the control leader and let it move rollouts

Cause: a bad version must be stopped within seconds from evidence of all instances. Options: gossip of all counters to all instances (320 origins of hundreds of cells each would pass the budget of 3 KB/s), or own counters up every second and totals down every ten. Choice: the second. Conclusion: the leader's commands have ids that follow from the stage, so two leaders that propose one step make one change.

--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -201,6 +201,42 @@
         }
     }
 
+    /// Drops all records.
+    pub fn clear(&mut self) {
+        self.cells.clear();
+    }
+
+    /// Returns the sums over all origins, as records of this pool's own instance.
+    ///
+    /// A receiver must keep them apart from records of the instances, or it
+    /// counts twice.
+    #[must_use]
+    pub fn totals(&self) -> Delta {
+        let mut sums: Vec<Record> = Vec::new();
+        for cell in &self.cells {
+            let key = (cell.record.source.epoch, &cell.record.key);
+            match sums.binary_search_by(|r| (r.source.epoch, &r.key).cmp(&key)) {
+                Ok(at) => sums[at].counts.add(&cell.record.counts),
+                Err(at) => {
+                    let source = Source {
+                        origin: self.origin.clone(),
+                        incarnation: self.incarnation,
+                        epoch: key.0,
+                    };
+                    let record = Record {
+                        source,
+                        ..cell.record.clone()
+                    };
+                    sums.insert(at, record);
+                }
+            }
+        }
+        Delta {
+            epoch: self.epoch,
+            records: sums,
+        }
+    }
+
     /// Returns the mark of the latest change.
     #[must_use]
     pub const fn mark(&self) -> u64 {
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -205,6 +205,12 @@
         }
     }
 
+    /// Returns the process that the events are of.
+    #[must_use]
+    pub const fn instance(&self) -> &name::Instance {
+        &self.instance
+    }
+
     /// Records an event at wall time `wall` and returns its stamp.
     pub fn record(&mut self, fact: Fact, wall: u64) -> Stamp {
         let stamp = self.clock.tick(wall);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -8,6 +8,7 @@
 mod peer;
 mod recover;
 mod replicas;
+mod rollouts;
 mod run;
 mod settings;
 mod state;
--- a/crates/node/src/control/job.rs
+++ b/crates/node/src/control/job.rs
@@ -32,6 +32,8 @@
     Status(Reply<rpc::Status>),
     /// The accepted configuration.
     Config(Reply<config::Config>),
+    /// Evidence of an instance.
+    Share(rpc::Share, Reply<rpc::Shared>),
     /// Events of this replica.
     Timeline(rpc::TimelineFrom, Reply<Vec<timeline::Event>>),
     /// A poll for the configuration.
@@ -142,6 +144,7 @@
     with(m, rpc::OPERATOR_OUTCOME, Job::Lookup)?;
     without(m, rpc::OPERATOR_STATUS, Job::Status)?;
     without(m, rpc::OPERATOR_CONFIG, Job::Config)?;
+    with(m, rpc::EVIDENCE_SHARE, Job::Share)?;
     with(m, rpc::TIMELINE_READ, Job::Timeline)?;
     with(m, rpc::FEED_POLL, Job::Poll)?;
     with(m, rpc::CLAIM_BEGIN, Job::Begin)?;
--- a/crates/node/src/control/lead.rs
+++ b/crates/node/src/control/lead.rs
@@ -39,6 +39,14 @@
             Job::Lookup(lookup, reply) => self.read(Read::Lookup(lookup, reply)),
             Job::Status(reply) => self.read(Read::Status(reply)),
             Job::Config(reply) => self.read(Read::Config(reply)),
+            Job::Share(share, reply) => {
+                let answer = if self.may_act() {
+                    Ok(self.rollouts.share(&share, self.clock.now()))
+                } else {
+                    Err(self.not_leader())
+                };
+                send(reply, answer);
+            }
             Job::Timeline(from, reply) => send(reply, Ok(self.journal.after(from.after))),
             Job::Claim(lookup, reply) => self.read(Read::Claim(lookup, reply)),
             Job::Poll(poll, reply) => self.poll(poll, reply),
@@ -280,6 +288,7 @@
         if self.may_act() {
             self.expire_instances();
             self.promote(&status);
+            self.move_rollouts();
         }
     }
 
@@ -304,4 +313,17 @@
         self.feed.forget(FORGET, now);
         self.update_roster();
     }
+
+    /// Proposes the next steps of rollouts.
+    ///
+    /// The id of a step follows from the stage it leaves, so that two leaders
+    /// that propose the same step make one change.
+    fn move_rollouts(&mut self) {
+        let now = self.clock.now();
+        for command in self.rollouts.step(self.machine.config(), now) {
+            if self.machine.outcome(&command.id).is_none() {
+                self.propose(Input::Submit(command), Waiting::Nothing);
+            }
+        }
+    }
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -14,6 +14,7 @@
     disk::{Disk, Done, Work},
     job::Reply,
     peer::Peers,
+    rollouts::Rollouts,
 };
 use crate::{
     clock::Clock,
@@ -102,6 +103,7 @@
     pub disk: Disk,
     pub peers: Peers,
     pub journal: Journal,
+    pub rollouts: Rollouts,
     pub held: Vec<Held>,
     pub in_force: Vec<InForce>,
     /// Joins and departures that are proposed and not applied yet.
@@ -163,6 +165,7 @@
             bill_writes: Vec::new(),
             disk: parts.disk,
             peers: parts.peers,
+            rollouts: Rollouts::new(parts.journal.instance(), parts.seed, now),
             journal: parts.journal,
             held: Vec::new(),
             in_force: Vec::new(),
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -39,6 +39,12 @@
         self.log.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the instance that the events are of.
+    #[must_use]
+    pub fn instance(&self) -> name::Instance {
+        self.lock().instance().clone()
+    }
+
     /// Records an event.
     pub fn record(&self, fact: Fact) {
         log::info!("event {fact:?}");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod disk;
 pub mod entry;
+pub mod evidence;
 pub mod fake;
 pub mod follower;
 pub mod journal;
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -2,8 +2,8 @@
 
 use jsonrpsee::types::ErrorObjectOwned;
 use masticlock_core::{
-    claim, command, config, consensus, error, feed, ledger, machine, name, plain, policy, request,
-    time::Span,
+    claim, command, config, consensus, error, evidence, feed, ledger, machine, name, plain, policy,
+    request, time::Span,
 };
 
 /// Log messages between control replicas.
@@ -39,6 +39,8 @@
 pub const OPERATOR_CONFIG: &str = "operator.config";
 /// A restriction that holds at one entry instance at once, without the majority.
 pub const OPERATOR_RESTRICT: &str = "operator.restrict";
+/// Reports an instance's evidence about versions to the leader.
+pub const EVIDENCE_SHARE: &str = "evidence.share";
 /// Events of one process.
 pub const TIMELINE_READ: &str = "timeline.read";
 /// Why a request got its plan.
@@ -183,6 +185,24 @@
         pub limit: config::Limit,
     }
 
+    /// Parameters of [`EVIDENCE_SHARE`].
+    pub struct Share {
+        /// The leader process that the last report went to.
+        pub leader: u64,
+        /// Whether totals are asked for.
+        pub totals: bool,
+        /// Own counters that the leader may not have.
+        pub delta: evidence::Delta,
+    }
+
+    /// Result of [`EVIDENCE_SHARE`].
+    pub struct Shared {
+        /// The leader process.
+        pub leader: u64,
+        /// Totals over all instances, if asked for.
+        pub totals: evidence::Delta,
+    }
+
     /// Parameters of [`TIMELINE_READ`].
     #[derive(Copy, Eq)]
     pub struct TimelineFrom {
