Refuse answers of the feed that come after the poll's time limit

Trials with one rule switched off at a time showed that the schedule delivered an answer long after its poll, when control counted the instance no more. Conclusion: the client itself checks the time limit, whatever its transport does; late answers stay in the schedules.

--- a/crates/core/src/feed.rs
+++ b/crates/core/src/feed.rs
@@ -37,9 +37,9 @@
 
 /// Time without a poll after which an instance's configuration lease has certainly ended.
 ///
-/// An instance whose last poll was heard then holds a lease of at most
-/// [`LEASE`] after it; the rest covers the report of a relay and clock drift.
-pub const LAPSE: Span = LEASE.plus(HOLD).plus(Span::from_secs(2));
+/// The answer to the last poll comes at most [`HOLD`] and [`POLL_MARGIN`] after
+/// it and gives a lease of at most [`LEASE`]; the last second covers clock drift.
+pub const LAPSE: Span = LEASE.plus(HOLD).plus(POLL_MARGIN).plus(Span::from_secs(1));
 
 /// Age of a relay's answer above which an instance asks another source.
 ///
--- a/crates/core/src/feed/client.rs
+++ b/crates/core/src/feed/client.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use super::{
-    Confirmation, Contact, Cursor, Delta, HOLD, LAPSE, LEASE, Poll, Record, Reply, STALE, Server,
-    Source, Sources, Update, rank,
+    Confirmation, Contact, Cursor, Delta, HOLD, LAPSE, LEASE, POLL_MARGIN, Poll, Record, Reply,
+    STALE, Server, Source, Sources, Update, rank,
 };
 use crate::{
     config::{Config, insert_sorted},
@@ -16,6 +16,9 @@
     /// An instance without a configuration needs an answer within the lease.
     #[error("the answer is {0} old and this instance has no configuration yet")]
     Stale(Span),
+    /// The answer came after the poll's time limit, when control may no longer count this instance.
+    #[error("the answer came {0} after the poll was sent")]
+    Late(Span),
     /// The server has another content for the same revision.
     #[error("revision {revision} has digest {theirs} at the server and {ours} here")]
     Diverged {
@@ -195,6 +198,10 @@
         reply: Reply,
         now: Time,
     ) -> Result<bool, Fault> {
+        let took = now.since(outgoing.sent);
+        if took > outgoing.poll.hold.plus(POLL_MARGIN) {
+            return Err(Fault::Late(took));
+        }
         // The poll arrived no earlier than it was sent, and was held after that.
         let arrival = outgoing.sent + reply.held;
         if arrival.since(Time::ZERO) < reply.age {
--- a/crates/core/tests/feed.rs
+++ b/crates/core/tests/feed.rs
@@ -259,18 +259,20 @@
         reply: Option<Reply>,
     ) {
         let (now, node) = (self.now, &mut self.nodes[at]);
-        // A time limit after the answer says nothing, nor does an answer after the time limit.
+        // A time limit after the answer says nothing. A relay may answer after the time limit.
         let urgent = node.urgent.iter().position(|n| *n == number);
+        let same_start = outgoing.poll.own.incarnation == node.incarnation;
         match (urgent, node.busy == Some(number)) {
             (Some(place), _) => drop(node.urgent.remove(place)),
             (None, true) => node.busy = None,
+            (None, false) if reply.is_some() && same_start => {}
             (None, false) => return,
         }
         let before = node.client.config().map_or(0, |c| c.revision);
         match reply.map(|reply| node.client.answered(outgoing, reply, now)) {
             Some(Ok(_)) => node.client.check_age(source, now),
             Some(Err(fault)) => {
-                assert!(matches!(fault, Fault::Stale(_)), "{fault}");
+                assert!(matches!(fault, Fault::Stale(_) | Fault::Late(_)), "{fault}");
                 node.client.failed(source, now);
             }
             None => node.client.failed(source, now),
@@ -469,7 +471,8 @@
     assert_eq!(world.pending(), []);
 }
 
-/// Guards against a restarted instance that takes an old peer's configuration.
+/// Guards against a restarted instance that takes an old peer's configuration,
+/// and against an answer so late that control counts the instance no more.
 #[test]
 fn an_empty_instance_refuses_an_old_answer() {
     let now = Time::from_millis(START);
@@ -482,6 +485,8 @@
         (9_999, 3_000, 3_000, true),
         (10_000, 3_000, 3_000, false),
         (START + 10, 0, 0, false),
+        (0, 4_000, 4_000, true),
+        (0, 4_001, 4_001, false),
     ];
     for (age, held, took, accepted) in cases {
         let mut client = Client::new(seat(0, 2), vec![CONTROL.into()], now);
@@ -625,3 +630,46 @@
     assert_eq!(kind(&server, last, digest), "2 deltas");
     assert_eq!(kind(&server, last, first), "full");
 }
+
+/// Guards against a relay that gives a lease to an instance which control
+/// does not count yet, and against reports of an earlier start that hide a later one.
+#[test]
+fn relays_answer_only_counted_instances() {
+    let now = Time::from_millis(START);
+    let mut control = server(&base());
+    let mut relay = Client::new(seat(0, 1), vec![CONTROL.into()], now);
+    let exchange = |relay: &mut Client, control: &mut Server| {
+        let outgoing = relay.poll(true, now);
+        let (poll, _) = control.hear(outgoing.poll.clone(), now);
+        let reply = control.answer(&poll, now, now, now);
+        relay.answered(&outgoing, reply, now).unwrap();
+    };
+    exchange(&mut relay, &mut control);
+    for incarnation in [1, 2] {
+        let mut poll = Client::new(seat(1, incarnation), Vec::new(), now)
+            .poll(false, now)
+            .poll;
+        poll.own.revision = 2 - incarnation;
+        let poll = relay.hear(poll, now);
+        assert!(!relay.is_admitted(&poll), "start {incarnation}");
+        assert!(relay.is_urgent(), "start {incarnation}");
+        exchange(&mut relay, &mut control);
+        assert!(relay.is_admitted(&poll), "start {incarnation}");
+    }
+    let mut late = Client::new(seat(1, 1), Vec::new(), now)
+        .poll(false, now)
+        .poll;
+    late.own.revision = 1;
+    control.hear(late, now + Span::from_millis(1));
+    let members = [Member {
+        instance: seat(1, 1).instance,
+        domain: seat(1, 1).domain,
+        incarnation: 2,
+    }];
+    let pending = control.pending(1, &members, now);
+    assert_eq!(
+        pending.len(),
+        1,
+        "the earlier start had revision 1, the later one has none"
+    );
+}
