--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -77,11 +77,11 @@
 
 /// Returns the command of a change, with an id that follows from the change and the stage.
 fn command(config: &Config, change: Change) -> Option<Command> {
-    let version = match &change {
-        Change::AdvanceRollout { version, .. }
-        | Change::RollBack { version, .. }
-        | Change::Restrict(Limit::Withdraw(version)) => version,
-        _ => return None,
+    let (Change::AdvanceRollout { version, .. }
+    | Change::RollBack { version, .. }
+    | Change::Restrict(Limit::Withdraw(version))) = &change
+    else {
+        return None;
     };
     let rollout = config.rollouts.iter().find(|r| r.version == *version);
     let since = rollout.map_or(config.revision, |r| r.since);
