Limit callers' connections, stop gracefully and test faults on sockets

The entry instance limits heads, bodies, slow senders, stalled readers, idle and surplus connections, each with an error body. masticlock-entry runs a standalone instance from a settings file and stops on SIGTERM.

Causes found by the tests: poem polls a connection again after its body failed and then ends it cleanly, so the fakes now reset the connection itself; a stream that was resumed after its usage chunk never ended, because the usage was kept by the connection and not by the request; a stream that made progress between breaks ran out of attempts, so attempts now count since the last piece.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -12,6 +12,7 @@
 
 mod event;
 mod machine;
+mod receive;
 mod retry;
 
 pub use event::{Action, Ask, Event, Fault, Limits, Safety, Step, Usage, Work};
--- a/crates/core/src/attempt/event.rs
+++ b/crates/core/src/attempt/event.rs
@@ -65,7 +65,7 @@
     pub hedge: Option<Span>,
     /// Longest wait before a retry; the jitter is drawn below it.
     pub backoff: Span,
-    /// Most attempts of one request, hedges and resumptions included.
+    /// Most attempts without progress, hedges and resumptions included.
     pub attempts: u32,
     /// Certainty from 0 to 1 below which a cascade escalates.
     pub certainty: f64,
@@ -170,6 +170,8 @@
         attempt: u32,
         /// The offset it carries; offsets count pieces from 0.
         offset: Option<u64>,
+        /// Tokens used. The last piece of a stream has them.
+        usage: Option<Usage>,
     },
     /// The answer of an attempt is complete.
     Answered {
--- a/crates/core/src/attempt/retry.rs
+++ b/crates/core/src/attempt/retry.rs
@@ -140,8 +140,7 @@
             Fault::Rejected(message) => {
                 self.finish_attempt(at, slot::Report::Cancelled, out);
                 let kind = error::Kind::BadRequest;
-                let error = self.truthful(error::Error::new(kind, message.as_str()));
-                return self.fail(error, out);
+                return self.fail(error::Error::new(kind, message.as_str()), out);
             }
             Fault::NotSent => {
                 self.avoid_upstream(at);
@@ -190,6 +189,7 @@
         self.attempts[at].phase = Phase::Over;
         self.attempts[at].lease = None;
         next.first = None;
+        self.tries += 1;
         self.attempts.push(next);
         self.send(self.attempts.len() - 1, true, now, out);
     }
@@ -219,9 +219,8 @@
     }
 
     fn may_try_again(&self) -> bool {
-        let used = self.attempts.len();
-        used < self.limits.attempts as usize
-            && !(self.delivery == Delivery::Begun && self.offset.is_none())
+        let can_resume = self.delivery != Delivery::Begun || self.offset.is_some();
+        self.tries < self.limits.attempts && can_resume
     }
 
     fn after_failure(
@@ -293,6 +292,7 @@
             .attempts
             .iter()
             .any(|a| matches!(a.phase, Phase::Sent | Phase::Streaming));
+        let error = self.truthful(error);
         self.close_all(slot::Report::Cancelled, out);
         self.stage = Stage::Over;
         if self.claimed && !self.has_ended() {
@@ -355,7 +355,7 @@
     }
 
     /// Replaces an error that says "not run" if an upstream may have begun.
-    pub(super) fn truthful(&self, error: error::Error) -> error::Error {
+    fn truthful(&self, error: error::Error) -> error::Error {
         if !self.has_sent() || !error.kind.answer().ran.is_not_run() {
             return error;
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -5,10 +5,12 @@
 
 mod driver;
 mod front;
+mod guard;
 mod job;
 mod metrics;
 mod pool;
 mod reply;
+mod run;
 mod send;
 mod settings;
 mod sse;
@@ -26,7 +28,7 @@
 
 use arc_swap::ArcSwap;
 use masticlock_core::{budget::Budget, policy, session::Signer, time::Time};
-use poem::{Server, listener::TcpAcceptor};
+use poem::Server;
 use tokio::{
     net::TcpListener,
     runtime,
@@ -36,6 +38,7 @@
 };
 
 pub use job::key_digest;
+pub use run::run;
 pub use settings::{RawLimits, RawSettings, Settings, SettingsError};
 
 use crate::port::{Announcements, Answers, Bills, Claims, Slots, Snapshot};
@@ -213,7 +216,7 @@
         // The sender lives as long as the server.
         let _ = stage.wait_for(|s| *s >= Stage::Closed).await;
     };
-    let server = Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?)
+    let server = Server::new_with_acceptor(guard::Guard::new(listener, limits)?)
         .idle_timeout(Duration::from_millis(limits.idle_ms));
     let front = front::Front(shared.clone());
     let server = tokio::spawn(server.run_with_graceful_shutdown(front, closed, None));
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -214,7 +214,11 @@
                     None => bytes,
                 };
                 self.payload = Payload::Bytes(bytes);
-                Event::Piece { attempt, offset }
+                Event::Piece {
+                    attempt,
+                    offset,
+                    usage,
+                }
             }
             Signal::Answered { usage, certainty } => {
                 if let Some(mut wire) = self.wires[at].take() {
