--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -322,7 +322,7 @@
         let view = policy::View {
             config: &snapshot.config,
             supply: &*self.shared.supply,
-            cut_off: snapshot.is_cut_off(),
+            cut_off: snapshot.cut_off(),
             now: self.shared.now(),
         };
         let mut planner = self
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -79,7 +79,7 @@
         };
         if request.uri().path().starts_with("/services/") {
             let job = entrance.call(request.method(), request.uri(), body)?;
-            if snapshot.is_cut_off() && !job.is_repeatable() {
+            if snapshot.cut_off().is_some() && !job.is_repeatable() {
                 let message = "a call that runs at most once needs a majority of control";
                 return Err(error::Error::new(error::Kind::CutOff, message));
             }
