Share account limits by lending and queue fairly

Limits hold over all instances and no request may need a round trip. Half of a limit is divided evenly, so that service goes on while a lender is replaced; the other half is lent for 3 s and confirmed grants replace earlier ones.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod gossip;
 pub mod inventory;
 pub mod ledger;
+pub mod limit;
 pub mod machine;
 pub mod name;
 pub mod order;
