--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 #[macro_use]
 mod plain;
 
+pub mod answer;
 pub mod attempt;
 pub mod budget;
 pub mod claim;
