--- a/crates/node/src/control/lead.rs
+++ b/crates/node/src/control/lead.rs
@@ -38,6 +38,16 @@
             }
             Job::Lookup(lookup, reply) => self.read(Read::Lookup(lookup, reply)),
             Job::Status(reply) => self.read(Read::Status(reply)),
+            Job::Config(reply) => self.read(Read::Config(reply)),
+            Job::Share(share, reply) => {
+                let answer = if self.may_act() {
+                    Ok(self.rollouts.share(&share, self.clock.now()))
+                } else {
+                    Err(self.not_leader())
+                };
+                send(reply, answer);
+            }
+            Job::Timeline(from, reply) => send(reply, Ok(self.journal.after(from.after))),
             Job::Claim(lookup, reply) => self.read(Read::Claim(lookup, reply)),
             Job::Poll(poll, reply) => self.poll(poll, reply),
             Job::Begin(ask, reply) => {
@@ -119,8 +129,9 @@
 
     /// Answers the polls that have news or were held long enough.
     ///
-    /// An instance is answered only once it is listed among those that must
-    /// confirm, because the answer gives it a configuration lease.
+    /// An instance is answered only once it and those below it are listed
+    /// among those that must confirm, because the answer gives them a
+    /// configuration lease.
     pub fn wake(&mut self) {
         let now = self.clock.now();
         if !self.held.is_empty() && !self.may_act() {
@@ -130,15 +141,16 @@
             }
         }
         let (feed, members) = (&self.feed, self.machine.members());
-        let listed = |poll: &feed::Poll| {
-            poll.own.leaving
-                || members
-                    .binary_search_by(|m| m.instance.cmp(&poll.own.instance))
-                    .is_ok_and(|at| members[at].incarnation == poll.own.incarnation)
+        let listed = |c: &feed::Confirmation| {
+            let listed = members
+                .binary_search_by(|m| m.instance.cmp(&c.instance))
+                .is_ok_and(|at| members[at].incarnation >= c.incarnation);
+            c.leaving || listed
         };
         let due = |held: &mut Held| {
             let over = now.since(held.arrived) >= held.poll.hold.min(feed::HOLD);
-            listed(&held.poll) && (over || feed.has_news(&held.poll))
+            let mut heard = std::iter::once(&held.poll.own).chain(&held.poll.below);
+            heard.all(listed) && (over || feed.has_news(&held.poll))
         };
         for held in self.held.extract_if(.., due) {
             let reply = feed.answer(&held.poll, now, held.arrived, now);
@@ -205,6 +217,7 @@
         match read {
             Read::Lookup(lookup, reply) => self.look_up(&lookup, reply),
             Read::Status(reply) => send(reply, Ok(self.status())),
+            Read::Config(reply) => send(reply, Ok(self.machine.config().clone())),
             Read::Claim(lookup, reply) => {
                 let state = self.machine.claims().get(&lookup.key);
                 send(reply, Ok(state.map(|r| r.state.clone())));
@@ -275,6 +288,7 @@
         if self.may_act() {
             self.expire_instances();
             self.promote(&status);
+            self.move_rollouts();
         }
     }
 
@@ -299,4 +313,17 @@
         self.feed.forget(FORGET, now);
         self.update_roster();
     }
+
+    /// Proposes the next steps of rollouts.
+    ///
+    /// The id of a step follows from the stage it leaves, so that two leaders
+    /// that propose the same step make one change.
+    fn move_rollouts(&mut self) {
+        let now = self.clock.now();
+        for command in self.rollouts.step(self.machine.config(), now) {
+            if self.machine.outcome(&command.id).is_none() {
+                self.propose(Input::Submit(command), Waiting::Nothing);
+            }
+        }
+    }
 }
