--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 #[macro_use]
 mod plain;
 
+pub mod answer;
 pub mod attempt;
 pub mod budget;
 pub mod claim;
@@ -30,6 +31,7 @@
 pub mod gossip;
 pub mod inventory;
 pub mod ledger;
+pub mod limit;
 pub mod machine;
 pub mod name;
 pub mod order;
