--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -277,6 +277,16 @@
             .retain(|(other, key)| other != witness || !keys.contains(key));
     }
 
+    /// Moves one record to another witness.
+    pub fn rewitness(&mut self, key: &Key, next: Option<name::Instance>) -> Vec<Action> {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return Vec::new();
+        };
+        entry.witness = next;
+        entry.witnessed = false;
+        entry.actions(&[])
+    }
+
     /// Moves the records of a witness that is gone to another one.
     pub fn witness_gone(
         &mut self,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod journal;
 pub mod local;
 pub mod logging;
+pub mod peer;
 pub mod port;
 pub mod rpc;
