Add a deterministic world, the invariant checks and the script runner

The world joins the replicated log on a disk in memory, the state machine, the feed, membership, ownership and slots, the request steps, crash evidence and bills through one message queue on virtual time. Engines and services are fakes that note what runs. Faults can be placed on links, processes, disks and upstreams, also at a named step. The checks read only the record of the run.

Before, there was no runner.

Conclusion: the fault matrix can be built on this driver.

--- a/scenario/src/lib.rs
+++ b/scenario/src/lib.rs
@@ -8,5 +8,8 @@
 //! assert_eq!(script.steps.len(), 2);
 //! ```
 
+pub mod invariant;
+pub mod run;
 pub mod script;
 pub mod syntax;
+pub mod world;
--- a/scenario/src/script.rs
+++ b/scenario/src/script.rs
@@ -53,6 +53,8 @@
     pub crashes: bool,
     /// What is asked for.
     pub work: Work,
+    /// The caller's session.
+    pub session: Option<String>,
 }
 
 /// What a request asks for.
@@ -87,6 +89,15 @@
         /// The version that it is compared with.
         baseline: name::Version,
     },
+    /// Moves a rollout to its next stage.
+    Advance {
+        /// The version.
+        version: name::Version,
+        /// The stage that is left.
+        from: usize,
+    },
+    /// Rolls a version back.
+    RollBack(name::Version),
 }
 
 /// What a step does.
--- a/scenario/src/syntax.rs
+++ b/scenario/src/syntax.rs
@@ -274,10 +274,11 @@
 }
 
 fn request(input: &mut &str, label: String, work: Work) -> ModalResult<Action> {
-    let (account, through, key, crashes) = (
+    let (account, through, key, session, crashes) = (
         then("as", named),
         then("through", text),
         opt(then("key", text)),
+        opt(then("session", text)),
         opt((space1, "crashes")),
     )
         .parse_next(input)?;
@@ -288,6 +289,7 @@
         key,
         crashes: crashes.is_some(),
         work,
+        session,
     }))
 }
 
@@ -319,7 +321,12 @@
             after("out", cut_err((named, then("against", named)))),
         )
         .map(|(version, baseline)| Order::RollOut { version, baseline }),
-        fail.context(expected("withdraws, takes out, returns or rolls out")),
+        after("advances", cut_err((named, then("from", number))))
+            .map(|(version, from)| Order::Advance { version, from }),
+        preceded(("rolls", space1), after("back", cut_err(named))).map(Order::RollBack),
+        fail.context(expected(
+            "withdraws, takes out, returns, rolls out, advances or rolls back",
+        )),
     ))
     .parse_next(input)
 }
