Add the entry side of the feed and the bench of the control plane

Polls are now held for 2 s instead of 3 s, because a poll that is lost in a cut is sent again only after its time limit. Replicas return the answers to log messages in the call itself. A replica whose data is gone can't found the log again.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 
+mod control;
 mod report;
 mod table;
 
@@ -17,10 +18,28 @@
     /// Prints the table from error kind to answer.
     #[bpaf(command)]
     Errors,
+    /// Measures the control plane: changes, elections, cuts, restarts and idle cost.
+    #[bpaf(command)]
+    Control {
+        /// Seed, printed with the run; the changes and faults are the same for every seed
+        #[bpaf(fallback(1), display_fallback)]
+        seed: u64,
+        /// Changes of each part
+        #[bpaf(fallback(500), display_fallback)]
+        changes: usize,
+        /// Seconds of the idle part
+        #[bpaf(fallback(20), display_fallback)]
+        idle: u64,
+    },
 }
 
 fn main() -> ExitCode {
     match subject().run() {
         Subject::Errors => table::run(),
+        Subject::Control {
+            seed,
+            changes,
+            idle,
+        } => control::run(seed, changes, idle),
     }
 }
--- a/crates/core/src/feed.rs
+++ b/crates/core/src/feed.rs
@@ -29,8 +29,10 @@
 /// How long a poll is held when there is nothing new.
 ///
 /// A relay's answer is at most this old, so an instance behind a relay renews
-/// its lease with at most two holds of age.
-pub const HOLD: Span = Span::from_secs(3);
+/// its lease with at most two holds of age. A poll that is lost in a cut is
+/// sent again after [`HOLD`] and [`POLL_MARGIN`], which must stay below the
+/// 4 s within which a change is in force.
+pub const HOLD: Span = Span::from_secs(2);
 
 /// Time after which a poll or its answer counts as lost, on top of the hold.
 pub const POLL_MARGIN: Span = Span::from_secs(1);
--- a/crates/node/src/control/disk.rs
+++ b/crates/node/src/control/disk.rs
@@ -63,6 +63,12 @@
 }
 
 impl Disk {
+    /// Returns whether the data folder has been used by a replica.
+    #[must_use]
+    pub fn is_founded(folder: &Path) -> bool {
+        folder.join(LOG).exists()
+    }
+
     /// Opens the data folder, or creates it with `fresh`, and starts the thread.
     ///
     /// # Errors
--- a/crates/node/src/control/job.rs
+++ b/crates/node/src/control/job.rs
@@ -18,8 +18,8 @@
 /// A call that the control thread answers.
 #[derive(Debug)]
 pub enum Job {
-    /// Messages of another replica.
-    Messages(rpc::Messages, Reply<()>),
+    /// Messages of another replica. Answered with messages for it.
+    Messages(rpc::Messages, Reply<Vec<consensus::Message>>),
     /// A new replica.
     Join(rpc::Join, Reply<()>),
     /// The state of this replica.
@@ -48,6 +48,32 @@
     List(rpc::BillsFrom, Reply<rpc::BillPage>),
 }
 
+impl Job {
+    /// Answers with a failure.
+    pub fn fail(self, failure: Failure) {
+        match self {
+            Self::Messages(_, reply) => send(reply, Err(failure)),
+            Self::Join(_, reply) | Self::Finish(_, reply) | Self::Release(_, reply) => {
+                send(reply, Err(failure));
+            }
+            Self::Submit(_, reply) | Self::Lookup(_, reply) => send(reply, Err(failure)),
+            Self::Replica(reply) => send(reply, Err(failure)),
+            Self::Status(reply) => send(reply, Err(failure)),
+            Self::Poll(_, reply) => send(reply, Err(failure)),
+            Self::Begin(_, reply) => send(reply, Err(failure)),
+            Self::Claim(_, reply) => send(reply, Err(failure)),
+            Self::Acquire(_, reply) => send(reply, Err(failure)),
+            Self::Put(_, reply) => send(reply, Err(failure)),
+            Self::List(_, reply) => send(reply, Err(failure)),
+        }
+    }
+}
+
+/// Sends an answer. Losing it is the same as losing the connection of a caller that has gone.
+pub fn send<T>(reply: Reply<T>, answer: Result<T, Failure>) {
+    let _gone = reply.send(answer);
+}
+
 type Jobs = mpsc::Sender<Job>;
 
 async fn ask<T, F>(jobs: &Jobs, job: F) -> Result<T, ErrorObjectOwned>
@@ -60,7 +86,9 @@
             mpsc::error::TrySendError::Full(_) => {
                 Failure::new(error::Kind::Overloaded, "too many calls are waiting")
             }
-            mpsc::error::TrySendError::Closed(_) => stopping(),
+            mpsc::error::TrySendError::Closed(_) => {
+                Failure::new(error::Kind::NoLeader, "this replica stops")
+            }
         })
     })?;
     Ok(answer.await.unwrap_or_else(|_| Err(stopping()))?)
--- a/crates/node/src/control/lead.rs
+++ b/crates/node/src/control/lead.rs
@@ -1,15 +1,13 @@
 use masticlock_core::{
-    command,
-    consensus::Event,
-    error, feed, machine,
+    command, error, feed, machine,
     machine::Input,
     time::{Span, Time},
 };
 
 use super::{
     disk::Work,
-    job::{Job, Reply},
-    state::{EntryReply, Held, InForce, Read, State, Waiting, send},
+    job::{Job, Reply, send},
+    state::{EntryReply, Held, InForce, Read, State, Waiting},
 };
 use crate::rpc::{self, Failure};
 
@@ -22,13 +20,13 @@
 impl State {
     /// Answers a call, now or later.
     pub fn job(&mut self, job: Job) {
+        if self.stopping && !matches!(job, Job::Messages(..) | Job::Replica(_)) {
+            return job.fail(self.not_leader());
+        }
         match job {
             Job::Messages(messages, reply) => {
-                self.peers.hear(messages.from);
-                for message in messages.messages {
-                    self.step(Event::Received(message));
-                }
-                send(reply, Ok(()));
+                let answers = self.receive(messages);
+                send(reply, Ok(answers));
             }
             Job::Replica(reply) => send(reply, Ok(self.replica.status(self.clock.now()))),
             Job::Join(join, reply) => self.join(join.member, reply),
--- a/crates/node/src/control/peer.rs
+++ b/crates/node/src/control/peer.rs
@@ -1,7 +1,7 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use masticlock_core::{
-    consensus::{Identity, Member, Message},
+    consensus::{Body, Identity, Member, Message},
     time::Span,
 };
 use tokio::sync::mpsc;
@@ -30,18 +30,25 @@
     own: Member,
     /// Senders of messages that may not be in this replica's own replica set yet.
     heard: VecDeque<Member>,
+    /// Queues in order of the receivers' identities.
     queues: Vec<(Member, mpsc::Sender<Message>)>,
+    /// The replica whose call is being answered, and the messages for it.
+    answering: Option<(Identity, Vec<Message>)>,
+    /// Takes the messages that other replicas return from a call.
+    received: mpsc::Sender<Vec<Message>>,
 }
 
 impl Peers {
     /// Returns the sender of a replica that knows no other one.
     #[must_use]
-    pub const fn new(pool: Arc<Pool>, own: Member) -> Self {
+    pub const fn new(pool: Arc<Pool>, own: Member, received: mpsc::Sender<Vec<Message>>) -> Self {
         Self {
             pool,
             own,
             heard: VecDeque::new(),
             queues: Vec::new(),
+            answering: None,
+            received,
         }
     }
 
@@ -73,6 +80,7 @@
             let route = Route {
                 pool: Arc::clone(&self.pool),
                 own: self.own.clone(),
+                received: self.received.clone(),
                 address: member.address.clone(),
             };
             tokio::spawn(route.deliver(receiver));
@@ -84,8 +92,25 @@
         self.queues.binary_search_by_key(&id, |(m, _)| m.id)
     }
 
+    /// Keeps messages for a replica until [`Peers::collected`], to answer its call with them.
+    pub fn collect_for(&mut self, id: Identity) {
+        self.answering = Some((id, Vec::new()));
+    }
+
+    /// Returns the kept messages.
+    pub fn collected(&mut self) -> Vec<Message> {
+        self.answering
+            .take()
+            .map_or_else(Vec::new, |(_, kept)| kept)
+    }
+
     /// Sends a message; loses it if the receiver is unknown or its queue is full.
-    pub fn send(&self, message: Message) {
+    pub fn send(&mut self, message: Message) {
+        if let Some((id, kept)) = &mut self.answering
+            && *id == message.to
+        {
+            return kept.push(message);
+        }
         if let Ok(at) = self.find(message.to) {
             // A full queue means that the receiver is slow; the log repeats what matters.
             let _full = self.queues[at].1.try_send(message);
@@ -97,6 +122,7 @@
 struct Route {
     pool: Arc<Pool>,
     own: Member,
+    received: mpsc::Sender<Vec<Message>>,
     address: String,
 }
 
@@ -109,16 +135,28 @@
             {
                 messages.push(message);
             }
+            // Only appends and parts of a snapshot go to a replica that has just joined.
+            let joining = messages.iter().any(|m| match m.body {
+                Body::Append { prev_index, .. } => prev_index == 0,
+                Body::Chunk { .. } => true,
+                _ => false,
+            });
             let params = rpc::Messages {
-                from: self.own.clone(),
+                from: self.own.id,
+                sender: joining.then(|| self.own.clone()),
                 messages,
             };
-            let sent: Result<(), _> = self
+            let answer: Result<Vec<Message>, _> = self
                 .pool
                 .call(&self.address, rpc::REPLICA_MESSAGE, &params, LIMIT)
                 .await;
-            if let Err(failure) = sent {
-                log::debug!("messages to {} were lost: {}", self.address, failure.error);
+            match answer {
+                Ok(messages) if messages.is_empty() => {}
+                // The replica has stopped when nobody takes them.
+                Ok(messages) => drop(self.received.send(messages).await),
+                Err(failure) => {
+                    log::debug!("messages to {} were lost: {}", self.address, failure.error);
+                }
             }
         }
     }
--- a/crates/node/src/control/replicas.rs
+++ b/crates/node/src/control/replicas.rs
@@ -1,11 +1,24 @@
-use masticlock_core::consensus::{Event, Member, Status};
+use masticlock_core::consensus::{Event, Member, Message, Status};
 
 use super::{
-    job::Reply,
-    state::{State, Waiting, send},
+    job::{Reply, send},
+    state::{State, Waiting},
 };
+use crate::rpc;
 
 impl State {
+    /// Takes messages of another replica and returns what there is to answer at once.
+    pub fn receive(&mut self, messages: rpc::Messages) -> Vec<Message> {
+        if let Some(sender) = messages.sender {
+            self.peers.hear(sender);
+        }
+        self.peers.collect_for(messages.from);
+        for message in messages.messages {
+            self.step(Event::Received(message));
+        }
+        self.peers.collected()
+    }
+
     /// Adds a replica that has a new data folder.
     pub fn join(&mut self, member: Member, reply: Reply<()>) {
         if !self.may_act() {
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -2,13 +2,13 @@
 
 use jsonrpsee::Methods;
 use masticlock_core::{
-    consensus::{self, Event, Identity, Image, Member, Members},
+    consensus::{self, Event, Identity, Image, Member, Members, Message},
     ledger,
     time::Span,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{MissedTickBehavior, interval, sleep},
+    time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
 use super::{
@@ -35,6 +35,9 @@
 /// Interval at which a new replica asks to take part.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time limit of the question whether other replicas have a log.
+const FOUNDING_LIMIT: Span = Span::from_millis(250);
+
 /// How long open proposals may take after the stop was asked for.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -124,6 +127,9 @@
     let address = listener.local_addr().map_err(failed)?;
     let (stop, stopped) = watch::channel(false);
     let (done, disk_done) = mpsc::unbounded_channel();
+    if begin == Begin::Found && !Disk::is_founded(&settings.folder) {
+        refuse_second_founding(&settings)?;
+    }
     let fresh = fresh_image(&settings, begin);
     let (disk, content) = Disk::open(&settings.folder, fresh, done).map_err(Error::Storage)?;
     let part = Part {
@@ -151,6 +157,42 @@
     })
 }
 
+/// Refuses to found a log that the other replicas have already.
+///
+/// A founding identity that lost its data may have voted, so it must not come
+/// back: the replica joins with a new identity instead.
+fn refuse_second_founding(settings: &Settings) -> Result<(), Error> {
+    let settings = settings.clone();
+    // The caller may be on a runtime, which can't wait for another one.
+    let asked = thread::spawn(move || -> Result<Option<String>, String> {
+        let pool = Pool::new(&settings.secret).map_err(|e| e.to_string())?;
+        let asked = settings.others().into_iter().map(|address| {
+            let pool = &pool;
+            async move {
+                let status: Result<consensus::Status, _> = pool
+                    .call(&address, rpc::REPLICA_STATUS, &(), FOUNDING_LIMIT)
+                    .await;
+                status.is_ok_and(|s| s.term > 0).then_some(address)
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|e| e.to_string())?;
+        let answers = runtime.block_on(futures_util::future::join_all(asked));
+        Ok(answers.into_iter().flatten().next())
+    });
+    let asked = asked
+        .join()
+        .unwrap_or_else(|_| Err("the question to the other replicas panicked".into()));
+    match asked.map_err(Error::Start)? {
+        None => Ok(()),
+        Some(address) => Err(Error::Start(format!(
+            "the replica at {address} has a log already; join it instead of founding another one"
+        ))),
+    }
+}
+
 fn fresh_image(settings: &Settings, begin: Begin) -> Image {
     match begin {
         Begin::Found => {
@@ -182,13 +224,14 @@
         let bills = read_bills(&self.content.bills)?;
         let joins = self.content.image.snapshot.members.voters.is_empty()
             && self.content.image.entries.is_empty();
+        let (returned, answers) = mpsc::channel(MAX_JOBS);
         let mut state = State::new(Parts {
             clock: Clock::start(),
             seed: rand::random(),
             image: self.content.image,
             bills,
             disk: self.disk,
-            peers: Peers::new(Arc::clone(&pool), own.clone()),
+            peers: Peers::new(Arc::clone(&pool), own.clone(), returned),
         })
         .map_err(Error::Storage)?;
         state.housekeeping();
@@ -206,6 +249,7 @@
         tokio::spawn(exchange_bills(Arc::clone(&settings), pool, jobs));
         let inputs = Inputs {
             jobs: receiver,
+            answers,
             disk: self.disk_done,
             stopped: self.stopped,
         };
@@ -247,6 +291,8 @@
 
 struct Inputs {
     jobs: mpsc::Receiver<Job>,
+    /// Messages that other replicas returned from a call.
+    answers: mpsc::Receiver<Vec<Message>>,
     disk: mpsc::UnboundedReceiver<Done>,
     stopped: watch::Receiver<bool>,
 }
@@ -257,16 +303,21 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut second = interval(HOUSEKEEPING);
         second.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut drained: Option<oneshot::Receiver<()>> = None;
+        let mut drained_by: Option<Instant> = None;
         loop {
             tokio::select! {
                 Some(done) = self.disk.recv() => state.done(done),
                 Some(job) = self.jobs.recv() => state.job(job),
+                Some(messages) = self.answers.recv() => {
+                    for message in messages {
+                        state.step(Event::Received(message));
+                    }
+                }
                 _ = tick.tick() => state.step(Event::Tick),
                 _ = second.tick() => state.housekeeping(),
-                () = wait_for(&mut drained) => return Ok(()),
-                Ok(_) = self.stopped.wait_for(|stop| *stop), if drained.is_none() => {
-                    drained = Some(drain());
+                Ok(_) = self.stopped.wait_for(|stop| *stop), if drained_by.is_none() => {
+                    drained_by = Some(Instant::now() + DRAIN);
+                    state.stop();
                 }
             }
             // Whatever happened may have answered a poll or put a revision in force.
@@ -274,28 +325,13 @@
             if let Some(reason) = state.halted.take() {
                 return Err(Error::Halted(reason));
             }
+            if drained_by.is_some_and(|end| state.is_idle() || Instant::now() >= end) {
+                return Ok(());
+            }
         }
     }
 }
 
-fn drain() -> oneshot::Receiver<()> {
-    let (sender, receiver) = oneshot::channel();
-    tokio::spawn(async move {
-        sleep(DRAIN).await;
-        // The loop may have ended for another reason.
-        let _ended = sender.send(());
-    });
-    receiver
-}
-
-async fn wait_for(drained: &mut Option<oneshot::Receiver<()>>) {
-    match drained {
-        // The task that sends ends only after it has sent.
-        Some(receiver) => drop(receiver.await),
-        None => std::future::pending().await,
-    }
-}
-
 async fn join(settings: Arc<Settings>, member: Member) {
     let control = match Control::new(settings.others(), &settings.secret) {
         Ok(control) => control,
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -11,7 +11,7 @@
 use super::{
     bills::Bills,
     disk::{Disk, Done, Work},
-    job::Reply,
+    job::{Reply, send},
     peer::Peers,
 };
 use crate::{
@@ -105,6 +105,8 @@
     /// Why the replica can't go on.
     pub halted: Option<String>,
     pub elected: bool,
+    /// Whether the replica finishes its open calls and takes no new ones.
+    pub stopping: bool,
     tickets: Vec<(u64, Waiting)>,
     /// The last applied entry and its output.
     last: Option<(u64, Output)>,
@@ -163,6 +165,7 @@
             next_ticket: 1,
             halted: None,
             elected: false,
+            stopping: false,
             tickets: Vec::new(),
             last: None,
             applied_at: now,
@@ -175,7 +178,19 @@
     /// Returns whether this replica may answer as the leader.
     #[must_use]
     pub fn may_act(&self) -> bool {
-        self.elected && self.replica.status(self.clock.now()).may_act
+        self.elected && !self.stopping && self.replica.status(self.clock.now()).may_act
+    }
+
+    /// Takes no new calls and gives back the polls that are held.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        self.release_waiters();
+    }
+
+    /// Returns whether no call waits for the log or the disk.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.tickets.is_empty() && self.bill_writes.is_empty()
     }
 
     /// Returns the failure that names the leader.
@@ -385,6 +400,11 @@
     fn step_down(&mut self) {
         self.elected = false;
         self.roster.clear();
+        self.release_waiters();
+    }
+
+    /// Answers the calls that wait for something else than the log.
+    fn release_waiters(&mut self) {
         let failure = self.not_leader();
         for held in self.held.drain(..) {
             send(held.reply, Err(failure.clone()));
@@ -422,11 +442,6 @@
     }
 }
 
-/// Sends an answer. Losing it is the same as losing the connection of a caller that has gone.
-pub fn send<T>(reply: Reply<T>, answer: Result<T, Failure>) {
-    let _gone = reply.send(answer);
-}
-
 impl Waiting {
     fn fail(self, failure: Failure) {
         match self {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod control;
 pub mod disk;
+pub mod feed;
 pub mod logging;
 pub mod port;
 pub mod rpc;
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -5,7 +5,8 @@
     claim, command, consensus, error, feed, ledger, machine, name, plain, request, time::Span,
 };
 
-/// Log messages between control replicas.
+/// Log messages between control replicas. The result are the messages that
+/// the receiver has for the sender at once, such as the answer to a heartbeat.
 pub const REPLICA_MESSAGE: &str = "replica.message";
 /// Asks to take part in the log as a learner.
 pub const REPLICA_JOIN: &str = "replica.join";
@@ -59,8 +60,11 @@
     /// Parameters of [`REPLICA_MESSAGE`].
     #[derive(Eq)]
     pub struct Messages {
-        /// The sender. A replica that has just joined knows no address to answer to.
-        pub from: consensus::Member,
+        /// The sender's identity.
+        pub from: consensus::Identity,
+        /// The sender, for a receiver that may not know its address: one that has just joined.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub sender: Option<consensus::Member>,
         /// Messages of one sender in order.
         pub messages: Vec<consensus::Message>,
     }
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -234,3 +234,79 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     world.client().status(LIMIT).await.unwrap();
 }
+
+/// Guards against a replica that lost its data and founds the log again with
+/// its old identity, which may have voted.
+#[tokio::test]
+async fn a_lost_replica_joins_with_a_new_identity() {
+    let mut world = World::start("lost", 3);
+    let client = world.client();
+    client
+        .submit(&command("c1", None, import()), LIMIT)
+        .await
+        .unwrap();
+    let lost = (world.leader(&client).await + 1) % 3;
+    world.stop(lost);
+    std::fs::remove_dir_all(world.folder.join(lost.to_string())).unwrap();
+    let again = control::start(world.settings(lost), Begin::Found);
+    assert!(again.is_err_and(|e| e.to_string().contains("has a log already")));
+    world.restart(lost);
+    let instance = &world.replicas[lost].instance;
+    let old = world.settings(lost).founding_identity(instance);
+    for _ in 0..200 {
+        let replica = client.status(LIMIT).await.unwrap().replica;
+        if let Some(voter) = replica.voters.iter().find(|v| v.instance == *instance)
+            && voter.id != old
+        {
+            assert_eq!(replica.voters.len(), 3);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the new replica is no voter after 10 s");
+}
+
+/// Guards against a binary that can't be started from a settings file or does
+/// not end with success on SIGTERM.
+#[tokio::test]
+async fn the_binary_stops_with_success() {
+    let folder = std::env::temp_dir().join(format!("masticlock-bin-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let text = format!(
+        r#"{{
+            // A single replica.
+            "instance": "control-0", "folder": {:?}, "secret": {SECRET:?}, "json_log": true,
+            "replicas": [{{"instance": "control-0", "address": "{address}", "domain": "d0"}}]
+        }}"#,
+        folder.join("data")
+    );
+    let file = folder.join("settings.json");
+    std::fs::write(&file, text).unwrap();
+    let mut process = std::process::Command::new(env!("CARGO_BIN_EXE_masticlock-control"))
+        .arg("--found")
+        .arg(&file)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let client = Control::new(vec![address.to_string()], SECRET).unwrap();
+    let submitted = client.submit(&command("c1", None, import()), LIMIT).await;
+    let kill = std::process::Command::new("kill")
+        .arg(process.id().to_string())
+        .status();
+    let status = process.wait().unwrap();
+    let log = std::io::read_to_string(process.stderr.take().unwrap()).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(kill.unwrap().success());
+    assert_eq!(
+        submitted.unwrap().outcome,
+        Outcome::Accepted { revision: 1 },
+        "{log}"
+    );
+    assert!(status.success(), "{status}: {log}");
+    for line in log.lines() {
+        serde_json::from_str::<serde_json::Value>(line).unwrap();
+    }
+}
