Join feed, slots, bills and evidence in one entry instance

What instances share runs on a thread of its own, so that a burst of requests delays no lease. Conclusion: the former follower is replaced by the entry side of the feed.

--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -4,6 +4,7 @@
 //! Traffic runs on the caller's runtime. What the instance shares with other processes runs on a
 //! thread of its own, so that a burst of requests delays no lease.
 
+mod bridge;
 mod methods;
 mod settings;
 
@@ -12,15 +13,24 @@
     net::{SocketAddr, TcpListener},
     sync::{Arc, Mutex, PoisonError},
     thread,
+    time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use masticlock_core::{
-    feed::Seat,
+    config::Config,
+    feed::{Record, Seat},
     planner, policy,
     time::Span,
     timeline::Fact,
 };
-use tokio::{runtime, sync::oneshot};
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+
+use bridge::Bridge;
 
 pub use settings::{RawSettings, Settings, SettingsError};
 
@@ -29,21 +39,25 @@
     clock::Clock,
     entry::{self, Parts},
     evidence::Evidence,
-    follower::Follower,
+    feed::{self, Feed},
     journal::{self, Journal},
     local::Shelf,
     peer::{self, Peer},
+    port::Snapshot,
 };
 
 /// Longest wait for slots of other requests, bills and the last confirmation after the requests
 /// have ended.
 const HANDOVER: Span = Span::from_secs(5);
 
+/// Pause until the snapshot is looked at again at the start.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(5);
+
 /// A running entry instance.
 pub struct Handle {
     entry: entry::Handle,
     peer: Arc<Peer>,
-    follower: Follower,
+    feed: Feed,
     journal: Journal,
     /// Dropping it ends the thread of the shared parts.
     end: oneshot::Sender<()>,
@@ -52,9 +66,22 @@
 /// The parts that run on the instance's own thread.
 struct Shared {
     peer: Arc<Peer>,
-    follower: Follower,
+    feed: Feed,
+    records: mpsc::UnboundedReceiver<Vec<Record>>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
     evidence: Evidence,
     journal: Journal,
+    clock: Clock,
+    control: Arc<Control>,
+    planner: Arc<Mutex<planner::Adaptive>>,
+}
+
+/// What the request path needs of the shared parts.
+struct Started {
+    peer: Arc<Peer>,
+    feed: Feed,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    journal: Journal,
     control: Arc<Control>,
     planner: Arc<Mutex<planner::Adaptive>>,
 }
@@ -84,10 +111,17 @@
     let shared = shared
         .await
         .map_err(|_| io::Error::other("the thread of the shared parts ended"))??;
-    shared.follower.ready().await;
+    let mut view = shared.feed.watch();
+    view.wait_for(|view| view.config.is_some())
+        .await
+        .map_err(|_| io::Error::other("the feed ended before the first configuration"))?;
+    // The bridge publishes the snapshot after it has seen the same view.
+    while shared.snapshot.load().config.revision == 0 && revision_of(&shared.feed) != Some(0) {
+        sleep(PUBLISH_PAUSE).await;
+    }
     let entry = entry::start(Parts {
         settings: settings.entry,
-        snapshot: shared.follower.snapshot(),
+        snapshot: shared.snapshot,
         slots: shared.peer.clone(),
         announcements: shared.peer.clone(),
         claims: Arc::new(Claims::new(shared.control)),
@@ -101,7 +135,7 @@
     Ok(Handle {
         entry,
         peer: shared.peer,
-        follower: shared.follower,
+        feed: shared.feed,
         journal: shared.journal,
         end,
     })
@@ -111,7 +145,7 @@
 fn run(
     settings: &Settings,
     listener: TcpListener,
-    started: oneshot::Sender<io::Result<Shared>>,
+    started: oneshot::Sender<io::Result<Started>>,
     ended: oneshot::Receiver<()>,
 ) {
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
@@ -131,24 +165,45 @@
                 return;
             }
         };
-        let (follower, evidence) = (shared.follower.clone(), shared.evidence.clone());
-        let (control, planner) = (shared.control.clone(), shared.planner.clone());
-        if started.send(Ok(shared)).is_err() {
-            return;
+        let started_parts = Started {
+            peer: shared.peer.clone(),
+            feed: shared.feed.clone(),
+            snapshot: shared.snapshot.clone(),
+            journal: shared.journal.clone(),
+            control: shared.control.clone(),
+            planner: shared.planner.clone(),
+        };
+        if started.send(Ok(started_parts)).is_ok() {
+            shared.run(ended).await;
         }
-        let snapshot = follower.snapshot();
+    });
+}
+
+impl Shared {
+    async fn run(self, ended: oneshot::Receiver<()>) {
         let learn = |evidence: &Evidence| {
-            let config = snapshot.load().config.clone();
-            let mut planner = planner.lock().unwrap_or_else(PoisonError::into_inner);
+            let config = self.snapshot.load().config.clone();
+            let mut planner = self.planner.lock().unwrap_or_else(PoisonError::into_inner);
             evidence.read(|pool| policy::Planner::learn(&mut *planner, pool, &config));
         };
+        let bridge = Bridge {
+            feed: self.feed,
+            peer: self.peer,
+            snapshot: self.snapshot.clone(),
+            journal: self.journal,
+            clock: self.clock,
+        };
         tokio::select! {
-            () = follower.run() => {}
-            () = evidence.run(&control, learn) => {}
+            () = bridge.run(self.records) => {}
+            () = self.evidence.run(&self.control, learn) => {}
             // The end of the sender is the signal.
             _ = ended => {}
         }
-    });
+    }
+}
+
+fn revision_of(feed: &Feed) -> Option<u64> {
+    feed.view().config.as_ref().map(|config| config.revision)
 }
 
 fn build(settings: &Settings, listener: TcpListener) -> io::Result<Shared> {
@@ -164,7 +219,11 @@
         address: address.to_string(),
         incarnation: boot,
     };
-    let follower = Follower::new(seat, settings.control.clone(), pool, journal.clone(), clock);
+    let (feed, records) = feed::start(seat, settings.control.clone(), pool, clock);
+    let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot {
+        config: Arc::new(Config::default()),
+        lease_end: Some(clock.instant(clock.now())),
+    }));
     let parts = peer::Settings {
         instance: settings.entry.instance.clone(),
         domain: settings.entry.domain.clone(),
@@ -173,12 +232,14 @@
         replicas: settings.control.clone(),
         secret: settings.secret.clone(),
     };
-    let more = methods::methods(&follower, &journal).map_err(io::Error::other)?;
-    let peer = peer::start(parts, listener, follower.snapshot(), more)?;
-    follower.on_restriction(&peer);
+    let more = methods::methods(&feed, &journal).map_err(io::Error::other)?;
+    let peer = peer::start(parts, listener, snapshot.clone(), more)?;
     Ok(Shared {
         peer,
-        follower,
+        feed,
+        records,
+        snapshot,
+        clock,
         evidence: Evidence::new(&settings.entry.instance, boot, clock),
         journal,
         control: Arc::new(control.map_err(io::Error::other)?),
@@ -208,7 +269,7 @@
     /// Returns the accepted revision that is applied.
     #[must_use]
     pub fn revision(&self) -> Option<u64> {
-        self.follower.revision()
+        revision_of(&self.feed)
     }
 
     /// Returns how many requests are running.
@@ -230,7 +291,7 @@
         if let Err(error) = self.peer.stop(HANDOVER).await {
             log::warn!("{error}");
         }
-        self.follower.leave(HANDOVER).await;
+        self.feed.leave(HANDOVER).await;
         self.journal.record(Fact::Stopped { cut: cut as u64 });
         drop(self.end);
         cut
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -67,7 +67,7 @@
     }
 
     /// Brings the view up to date and moves bills whose witness is gone.
-    pub(super) fn refresh(&self) {
+    pub fn refresh(&self) {
         let config = self.snapshot.load().config.clone();
         let mut state = self.state();
         let gone = state.refresh(&config);
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
+use jsonrpsee::Methods;
 use masticlock::{
     client::Pool,
     peer::{self, Peer, wire},
@@ -89,7 +90,7 @@
             lease_end: None,
         };
         let snapshot = Arc::new(ArcSwap::from_pointee(snapshot));
-        peer::start(settings, listener, snapshot).unwrap()
+        peer::start(settings, listener, snapshot, Methods::new()).unwrap()
     };
     listeners.into_iter().enumerate().map(part).collect()
 }
