--- a/crates/node/src/bin/masticlock-entry.rs
+++ b/crates/node/src/bin/masticlock-entry.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use masticlock::entry::run;
+use masticlock::instance::run;
 
 /// Routes requests to model engines and plain services.
 #[derive(Clone, Debug, Bpaf)]
--- a/crates/node/src/cli/check.rs
+++ b/crates/node/src/cli/check.rs
@@ -10,7 +10,7 @@
     print,
     settings::{Settings, parse},
 };
-use crate::{control, entry};
+use crate::{control, instance};
 
 /// Checks a file of the given kind.
 pub fn run(kind: Kind, file: &Path, json: bool) -> Result<Exit, Failure> {
@@ -30,8 +30,8 @@
             Vec::new()
         }
         Kind::Entry => {
-            let raw: entry::RawSettings = parse(file)?;
-            entry::Settings::try_from(raw).map_err(|e| fault(file, &e))?;
+            let raw: instance::File = parse(file)?;
+            instance::Checked::try_from(raw).map_err(|e| fault(file, &e))?;
             Vec::new()
         }
         Kind::Control => control_settings(file)?.warnings(),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -10,7 +10,6 @@
 mod metrics;
 mod pool;
 mod reply;
-mod run;
 mod send;
 mod settings;
 mod sse;
@@ -38,7 +37,6 @@
 };
 
 pub use job::key_digest;
-pub use run::run;
 pub use settings::{RawLimits, RawSettings, Settings, SettingsError};
 
 use crate::port::{Announcements, Answers, Bills, Claims, Slots, Snapshot};
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -6,6 +6,7 @@
 
 mod bridge;
 mod methods;
+mod run;
 mod settings;
 
 use std::{
@@ -32,6 +33,7 @@
 
 use bridge::Bridge;
 
+pub use run::{Checked, File, run};
 pub use settings::{RawSettings, Settings, SettingsError};
 
 use crate::{
@@ -107,7 +109,7 @@
     let parts = settings.clone();
     thread::Builder::new()
         .name("shared".into())
-        .spawn(move || run(&parts, listener, started, ended))?;
+        .spawn(move || share(&parts, listener, started, ended))?;
     let shared = shared
         .await
         .map_err(|_| io::Error::other("the thread of the shared parts ended"))??;
@@ -142,7 +144,7 @@
 }
 
 /// Runs the shared parts until the handle is dropped.
-fn run(
+fn share(
     settings: &Settings,
     listener: TcpListener,
     started: oneshot::Sender<io::Result<Started>>,
