--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 
+mod log;
 mod report;
 mod table;
 
@@ -17,10 +18,18 @@
     /// Prints the table from error kind to answer.
     #[bpaf(command)]
     Errors,
+    /// Measures the replicated log.
+    #[bpaf(command)]
+    Log {
+        /// Seed of the election timeouts.
+        #[bpaf(fallback(1), display_fallback)]
+        seed: u64,
+    },
 }
 
 fn main() -> ExitCode {
     match subject().run() {
         Subject::Errors => table::run(),
+        Subject::Log { seed } => log::run(seed),
     }
 }
