Promote a learner only while enough present voters answer

The present voters that answer must now be a majority of the next set without the new one; the lost voter is removed first.

--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -121,29 +121,43 @@
         members.with_learner(member).map_err(Refusal::Unfit)
     }
 
+    /// The present voters that answer need a majority without the new one, or its loss right after
+    /// the change would stop the log. A second voter can only be added without this rule.
     pub(super) fn promoted(&self, id: Identity) -> Result<Members, Refusal> {
-        let next = self.log.members().with_promoted(id);
-        let next = next.map_err(Refusal::Unfit)?;
-        if self.caught_up(self.now).contains(&id) {
-            Ok(next)
-        } else {
-            Err(Refusal::NotCaughtUp)
+        let members = self.log.members();
+        let next = members.with_promoted(id).map_err(Refusal::Unfit)?;
+        if !self.caught_up(self.now).contains(&id) {
+            return Err(Refusal::NotCaughtUp);
         }
+        if members.voters.len() == 1 || self.answering(members) >= next.quorum() {
+            return Ok(next);
+        }
+        let reason = "too few of the present voters answer; remove those that are lost first";
+        Err(Refusal::Unfit(reason.to_owned()))
     }
 
-    /// The remaining voters need a majority that answers now, or nothing could commit any more.
+    /// The remaining voters that answer need a majority, or nothing could be committed any more.
     pub(super) fn removed(&self, id: Identity) -> Result<Members, Refusal> {
         let next = self.log.members().without(id).map_err(Refusal::Unfit)?;
+        if self.answering(&next) >= next.quorum() {
+            return Ok(next);
+        }
+        let reason = "no majority of the remaining voters answers";
+        Err(Refusal::Unfit(reason.to_owned()))
+    }
+
+    /// Returns how many of the voters have answered within the length of the lease.
+    fn answering(&self, members: &Members) -> usize {
         let State::Leader(lead) = &self.state else {
-            return Err(Refusal::NoLease);
+            return 0;
         };
-        let answered = lead.majority_time(&next, self.id, self.fault, self.now);
-        if answered.is_some_and(|at| self.now < at + LEASE) {
-            Ok(next)
-        } else {
-            let reason = "no majority of the remaining voters answers";
-            Err(Refusal::Unfit(reason.to_owned()))
-        }
+        let voters = members.voters.iter().map(|m| m.id);
+        voters
+            .filter(|&id| {
+                let follower = lead.follower(id).and_then(|f| f.answered);
+                id == self.id || follower.is_some_and(|at| self.now < at + LEASE)
+            })
+            .count()
     }
 
     /// Returns the learners that have synced everything committed and answer now.
--- a/crates/core/tests/consensus/chaos.rs
+++ b/crates/core/tests/consensus/chaos.rs
@@ -32,7 +32,7 @@
     /// Sequences of faults that chance alone rarely puts together.
     sequence: u32,
     operator: u32,
-    /// Whether the operator removes a lost replica before adding its successor.
+    /// Whether the operator removes a lost replica before its successor has caught up.
     removes_first: bool,
 }
 
@@ -251,57 +251,61 @@
     Ok(())
 }
 
-/// Returns whether every replica set that a replica knows keeps a majority without the node.
+/// Returns whether every replica set that a replica or a message has keeps a majority without the node.
 fn can_lose(world: &World, node: usize) -> bool {
     let others = (0..world.nodes.len()).filter(|&other| other != node);
     let intact: Vec<_> = others.map(|other| world.id(other)).collect();
-    world.nodes.iter().all(|n| {
-        let known: Vec<Identity> = match &n.process {
-            Some(p) => p.replica.members().voters.iter().map(|m| m.id).collect(),
-            None => n.known.clone(),
-        };
+    let is_left = |known: &Vec<Identity>| {
         let left = known.iter().filter(|id| intact.contains(id)).count();
         known.is_empty() || left > known.len() / 2
-    })
+    };
+    world
+        .nodes
+        .iter()
+        .map(Node::voters)
+        .all(|known| is_left(&known))
+        && world.wiped.iter().all(|(_, known)| is_left(known))
 }
 
-/// Takes the next step of a repair: every node's current identity becomes a voter, and its former
-/// ones are removed.
+/// Takes the next step of a repair: every node's former identities are removed, at once or when the
+/// current one has caught up, and the current one becomes a voter.
 pub fn operate(world: &mut World, removes_first: bool) -> Result<(), Violation> {
     let Some(leader) = world.leader() else {
         return Ok(());
     };
-    let event = (0..world.nodes.len()).find_map(|node| next(world, leader, node, removes_first));
-    let Some(event) = event else {
-        return Ok(());
-    };
     let ticket = world.ticket();
-    world.step(leader, event(ticket))
+    let nodes = 0..world.nodes.len();
+    let event = nodes.filter_map(|node| next(world, leader, node, removes_first, ticket));
+    match event.min_by_key(|event| event.0) {
+        Some((_, event)) => world.step(leader, event),
+        None => Ok(()),
+    }
 }
 
-type Request = Box<dyn FnOnce(u64) -> Event>;
-
-fn next(world: &World, leader: usize, node: usize, removes_first: bool) -> Option<Request> {
-    let members = world.nodes[leader].process.as_ref()?.replica.members();
-    let (id, former) = world.nodes[node].ids.split_last()?;
-    let id = *id;
-    let former = former
-        .iter()
-        .copied()
-        .find(|&id| members.member(id).is_some());
-    if let Some(id) = former
-        && (removes_first || members.is_voter(world.id(node)))
+/// Returns the next change for a node with its rank: removals come first, because a replica is not
+/// promoted while a lost voter remains.
+fn next(
+    world: &World,
+    leader: usize,
+    node: usize,
+    removes_first: bool,
+    ticket: u64,
+) -> Option<(u8, Event)> {
+    let replica = &world.nodes[leader].process.as_ref()?.replica;
+    let (members, status) = (replica.members(), replica.status(world.local(leader)));
+    let (&id, former) = world.nodes[node].ids.split_last()?;
+    let is_caught_up = status.caught_up.contains(&id);
+    let former = former.iter().find(|id| members.member(**id).is_some());
+    if let Some(&id) = former
+        && (removes_first || is_caught_up)
     {
-        return Some(Box::new(move |ticket| Event::Remove { ticket, id }));
-    }
-    if members.is_learner(id) {
-        return Some(Box::new(move |ticket| Event::Promote { ticket, id }));
+        return Some((0, Event::Remove { ticket, id }));
     }
-    if members.is_voter(id) {
-        return None;
+    if members.member(id).is_none() {
+        let member = member(node, id);
+        return Some((1, Event::AddLearner { ticket, member }));
     }
-    let member = member(node, id);
-    Some(Box::new(move |ticket| Event::AddLearner { ticket, member }))
+    is_caught_up.then_some((2, Event::Promote { ticket, id }))
 }
 
 /// Ends all faults and checks that the replicas commit again and nothing acknowledged is lost.
--- a/crates/core/tests/consensus/world.rs
+++ b/crates/core/tests/consensus/world.rs
@@ -29,6 +29,9 @@
     trailing: 2,
 };
 
+/// Longest delay of a message, in milliseconds.
+const MAX_DELAY: u64 = 1_500;
+
 /// A running process.
 #[derive(Debug)]
 pub struct Process {
@@ -78,6 +81,16 @@
     pub batch: usize,
 }
 
+impl Node {
+    /// Returns the voters that its replica knows.
+    pub fn voters(&self) -> Vec<Identity> {
+        match &self.process {
+            Some(p) => p.replica.members().voters.iter().map(|m| m.id).collect(),
+            None => self.known.clone(),
+        }
+    }
+}
+
 impl Odds {
     pub const GOOD: Self = Self {
         loss: 0.0,
@@ -96,6 +109,9 @@
     pub nodes: Vec<Node>,
     pub odds: Odds,
     pub history: History,
+    /// When replicas lost their data, and the voters that they knew: messages that are still on the
+    /// way may have them.
+    pub wiped: Vec<(u64, Vec<Identity>)>,
     /// Pairs of nodes between which messages are lost.
     pub blocked: Vec<(usize, usize)>,
     fault: Option<Fault>,
@@ -122,6 +138,7 @@
             nodes: Vec::new(),
             odds,
             history: History::default(),
+            wiped: Vec::new(),
             blocked: Vec::new(),
             fault,
             queue: BTreeMap::new(),
@@ -333,7 +350,7 @@
             return;
         }
         if self.random.random_bool(self.odds.repeat) {
-            let delay = self.random.random_range(0..1_500);
+            let delay = self.random.random_range(0..MAX_DELAY);
             self.push(delay, Item::Deliver(message.clone()));
         }
         let delay = self.random.random_range(1..=self.odds.delay);
@@ -429,10 +446,8 @@
     pub fn stop(&mut self, node: usize, machine: bool) {
         let stopped = &mut self.nodes[node];
         stopped.generation += 1;
-        if let Some(process) = stopped.process.take() {
-            let voters = process.replica.members().voters.iter();
-            stopped.known = voters.map(|m| m.id).collect();
-        }
+        stopped.known = stopped.voters();
+        stopped.process = None;
         if machine {
             stopped.disk.crash(&mut self.random);
         }
@@ -464,7 +479,10 @@
     pub fn wipe(&mut self, node: usize) {
         self.stop(node, true);
         self.nodes[node].disk.wipe();
-        self.nodes[node].known = Vec::new();
+        let now = self.now;
+        self.wiped.retain(|(at, _)| at + MAX_DELAY >= now);
+        let known = std::mem::take(&mut self.nodes[node].known);
+        self.wiped.push((now, known));
         if self.fault != Some(Fault::IdentityReuse) {
             self.identify(node);
         }
