--- a/bench/src/control/link.rs
+++ b/bench/src/control/link.rs
@@ -7,7 +7,11 @@
 };
 
 use futures_util::future::BoxFuture;
-use masticlock::{client::Pool, feed::Transport, rpc::Failure};
+use masticlock::{
+    client::Pool,
+    follower::Transport,
+    rpc::{self, Failure},
+};
 use masticlock_core::{
     feed::{Poll, Reply},
     time::Span,
@@ -145,10 +149,6 @@
         limit: Span,
     ) -> BoxFuture<'a, Result<Reply, Failure>> {
         let link = self.link(address).unwrap_or_else(|| address.to_owned());
-        Box::pin(async move {
-            self.pool
-                .call(&link, masticlock::rpc::FEED_POLL, poll, limit)
-                .await
-        })
+        Box::pin(async move { self.pool.call(&link, rpc::FEED_POLL, poll, limit).await })
     }
 }
--- a/bench/src/control/world.rs
+++ b/bench/src/control/world.rs
@@ -6,13 +6,16 @@
     thread,
 };
 
+use jsonrpsee::RpcModule;
 use masticlock::{
     client::{Control, Pool},
     clock::Clock,
     control::{self, Begin, Handle, Raw, Replica, Settings},
-    feed,
+    follower::Follower,
+    journal::Journal,
+    rpc::{self, Failure},
 };
-use masticlock_core::{feed::Seat, name, time::Span};
+use masticlock_core::{error, feed::Seat, name, time::Span};
 use tokio::{runtime::Runtime, sync::oneshot};
 
 use super::link::{Links, Meter, forward};
@@ -294,8 +297,18 @@
         .build()
         .map_err(text)?;
     runtime.block_on(async move {
-        let (feed, _records) = feed::start(seat, control, Arc::new(links), Clock::start());
-        let methods = feed::methods(feed).map_err(text)?;
+        let journal = Journal::new(seat.instance.clone());
+        let follower = Follower::new(seat, control, Arc::new(links), journal, Clock::start());
+        let mut methods = RpcModule::new(follower.clone());
+        methods
+            .register_async_method(rpc::FEED_POLL, |params, follower, _| async move {
+                let poll = params
+                    .parse()
+                    .map_err(|e| Failure::new(error::Kind::BadRequest, e.message()))?;
+                follower.serve(poll).await
+            })
+            .map_err(text)?;
+        tokio::spawn(async move { follower.run().await });
         let stop = async move {
             // The sender goes when the bench ends early.
             let _gone = stopped.await;
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -106,7 +106,7 @@
             /// The stage that is left, so that a repeat does not skip one.
             from: usize,
         },
-        /// Stops a roll-out and rolls it back.
+        /// Stops a roll-out and rolls it back, also after it has finished.
         RollBack {
             /// The version that is rolled out.
             version: name::Version,
@@ -359,13 +359,38 @@
 
     fn roll_back(&mut self, version: &name::Version, reason: &str) -> Result<(), error::Error> {
         let since = self.revision + 1;
-        let rollout = self.running(version)?;
+        let rollout = self
+            .rollouts
+            .iter_mut()
+            .find(|r| r.version == *version && r.progress != Progress::RolledBack)
+            .ok_or_else(|| invalid(format!("no roll-out of {version} is running or finished")))?;
         rollout.progress = Progress::RolledBack;
         rollout.reason = Some(reason.to_owned());
         rollout.since = since;
+        remove_sorted(&mut self.promoted, version);
         Ok(())
     }
 
+    /// Returns the configuration with restrictions that no accepted revision made.
+    ///
+    /// The revision stays the same. What names nothing known has no effect.
+    #[must_use]
+    pub fn restricted<'a, I>(&self, limits: I) -> Self
+    where
+        I: IntoIterator<Item = &'a Limit>,
+    {
+        let mut next = self.clone();
+        for limit in limits {
+            match limit {
+                Limit::Withdraw(v) => insert_sorted(&mut next.withdrawn, v.clone()),
+                Limit::TakeOut(d) => insert_sorted(&mut next.taken_out, d.clone()),
+                Limit::Drain(u) => insert_sorted(&mut next.drained, u.clone()),
+                Limit::Block(a) => insert_sorted(&mut next.blocked, a.clone()),
+            };
+        }
+        next
+    }
+
     /// Returns what the version may be used for.
     #[must_use]
     pub fn standing(&self, version: &name::Version) -> Standing {
--- a/crates/core/src/storage/load.rs
+++ b/crates/core/src/storage/load.rs
@@ -14,6 +14,8 @@
     vote: Vote,
     terms: Terms,
     entries: Vec<Entry>,
+    /// Index of the latest snapshot that the lines name.
+    snapshot_index: u64,
     /// Number of the next frame, if one was read.
     number: Option<u64>,
     /// Whether the last frame has its mark, or there is none.
@@ -71,6 +73,9 @@
     }
 
     /// Reads the newest snapshot and removes what a crash left of older ones.
+    ///
+    /// An older one shows that the process stopped while it replaced the snapshot. The name of the
+    /// newest may not be on stable storage then, so it is written again first.
     fn load_snapshot(&mut self) -> Result<Snapshot, Error> {
         let mut files = self.list()?;
         if files.iter().any(|f| f == TEMPORARY) {
@@ -81,6 +86,10 @@
             return Err(damaged(SNAPSHOT, 0, "there is no snapshot"));
         };
         let snapshot = self.read_whole(&newest)?;
+        if !files.is_empty() {
+            let bytes = self.read(&newest)?;
+            self.replace_bytes(&newest, &bytes)?;
+        }
         for file in files {
             self.remove(&file)?;
         }
@@ -199,10 +208,12 @@
         match line {
             Line::Head {
                 vote,
+                base,
                 last_index,
                 last_term,
                 ..
             } if is_first => {
+                self.snapshot_index = base;
                 self.terms.reset(last_index, last_term);
                 self.vote = vote;
             }
@@ -231,14 +242,23 @@
         Ok(())
     }
 
+    /// Adds an entry.
+    ///
+    /// The oldest segment may replace entries of segments that are gone. They are below the
+    /// snapshot then, so only the term of the last one matters.
     fn entry(&mut self, entry: Entry) -> Result<(), String> {
+        if let Some(segment) = self.segments.last_mut() {
+            segment.high = segment.high.max(entry.index);
+        }
+        if (self.snapshot_index + 1..=self.terms.base()).contains(&entry.index) {
+            self.terms.reset(entry.index, entry.term);
+            self.entries.clear();
+            return Ok(());
+        }
         let at = self
             .terms
             .append(entry.index, entry.term)
             .ok_or_else(|| format!("entry {} leaves a gap", entry.index))?;
-        if let Some(segment) = self.segments.last_mut() {
-            segment.high = segment.high.max(entry.index);
-        }
         self.entries.truncate(at);
         self.entries.push(entry);
         Ok(())
@@ -246,6 +266,7 @@
 
     /// Takes a snapshot into account: keeps the entries after it if the log has its last entry.
     fn align(&mut self, index: u64, term: u64) {
+        self.snapshot_index = index;
         match self.terms.cut(index, term) {
             Some(covered) => drop(self.entries.drain(..covered)),
             None => self.reset(index, term),
@@ -253,6 +274,7 @@
     }
 
     fn reset(&mut self, index: u64, term: u64) {
+        self.snapshot_index = index;
         self.terms.reset(index, term);
         self.entries.clear();
         self.segments.iter_mut().for_each(|s| s.high = 0);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,7 +6,9 @@
 mod job;
 mod lead;
 mod peer;
+mod recover;
 mod replicas;
+mod rollouts;
 mod run;
 mod settings;
 mod state;
@@ -14,6 +16,7 @@
 pub use self::{
     bills::Bills,
     http::serve,
+    recover::{Recovered, recover},
     run::{Begin, Error, Handle, start, start_on},
     settings::{Error as SettingsError, Raw, Replica, Settings},
 };
--- a/crates/node/src/control/job.rs
+++ b/crates/node/src/control/job.rs
@@ -3,7 +3,7 @@
     core::RegisterMethodError,
     types::{ErrorObjectOwned, Params},
 };
-use masticlock_core::{claim, consensus, error, feed, machine};
+use masticlock_core::{claim, config, consensus, error, feed, machine, timeline};
 use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 
@@ -30,6 +30,12 @@
     Lookup(rpc::Lookup, Reply<rpc::Submitted>),
     /// The state of the system.
     Status(Reply<rpc::Status>),
+    /// The accepted configuration.
+    Config(Reply<config::Config>),
+    /// Evidence of an instance.
+    Share(rpc::Share, Reply<rpc::Shared>),
+    /// Events of this replica.
+    Timeline(rpc::TimelineFrom, Reply<Vec<timeline::Event>>),
     /// A poll for the configuration.
     Poll(feed::Poll, Reply<feed::Reply>),
     /// A claim.
@@ -59,6 +65,9 @@
             Self::Submit(_, reply) | Self::Lookup(_, reply) => send(reply, Err(failure)),
             Self::Replica(reply) => send(reply, Err(failure)),
             Self::Status(reply) => send(reply, Err(failure)),
+            Self::Config(reply) => send(reply, Err(failure)),
+            Self::Share(_, reply) => send(reply, Err(failure)),
+            Self::Timeline(_, reply) => send(reply, Err(failure)),
             Self::Poll(_, reply) => send(reply, Err(failure)),
             Self::Begin(_, reply) => send(reply, Err(failure)),
             Self::Claim(_, reply) => send(reply, Err(failure)),
@@ -165,6 +174,9 @@
     with(m, rpc::OPERATOR_SUBMIT, Job::Submit)?;
     with(m, rpc::OPERATOR_OUTCOME, Job::Lookup)?;
     without(m, rpc::OPERATOR_STATUS, Job::Status)?;
+    without(m, rpc::OPERATOR_CONFIG, Job::Config)?;
+    with(m, rpc::EVIDENCE_SHARE, Job::Share)?;
+    with(m, rpc::TIMELINE_READ, Job::Timeline)?;
     with(m, rpc::FEED_POLL, Job::Poll)?;
     with(m, rpc::CLAIM_BEGIN, Job::Begin)?;
     with(m, rpc::CLAIM_FINISH, Job::Finish)?;
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -5,6 +5,7 @@
     consensus::{self, Event, Identity, Image, Member, Members, Message},
     ledger,
     time::Span,
+    timeline::Fact,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -23,6 +24,7 @@
 use crate::{
     client::{ATTEMPT, Control, Pool},
     clock::Clock,
+    journal::Journal,
     rpc,
 };
 
@@ -225,6 +227,8 @@
         let joins = self.content.image.snapshot.members.voters.is_empty()
             && self.content.image.entries.is_empty();
         let (returned, answers) = mpsc::channel(MAX_JOBS);
+        let journal = Journal::new(settings.own.instance.clone());
+        journal.record(Fact::Started);
         let mut state = State::new(Parts {
             clock: Clock::start(),
             seed: rand::random(),
@@ -232,6 +236,7 @@
             bills,
             disk: self.disk,
             peers: Peers::new(Arc::clone(&pool), own.clone(), returned),
+            journal,
         })
         .map_err(Error::Storage)?;
         state.housekeeping();
