--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 
+mod policy;
 mod report;
 mod table;
 
@@ -17,10 +18,21 @@
     /// Prints the table from error kind to answer.
     #[bpaf(command)]
     Errors,
+    /// Measures cost, quality and roll-outs of the decision code.
+    #[bpaf(command)]
+    Policy {
+        /// The deployment to model: pindan-crown or cascade-loomworks. Without it, both.
+        #[bpaf(argument("NAME"))]
+        deployment: Option<policy::Deployment>,
+        /// Seed of all draws.
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
 }
 
 fn main() -> ExitCode {
     match subject().run() {
         Subject::Errors => table::run(),
+        Subject::Policy { deployment, seed } => policy::run(deployment, seed),
     }
 }
--- /dev/null
+++ b/bench/src/policy/cost.rs
@@ -0,0 +1,147 @@
+//! Cost and quality of the planners on one stream, with unlimited slots.
+
+use masticlock_core::{
+    planner::{
+        Adaptive,
+        baseline::{Fixed, Oracle, Rule},
+    },
+    policy::Planner,
+};
+
+use super::{
+    sim::{self, Answered, Outcome, Scenario},
+    world::{Arrival, Deployment, World},
+};
+use crate::report::Report;
+
+/// Requests of the stream.
+const REQUESTS: usize = 12_000;
+
+/// Requests per second.
+const RATE: f64 = 20.0;
+
+/// Requests in which planners may learn before they are judged.
+const WARM_UP: usize = 2_000;
+
+/// Requests over which the target must be met.
+const WINDOW: usize = 1_000;
+
+/// Returns the planners by name.
+pub fn planners(world: &World) -> Vec<(&'static str, Box<dyn Planner>)> {
+    let fixed = |rule| Box::new(Fixed::new(rule)) as Box<dyn Planner>;
+    vec![
+        ("masticlock", Box::new(Adaptive::new())),
+        ("c0", Box::new(Adaptive::with_caution(0.0))),
+        ("c.25", Box::new(Adaptive::with_caution(0.25))),
+        ("c.5", Box::new(Adaptive::with_caution(0.5))),
+        ("c-.5", Box::new(Adaptive::with_caution(-0.5))),
+        ("oracle", Box::new(Oracle::new(Box::new(world.clone())))),
+        ("always best", fixed(Rule::Best)),
+        ("always cheapest", fixed(Rule::Cheapest)),
+        ("fixed split", fixed(Rule::Split)),
+        ("least loaded", fixed(Rule::LeastLoaded)),
+    ]
+}
+
+/// Figures of one planner after the warm-up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Figures {
+    cost: f64,
+    /// Lowest mean of quality minus target over a window.
+    worst: f64,
+    /// Lowest mean of quality minus target of one task over a window.
+    worst_task: f64,
+    /// Share of answers whose plan is truly at its target.
+    at_target: f64,
+    explored: f64,
+    refused: f64,
+}
+
+#[expect(clippy::cast_precision_loss)]
+fn figures(outcome: &Outcome, stream: &[Arrival]) -> Figures {
+    let mut judged: Vec<Answered> = (outcome.answered.iter())
+        .filter(|a| a.index >= WARM_UP)
+        .copied()
+        .collect();
+    judged.sort_by_key(|a| a.index);
+    let count = judged.len().max(1) as f64;
+    let share = |f: fn(&Answered) -> bool| judged.iter().filter(|a| f(a)).count() as f64 / count;
+    let mean = |list: &[Answered]| {
+        list.iter().map(|a| a.quality - a.target).sum::<f64>() / list.len() as f64
+    };
+    Figures {
+        cost: judged.iter().map(|a| a.cost).sum::<f64>() / count,
+        worst: judged
+            .chunks_exact(WINDOW)
+            .map(mean)
+            .fold(f64::INFINITY, f64::min),
+        worst_task: judged
+            .chunks_exact(WINDOW)
+            .flat_map(|window| {
+                let mut tasks: Vec<_> = window.iter().map(|a| &stream[a.index].ask.task).collect();
+                tasks.sort_unstable();
+                tasks.dedup();
+                tasks.into_iter().map(|task| {
+                    let own = |a: &&Answered| stream[a.index].ask.task == *task;
+                    mean(&window.iter().filter(own).copied().collect::<Vec<_>>())
+                })
+            })
+            .fold(f64::INFINITY, f64::min),
+        at_target: share(|a| a.quality >= a.target),
+        explored: share(|a| a.explored),
+        refused: outcome.refused.len() as f64
+            / (outcome.refused.len() + outcome.answered.len()) as f64,
+    }
+}
+
+/// Measures all planners on one stream.
+pub fn measure(report: &mut Report, deployment: Deployment, seed: u64) {
+    let world = World::new(deployment, seed);
+    let stream = world.stream(REQUESTS, RATE);
+    let scenario = Scenario {
+        unlimited: true,
+        ..Scenario::default()
+    };
+    println!("\n{REQUESTS} requests at {RATE}/s, unlimited slots, after the first {WARM_UP}:\n");
+    println!(
+        "| planner | cost per request | lowest quality over target in {WINDOW} | share at target | explored | refused |"
+    );
+    println!("|---|---|---|---|---|---|");
+    let mut all = Vec::new();
+    for (name, mut planner) in planners(&world) {
+        let figures = figures(
+            &sim::run(&world, &scenario, &stream, planner.as_mut()),
+            &stream,
+        );
+        println!(
+            "| {name} | {:.0} | {:+.4} | {:+.4} | {:.3} | {:.3} | {:.3} |",
+            figures.cost,
+            figures.worst,
+            figures.worst_task,
+            figures.at_target,
+            figures.explored,
+            figures.refused
+        );
+        all.push(figures);
+    }
+    println!();
+    let [ours, oracle, best, ..] = all[..] else {
+        return;
+    };
+    let rounded = |ratio: f64| (ratio * 1_000.0).round() / 1_000.0;
+    report.at_most(
+        &format!("{deployment}: cost against oracle"),
+        1.15,
+        rounded(ours.cost / oracle.cost),
+    );
+    report.at_most(
+        &format!("{deployment}: cost against always best"),
+        0.5,
+        rounded(ours.cost / best.cost),
+    );
+    report.at_least(
+        &format!("{deployment}: lowest quality over target in {WINDOW} requests"),
+        0.0,
+        (ours.worst * 10_000.0).round() / 10_000.0,
+    );
+}
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -26,13 +26,16 @@
 pub const PRIOR_DEVIATION: f64 = 0.05;
 
 /// Deviation of a task's quality from the version's mean.
-pub const TASK_DEVIATION: f64 = 0.06;
+pub const TASK_DEVIATION: f64 = 0.04;
 
 /// Deviation of a size's quality from the task's mean.
-pub const SIZE_DEVIATION: f64 = 0.03;
+pub const SIZE_DEVIATION: f64 = 0.02;
 
 /// Deviation of what a cascade's steps do from what the versions do alone.
-pub const STEP_DEVIATION: f64 = 0.08;
+pub const STEP_DEVIATION: f64 = 0.05;
+
+/// Deviation of a step's change of quality on a task and size from the version's mean change.
+pub const STEP_TASK_DEVIATION: f64 = 0.02;
 
 /// Deviation of single ratings before any has come.
 pub const RATING_DEVIATION: f64 = 0.3;
@@ -91,10 +94,17 @@
         let spread = PRIOR_DEVIATION.hypot(TASK_DEVIATION).hypot(SIZE_DEVIATION);
         let alone = Normal::new(version.prior_quality, spread * spread);
         let first_ms = version.prior_first_ms as f64;
+        let step = |change: fn(f64) -> f64| {
+            let spread = STEP_DEVIATION.hypot(STEP_TASK_DEVIATION);
+            Normal::new(
+                alone.mean + change(alone.mean),
+                alone.variance + spread * spread,
+            )
+        };
         Self {
             alone,
-            kept: kept_prior(alone),
-            second: second_prior(alone),
+            kept: step(kept_change),
+            second: step(second_change),
             escalation: PRIOR_ESCALATION,
             first_ms,
             first_high_ms: first_ms * PRIOR_TAIL,
@@ -103,14 +113,14 @@
     }
 }
 
-fn kept_prior(alone: Normal) -> Normal {
-    let mean = alone.mean + KEPT_GAIN * (1.0 - alone.mean);
-    Normal::new(mean, alone.variance + STEP_DEVIATION * STEP_DEVIATION)
+/// Returns the change of quality of answers that a cascade keeps, before any rating.
+fn kept_change(alone: f64) -> f64 {
+    KEPT_GAIN * (1.0 - alone)
 }
 
-fn second_prior(alone: Normal) -> Normal {
-    let mean = (alone.mean - SECOND_LOSS).max(0.0);
-    Normal::new(mean, alone.variance + STEP_DEVIATION * STEP_DEVIATION)
+/// Returns the change of quality on the requests of a second step, before any rating.
+fn second_change(alone: f64) -> f64 {
+    -SECOND_LOSS.min(alone)
 }
 
 /// Requests that a version in roll-out was sent in a stage.
@@ -136,6 +146,15 @@
 }
 
 impl Estimates {
+    /// Predictions for no version.
+    pub const EMPTY: Self = Self {
+        versions: Vec::new(),
+        tasks: Vec::new(),
+        cells: Vec::new(),
+        answer_tokens: Vec::new(),
+        exposures: Vec::new(),
+    };
+
     /// Returns the predictions that follow from the evidence.
     #[must_use]
     pub fn new(config: &config::Config, pool: &evidence::Pool) -> Self {
--- a/crates/core/src/estimate/level.rs
+++ b/crates/core/src/estimate/level.rs
@@ -7,8 +7,8 @@
 
 use super::{
     PRIOR_DEVIATION, PRIOR_ESCALATION, PRIOR_RATINGS, PRIOR_REQUESTS, PRIOR_TAIL, PRIOR_TOKENS,
-    Prediction, RATING_DEVIATION, SIZE_DEVIATION, SIZES, STEP_DEVIATION, TAIL_REQUESTS,
-    TASK_DEVIATION, kept_prior, second_prior,
+    Prediction, RATING_DEVIATION, SIZE_DEVIATION, SIZES, STEP_DEVIATION, STEP_TASK_DEVIATION,
+    TAIL_REQUESTS, TASK_DEVIATION, kept_change, second_change,
 };
 
 /// Percentile of the first token's time that deadlines are checked against.
@@ -36,6 +36,15 @@
         self.mean - deviations * self.variance.sqrt()
     }
 
+    /// Returns the probability that the true value is above `bound`.
+    ///
+    /// The logistic function stands in for the normal distribution; it differs by less than 0.01.
+    #[must_use]
+    pub fn chance_above(&self, bound: f64) -> f64 {
+        let deviations = (self.mean - bound) / self.variance.sqrt().max(f64::MIN_POSITIVE);
+        1.0 / (1.0 + (-1.702 * deviations).exp())
+    }
+
     /// Returns the estimate of a member of a group.
     ///
     /// `self` is the group's mean, `spread` the variance of members around it
@@ -166,18 +175,79 @@
                 .chain([prior]),
         )
         .unwrap_or(prior);
+        let size_spread = SIZE_DEVIATION * SIZE_DEVIATION;
+        let alone: Vec<_> = (task_means.into_iter().enumerate())
+            .flat_map(|(task, own)| {
+                let mean = whole.member(spread, own);
+                (0..SIZES.len()).map(move |size| {
+                    let cell = &self.cells[self.at(version, task, size)];
+                    mean.member(size_spread, cell.alone.mean(rating_variance))
+                })
+            })
+            .collect();
+        let first = self.step(version, &alone, rating_variance, |c| &c.first, kept_change);
+        let second = self.step(
+            version,
+            &alone,
+            rating_variance,
+            |c| &c.second,
+            second_change,
+        );
         let escalation = self.escalation(version, 0..self.tasks, PRIOR_ESCALATION);
-        for (task, own) in task_means.into_iter().enumerate() {
-            let mean = whole.member(spread, own);
-            let escalation = self.escalation(version, task..task + 1, escalation);
-            for size in 0..SIZES.len() {
-                let times = self.times(version, size, entry);
-                let cell = &self.cells[self.at(version, task, size)];
-                into.push(cell.predict(mean, rating_variance, escalation, times));
-            }
+        for (at, alone) in alone.into_iter().enumerate() {
+            let (task, size) = (at / SIZES.len(), at % SIZES.len());
+            let (first_ms, first_high_ms, token_ms) = self.times(version, size, entry);
+            into.push(Prediction {
+                alone,
+                kept: first[at],
+                second: second[at],
+                escalation: self.escalation(version, task..task + 1, escalation),
+                first_ms,
+                first_high_ms,
+                token_ms,
+            });
         }
     }
 
+    /// Returns the quality of a version as a step of cascades, by task and size.
+    ///
+    /// A step changes quality by an expected amount plus the version's own
+    /// deviation from it, which all tasks and sizes share.
+    fn step<R, C>(
+        &self,
+        version: usize,
+        alone: &[Normal],
+        variance: f64,
+        ratings: R,
+        change: C,
+    ) -> Vec<Normal>
+    where
+        R: Fn(&Cell) -> &Ratings,
+        C: Fn(f64) -> f64,
+    {
+        let start = self.at(version, 0, 0);
+        let own = STEP_TASK_DEVIATION * STEP_TASK_DEVIATION;
+        let deviations = alone.iter().enumerate().filter_map(|(at, alone)| {
+            let measured = ratings(&self.cells[start + at]).mean(variance)?;
+            let mean = measured.mean - alone.mean - change(alone.mean);
+            Some(Normal::new(mean, measured.variance + alone.variance + own))
+        });
+        let prior = Normal::new(0.0, STEP_DEVIATION * STEP_DEVIATION);
+        let shared = Normal::pooled(deviations.chain([prior])).unwrap_or(prior);
+        (alone.iter().enumerate())
+            .map(|(at, alone)| {
+                let group = Normal::new(
+                    alone.mean + change(alone.mean) + shared.mean,
+                    alone.variance + shared.variance,
+                );
+                // The group's mean is as uncertain as the version's own quality
+                // on the task, so ratings of the step itself soon outweigh it.
+                let measured = ratings(&self.cells[start + at]).mean(variance);
+                group.member(own + group.variance, measured)
+            })
+            .collect()
+    }
+
     /// Returns the variance of single ratings.
     fn rating_variance(&self, version: usize) -> f64 {
         let cells = &self.cells[self.at(version, 0, 0)..self.at(version + 1, 0, 0)];
@@ -239,32 +309,6 @@
     }
 }
 
-impl Cell {
-    fn predict(
-        &self,
-        task: Normal,
-        variance: f64,
-        escalation: f64,
-        (first_ms, first_high_ms, token_ms): (f64, f64, f64),
-    ) -> Prediction {
-        let alone = task.member(SIZE_DEVIATION * SIZE_DEVIATION, self.alone.mean(variance));
-        let spread = STEP_DEVIATION * STEP_DEVIATION;
-        let step = |prior: Normal, ratings: &Ratings| {
-            let group = Normal::new(prior.mean, prior.variance - spread);
-            group.member(spread, ratings.mean(variance))
-        };
-        Prediction {
-            alone,
-            kept: step(kept_prior(alone), &self.first),
-            second: step(second_prior(alone), &self.second),
-            escalation,
-            first_ms,
-            first_high_ms,
-            token_ms,
-        }
-    }
-}
-
 impl Times {
     #[expect(clippy::cast_precision_loss)]
     fn add(&mut self, counts: &Counts, weight: f64) {
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -33,8 +33,10 @@
 pub const MAX_CONSIDERED: usize = 8;
 
 /// Chooses plans from evidence.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Adaptive {
+    /// Deviations that are taken off predicted quality.
+    caution: f64,
     estimates: Estimates,
     /// Revision that `estimates` and `standings` belong to.
     revision: Option<u64>,
@@ -57,8 +59,20 @@
 impl Adaptive {
     /// Returns a planner that knows only priors.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub const fn new() -> Self {
+        Self::with_caution(CAUTION)
+    }
+
+    /// Returns a planner that takes `caution` deviations off predicted quality.
+    #[must_use]
+    pub const fn with_caution(caution: f64) -> Self {
+        Self {
+            caution,
+            estimates: Estimates::EMPTY,
+            revision: None,
+            standings: Vec::new(),
+            options: Vec::new(),
+        }
     }
 
     /// Returns the predictions in use.
@@ -185,7 +199,7 @@
         let hopeful = |o: &Candidate| o.quality.mean >= case.ask.quality;
         let closest = (self.options.iter().enumerate())
             .filter(|(_, o)| o.in_time(case) && hopeful(o))
-            .max_by(|(_, a), (_, b)| a.bound().total_cmp(&b.bound()));
+            .max_by(|(_, a), (_, b)| a.bound.total_cmp(&b.bound));
         if let Some((at, _)) = closest {
             return Ok(at);
         }
@@ -224,7 +238,7 @@
         taken.ok_or_else(|| overloaded(option))
     }
 
-    /// Returns a cheaper plan that is taken to learn about it.
+    /// Returns the cheaper plan with the largest expected saving, to learn whether it reaches the target.
     fn explored(&self, case: &Case<'_>, taken: usize) -> Option<usize> {
         let chance = case.rule.explore;
         if !case.task.is_some_and(|t| t.explore)
@@ -234,14 +248,17 @@
             return None;
         }
         let limit = self.options[taken].cost;
-        self.options.iter().position(|o| {
+        let open = (self.options.iter().enumerate()).filter(|(_, o)| {
             o.cost < limit
                 && o.in_time(case)
                 && !o.full
                 && !o.gone
                 && !o.is_good(case)
                 && o.quality.lower(-HOPE) >= case.ask.quality
-        })
+        });
+        let gain = |o: &Candidate| (limit - o.cost) * o.quality.chance_above(case.ask.quality);
+        open.max_by(|(_, a), (_, b)| gain(a).total_cmp(&gain(b)))
+            .map(|(at, _)| at)
     }
 
     /// Puts a version in roll-out in the place of its baseline for the stage's share of requests.
@@ -307,6 +324,12 @@
     }
 }
 
+impl Default for Adaptive {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Planner for Adaptive {
     fn plan(
         &mut self,
--- a/crates/core/src/planner/baseline.rs
+++ b/crates/core/src/planner/baseline.rs
@@ -135,6 +135,7 @@
             let plan = option.plan(&case);
             let (quality, escalation) = self.truth.truth(&plan.steps, ask);
             option.quality = Normal::new(quality, 0.0);
+            option.bound = quality;
             option::set_escalation(option, &self.inner, &case, escalation);
         }
         self.inner.options = options;
--- a/crates/core/src/planner/option.rs
+++ b/crates/core/src/planner/option.rs
@@ -8,7 +8,7 @@
     time::Span,
 };
 
-use super::{Adaptive, CAUTION, Case};
+use super::{Adaptive, Case};
 
 /// Part of a cached prompt token's cost that is saved.
 const WARM_SAVING: f64 = 0.5;
@@ -25,6 +25,8 @@
     pub cost: f64,
     /// Predicted quality.
     pub quality: Normal,
+    /// The quality that the plan is trusted with.
+    pub bound: f64,
     /// Expected milliseconds to the end.
     pub millis: f64,
     /// Milliseconds to the end when all steps run and first tokens are late.
@@ -52,6 +54,7 @@
         second: None,
         cost: (prompt * version.prompt_cost as f64 + tokens * version.answer_cost as f64) / 1_000.0,
         quality: prediction.alone,
+        bound: prediction.alone.lower(planner.caution),
         millis: prediction.first_ms + prediction.token_ms * tokens,
         high_millis: prediction.first_high_ms + prediction.token_ms * tokens,
         full: free == 0,
@@ -71,14 +74,16 @@
     let before = estimates.prediction(first.first, task, size);
     let after = estimates.prediction(second.first, task, size);
     let (keeps, escalates) = (1.0 - before.escalation, before.escalation);
+    let quality = Normal::new(
+        keeps * before.kept.mean + escalates * after.second.mean,
+        keeps * keeps * before.kept.variance + escalates * escalates * after.second.variance,
+    );
     Candidate {
         first: first.first,
         second: Some(second.first),
         cost: first.cost + escalates * second.cost,
-        quality: Normal::new(
-            keeps * before.kept.mean + escalates * after.second.mean,
-            keeps * keeps * before.kept.variance + escalates * escalates * after.second.variance,
-        ),
+        quality,
+        bound: quality.lower(planner.caution),
         millis: first.millis + escalates * second.millis,
         high_millis: first.high_millis + second.high_millis,
         full: first.full || second.full,
@@ -136,14 +141,9 @@
         self.second.is_some()
     }
 
-    /// Returns the quality that the plan is trusted with.
-    pub fn bound(&self) -> f64 {
-        self.quality.lower(CAUTION)
-    }
-
     /// Returns whether the plan reaches the quality target.
     pub fn is_good(&self, case: &Case<'_>) -> bool {
-        self.bound() >= case.ask.quality
+        self.bound >= case.ask.quality
     }
 
     /// Returns whether all steps end before the deadline.
--- a/crates/core/src/rollout/watch.rs
+++ b/crates/core/src/rollout/watch.rs
@@ -107,12 +107,15 @@
         }
     }
 
-    fn total(&self) -> Counts {
-        let mut total = Counts::default();
-        for stratum in &self.list {
-            total.add(&stratum.counts);
-        }
-        total
+    fn error_sample<F>(&self, filter: F) -> Sample
+    where
+        F: Fn(&name::Version) -> bool,
+    {
+        let own = self.list.iter().filter(|s| filter(&s.place.0));
+        let (ended, errors) = own.fold((0, 0), |(ended, errors), s| {
+            (ended + s.counts.ended(), errors + s.counts.errors)
+        });
+        Sample::binary(ended, errors)
     }
 
     fn started(&self) -> u64 {
@@ -165,48 +168,48 @@
             }
             self.points.push((now, current.clone()));
         }
-        let versions = config.inventory.versions.iter().map(|v| &v.name);
-        versions
+        let stable: Vec<_> = (config.inventory.versions.iter().map(|v| &v.name))
             .filter(|v| config.standing(v) == Standing::Stable)
-            .filter_map(|v| {
-                let reason = self.finding(v, &current)?;
-                Some(action(config, v, reason))
-            })
-            .collect()
-    }
-
-    /// Returns why a version counts as turned bad.
-    fn finding(&self, version: &name::Version, current: &Strata) -> Option<String> {
-        let limit = (WINDOWS_A_DAY / FALSE_ALARM_A_DAY).ln() + 2.0_f64.ln();
+            .collect();
+        let mut actions: Vec<(&name::Version, Action)> = Vec::new();
         // Windows double in length, so a few of them cover all points.
-        let starts = (0..).map(|power| 1_usize << power);
-        let starts = starts.take_while(|back| *back <= self.points.len());
-        for back in starts {
+        let lengths = (0..usize::BITS).map(|power| 1 << power);
+        for back in lengths.take_while(|back| *back <= self.points.len()) {
             let earlier = &self.points[self.points.len() - back].1;
             let window = current.minus(earlier);
-            let is_own = |v: &name::Version| v == version;
-            let (own, own_before) = (window.filtered(is_own), earlier.filtered(is_own));
-            let others = || window.filtered(|v| !is_own(v));
-            let others_before = || earlier.filtered(|v| !is_own(v));
-            if errors(&own, &own_before) >= limit
-                && errors(&others(), &others_before()) < COMMON_CAUSE
-            {
-                return Some("errors rose in service".to_owned());
-            }
-            if ratings(&own, &own_before) >= limit && !has_shifted(&others(), &others_before()) {
-                return Some("ratings fell in service".to_owned());
+            for version in &stable {
+                let known = actions.iter().any(|(v, _)| v == version);
+                if let (false, Some(reason)) = (known, finding(version, &window, earlier)) {
+                    actions.push((version, action(config, version, reason)));
+                }
             }
         }
-        None
+        actions.into_iter().map(|(_, action)| action).collect()
+    }
+}
+
+/// Returns why a version counts as turned bad.
+fn finding(version: &name::Version, window: &Strata, earlier: &Strata) -> Option<String> {
+    let limit = (WINDOWS_A_DAY / FALSE_ALARM_A_DAY).ln() + 2.0_f64.ln();
+    let own = |v: &name::Version| v == version;
+    let others = |v: &name::Version| v != version;
+    if errors(window, earlier, own) >= limit && errors(window, earlier, others) < COMMON_CAUSE {
+        return Some("errors rose in service".to_owned());
+    }
+    if ratings(window, earlier, own) >= limit
+        && !has_shifted(&window.filtered(others), &earlier.filtered(others))
+    {
+        return Some("ratings fell in service".to_owned());
     }
+    None
 }
 
-/// Returns the log of the evidence that errors rose.
-fn errors(now: &Strata, before: &Strata) -> f64 {
-    let (now, before) = (
-        Sample::errors(&now.total()),
-        Sample::errors(&before.total()),
-    );
+/// Returns the log of the evidence that errors rose for the versions that pass `filter`.
+fn errors<F>(now: &Strata, before: &Strata, filter: F) -> f64
+where
+    F: Fn(&name::Version) -> bool + Copy,
+{
+    let (now, before) = (now.error_sample(filter), before.error_sample(filter));
     if before.size() < REFERENCE {
         return 0.0;
     }
@@ -214,8 +217,12 @@
 }
 
 /// Returns the log of the evidence that ratings fell on any kind of work; the bets share one wealth.
-fn ratings(now: &Strata, before: &Strata) -> f64 {
-    let compared = now.list.iter().filter_map(|stratum| {
+fn ratings<F>(now: &Strata, before: &Strata, filter: F) -> f64
+where
+    F: Fn(&name::Version) -> bool,
+{
+    let own = now.list.iter().filter(|s| filter(&s.place.0));
+    let compared = own.filter_map(|stratum| {
         let early = Sample::shortfall(before.get(&stratum.place)?);
         let late = Sample::shortfall(&stratum.counts);
         (early.size() >= REFERENCE).then(|| wealth::worse(&late, &early, QUALITY_MARGIN))
