--- a/bench/src/policy.rs
+++ b/bench/src/policy.rs
@@ -9,6 +9,7 @@
 use crate::report::Report;
 
 mod cost;
+mod exposure;
 mod pools;
 mod sim;
 mod world;
@@ -22,6 +23,7 @@
         if deployment.is_none_or(|d| d == each) {
             println!("\n## {each}");
             cost::measure(&mut report, each, seed);
+            exposure::measure(&mut report, each, seed);
         }
     }
     report.finish()
--- a/bench/src/policy/cost.rs
+++ b/bench/src/policy/cost.rs
@@ -15,7 +15,7 @@
 use crate::report::Report;
 
 /// Requests of the stream.
-const REQUESTS: usize = 12_000;
+const REQUESTS: usize = 22_000;
 
 /// Requests per second.
 const RATE: f64 = 20.0;
@@ -26,21 +26,29 @@
 /// Requests over which the target must be met.
 const WINDOW: usize = 1_000;
 
+/// Cautions that the shipped one is compared with.
+const CAUTIONS: [(&str, f64); 4] = [
+    ("caution 0", 0.0),
+    ("caution 0.25", 0.25),
+    ("caution 0.5", 0.5),
+    ("caution 1", 1.0),
+];
+
 /// Returns the planners by name.
-pub fn planners(world: &World) -> Vec<(&'static str, Box<dyn Planner>)> {
+fn planners(world: &World) -> Vec<(&'static str, Box<dyn Planner>)> {
     let fixed = |rule| Box::new(Fixed::new(rule)) as Box<dyn Planner>;
-    vec![
+    let mut planners: Vec<(_, Box<dyn Planner>)> = vec![
         ("masticlock", Box::new(Adaptive::new())),
-        ("c0", Box::new(Adaptive::with_caution(0.0))),
-        ("c.25", Box::new(Adaptive::with_caution(0.25))),
-        ("c.5", Box::new(Adaptive::with_caution(0.5))),
-        ("c-.5", Box::new(Adaptive::with_caution(-0.5))),
         ("oracle", Box::new(Oracle::new(Box::new(world.clone())))),
         ("always best", fixed(Rule::Best)),
         ("always cheapest", fixed(Rule::Cheapest)),
         ("fixed split", fixed(Rule::Split)),
         ("least loaded", fixed(Rule::LeastLoaded)),
-    ]
+    ];
+    for (name, caution) in CAUTIONS {
+        planners.push((name, Box::new(Adaptive::with_caution(caution))));
+    }
+    planners
 }
 
 /// Figures of one planner after the warm-up.
@@ -104,9 +112,9 @@
     };
     println!("\n{REQUESTS} requests at {RATE}/s, unlimited slots, after the first {WARM_UP}:\n");
     println!(
-        "| planner | cost per request | lowest quality over target in {WINDOW} | share at target | explored | refused |"
+        "| planner | cost per request | lowest quality over target in {WINDOW} | of one task | share at target | explored | refused |"
     );
-    println!("|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|");
     let mut all = Vec::new();
     for (name, mut planner) in planners(&world) {
         let figures = figures(
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -24,10 +24,13 @@
 use option::Candidate;
 
 /// Deviations of predicted quality that are taken off its mean before it is compared with the target.
-pub const CAUTION: f64 = 1.0;
+pub const CAUTION: f64 = 0.1;
 
 /// Deviations above its mean at which a plan must reach the target to be explored.
-pub const HOPE: f64 = 1.0;
+pub const HOPE: f64 = 0.5;
+
+/// Requests of a task over which plans that are explored may use up the surplus of the others.
+pub const SURPLUS_REQUESTS: f64 = 200.0;
 
 /// Most plans that are listed as considered.
 pub const MAX_CONSIDERED: usize = 8;
@@ -44,6 +47,8 @@
     standings: Vec<Standing>,
     /// Kept between requests so that choosing doesn't allocate.
     options: Vec<Candidate>,
+    /// By task, the predicted quality above target of the latest requests, summed.
+    surplus: Vec<f64>,
 }
 
 /// A request with the rules that apply to it.
@@ -72,6 +77,7 @@
             revision: None,
             standings: Vec::new(),
             options: Vec::new(),
+            surplus: Vec::new(),
         }
     }
 
@@ -104,6 +110,7 @@
         let explored = self.explored(case, taken);
         let mut plan = self.options[explored.unwrap_or(taken)].plan(case);
         plan.explores = explored.is_some();
+        self.count_surplus(case, plan.quality - case.ask.quality);
         let considered = self.considered(case, explored.unwrap_or(taken), &plan);
         if explored.is_none() {
             self.compare(case, &mut plan);
@@ -238,7 +245,19 @@
         taken.ok_or_else(|| overloaded(option))
     }
 
+    fn count_surplus(&mut self, case: &Case<'_>, surplus: f64) {
+        let task = self.estimates.task(&case.ask.task);
+        if self.surplus.len() <= task {
+            self.surplus.resize(task + 1, 0.0);
+        }
+        let sum = &mut self.surplus[task];
+        *sum += surplus - *sum / SURPLUS_REQUESTS;
+    }
+
     /// Returns the cheaper plan with the largest expected saving, to learn whether it reaches the target.
+    ///
+    /// The mean predicted quality of a task's requests stays at its target: a
+    /// plan predicted below it is only taken against a surplus of earlier ones.
     fn explored(&self, case: &Case<'_>, taken: usize) -> Option<usize> {
         let chance = case.rule.explore;
         if !case.task.is_some_and(|t| t.explore)
@@ -248,6 +267,8 @@
             return None;
         }
         let limit = self.options[taken].cost;
+        let task = self.estimates.task(&case.ask.task);
+        let surplus = self.surplus.get(task).copied().unwrap_or(0.0);
         let open = (self.options.iter().enumerate()).filter(|(_, o)| {
             o.cost < limit
                 && o.in_time(case)
@@ -255,6 +276,7 @@
                 && !o.gone
                 && !o.is_good(case)
                 && o.quality.lower(-HOPE) >= case.ask.quality
+                && surplus + o.quality.mean >= case.ask.quality
         });
         let gain = |o: &Candidate| (limit - o.cost) * o.quality.chance_above(case.ask.quality);
         open.max_by(|(_, a), (_, b)| gain(a).total_cmp(&gain(b)))
--- a/crates/core/src/rollout/watch.rs
+++ b/crates/core/src/rollout/watch.rs
@@ -43,6 +43,9 @@
 /// Evidence that the other versions fail too, at which errors have a common cause.
 const COMMON_CAUSE: f64 = 3.0;
 
+/// Standard deviations of excess below which no bet can have won enough.
+const WORTHWHILE_DEVIATIONS: f64 = 2.0;
+
 /// Counters of a version on one kind of work.
 #[derive(Clone, Debug, PartialEq)]
 struct Stratum {
@@ -213,7 +216,15 @@
     if before.size() < REFERENCE {
         return 0.0;
     }
-    wealth::worse(&now, &before, ERROR_MARGIN)
+    evidence(&now, &before, ERROR_MARGIN)
+}
+
+/// Returns the log of the evidence that a loss rose, or 0 if a look at it is not worthwhile.
+fn evidence(now: &Sample, before: &Sample, margin: f64) -> f64 {
+    if wealth::excess(now, before) < WORTHWHILE_DEVIATIONS {
+        return 0.0;
+    }
+    wealth::worse(now, before, margin)
 }
 
 /// Returns the log of the evidence that ratings fell on any kind of work; the bets share one wealth.
@@ -225,7 +236,7 @@
     let compared = own.filter_map(|stratum| {
         let early = Sample::shortfall(before.get(&stratum.place)?);
         let late = Sample::shortfall(&stratum.counts);
-        (early.size() >= REFERENCE).then(|| wealth::worse(&late, &early, QUALITY_MARGIN))
+        (early.size() >= REFERENCE).then(|| evidence(&late, &early, QUALITY_MARGIN))
     });
     let (count, sum) = compared.fold((0.0_f64, 0.0), |(count, sum), log| {
         (count + 1.0, sum + log.exp())
--- a/crates/core/src/rollout/wealth.rs
+++ b/crates/core/src/rollout/wealth.rs
@@ -23,6 +23,9 @@
 /// Steps that narrow the place of the smallest wealth.
 const NARROWING: usize = 24;
 
+/// Standard deviations of excess below which a threshold's bet counts as lost without a closer look.
+const SLOWER_DEVIATIONS: f64 = 1.0;
+
 /// Counts of losses from 0 to 1.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Sample {
@@ -181,15 +184,22 @@
         .map(|at| {
             let (candidate, control) = (Sample::slow(candidate, at + 1), Sample::slow(control, at));
             // A bet that has not won counts as lost.
-            match worse(&candidate, &control, 0.0) {
-                log if log > 0.0 => log,
-                _ => f64::NEG_INFINITY,
+            if excess(&candidate, &control) < SLOWER_DEVIATIONS {
+                return f64::NEG_INFINITY;
             }
+            worse(&candidate, &control, 0.0)
         })
         .collect();
     log_mean(&logs).max(0.0)
 }
 
+/// Returns by how many standard deviations the candidate's mean loss exceeds the control's.
+#[must_use]
+pub fn excess(candidate: &Sample, control: &Sample) -> f64 {
+    let variance = candidate.variance() + control.variance();
+    (candidate.mean() - control.mean()) / variance.sqrt().max(f64::MIN_POSITIVE)
+}
+
 /// Returns whether the candidate's mean loss exceeds the control's by less than `bound`.
 ///
 /// `deviations` standard deviations of the difference are granted for chance.
