--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -184,7 +184,7 @@
     }
 
     fn count_exposure(&mut self, record: &evidence::Record) {
-        let evidence::Arm::Candidate(since) = record.key.arm else {
+        let (evidence::Arm::Candidate(since) | evidence::Arm::Share(since)) = record.key.arm else {
             return;
         };
         let version = &record.key.version;
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -7,10 +7,10 @@
 use std::cmp::Ordering;
 
 use crate::{
-    config::{self, Standing},
+    config::{self, Progress, Standing},
     error::{self, Kind},
     estimate::Estimates,
-    evidence,
+    evidence::{self, Arm},
     inventory::{AccountRule, TaskRule, WhenFull},
     name,
     policy::{Considered, Plan, Planner, Verdict, View},
@@ -22,6 +22,7 @@
 pub mod share;
 
 use option::Candidate;
+use share::{Comparison, Part};
 
 /// Deviations of predicted quality that are taken off its mean before it is compared with the target.
 pub const CAUTION: f64 = 0.1;
@@ -147,8 +148,12 @@
             return Err(overloaded(&option));
         }
         let mut plan = option.plan(case);
-        if let Some(comparison) = share::comparison(case.view.config, case.ask, &plan.steps) {
-            plan.arm = comparison.arm(&plan.steps[0]);
+        let rollout = (case.view.config.rollouts.iter())
+            .find(|r| r.version == plan.steps[0] && r.progress == Progress::Running);
+        if let Some(rollout) = rollout {
+            // A session outlives the conditions under which it began, so it
+            // counts for exposure and not for the comparison.
+            plan.arm = Arm::Share(rollout.since);
         }
         let chosen = Considered {
             plan: plan.clone(),
@@ -283,41 +288,52 @@
             .map(|(at, _)| at)
     }
 
-    /// Puts a version in roll-out in the place of its baseline for the stage's share of requests.
+    /// Applies the request's part in a roll-out to its plan.
     ///
-    /// Both arms are subject to the same conditions, so they differ in nothing
-    /// but the version.
+    /// Trial and control requests are drawn by hash under the same conditions
+    /// and run alone, so they differ in nothing but the version. Until the
+    /// comparison says otherwise, a version in roll-out counts as good as its baseline.
     fn compare(&self, case: &Case<'_>, plan: &mut Plan) {
         if case.view.cut_off.is_some() || !case.task.is_some_and(|t| t.explore) {
             return;
         }
-        let Some(comparison) = share::comparison(case.view.config, case.ask, &plan.steps) else {
+        let Some(Comparison { rollout, part }) = share::comparison(case.view.config, case.ask)
+        else {
             return;
         };
-        let rollout = comparison.rollout;
-        let exposed = self.estimates.exposed(&rollout.version, rollout.since);
-        let (Some(step), Some(at)) = (
-            plan.steps.iter().position(|v| *v == rollout.baseline),
-            case.index(&rollout.version),
-        ) else {
+        let (Some(new), Some(old)) = (case.index(&rollout.version), case.index(&rollout.baseline))
+        else {
             return;
         };
-        let option = option::single(self, case, at);
-        let open = exposed < rollout.stages[rollout.stage].exposure
-            && case.allows(at)
-            && case.is_served(at)
-            && option.in_time(case)
-            && !option.full
-            && !option.gone;
-        if open {
-            plan.arm = comparison.arm(if comparison.inside {
-                &rollout.version
-            } else {
-                &rollout.baseline
-            });
-            if comparison.inside {
+        let usable = |at| {
+            let option = option::single(self, case, at);
+            case.allows(at)
+                && self.standings[at] != Standing::Withdrawn
+                && option.in_time(case)
+                && !option.full
+                && !option.gone
+        };
+        let exposed = self.estimates.exposed(&rollout.version, rollout.since);
+        let open = exposed < rollout.stages[rollout.stage].exposure && usable(new) && usable(old);
+        if !open {
+            return;
+        }
+        let place = plan.steps.iter().position(|v| *v == rollout.baseline);
+        let good = option::single(self, case, old).quality.mean >= case.ask.quality;
+        match (part, place) {
+            (Part::Trial, _) if good => {
+                *plan = option::single(self, case, new).plan(case);
+                plan.arm = Arm::Candidate(rollout.since);
+            }
+            (Part::Control, _) if good => {
+                *plan = option::single(self, case, old).plan(case);
+                plan.arm = Arm::Control(rollout.since);
+            }
+            (Part::Trial | Part::Share, Some(step)) => {
                 plan.steps[step] = rollout.version.clone();
+                plan.arm = Arm::Share(rollout.since);
             }
+            _ => {}
         }
     }
 
--- a/crates/core/src/planner/share.rs
+++ b/crates/core/src/planner/share.rs
@@ -2,65 +2,65 @@
 
 use crate::{
     config::{Config, Progress, Rollout},
-    evidence::Arm,
-    name,
     request::Ask,
 };
 
-/// Highest share of a stage that takes effect; the rest stays with the baseline as control.
-pub const MAX_SHARE: f64 = 0.9;
+/// Share of requests that try a version in roll-out on its own, at most.
+pub const TRIAL_SHARE: f64 = 0.05;
+
+/// Share of requests that run on the baseline on its own, for comparison.
+pub const CONTROL_SHARE: f64 = 0.15;
 
 /// A request's place in the comparison of a version in roll-out with its baseline.
 #[derive(Clone, Copy, Debug)]
 pub struct Comparison<'a> {
     /// The roll-out.
     pub rollout: &'a Rollout,
-    /// Whether the request is in the version's share.
-    pub inside: bool,
+    /// The part of requests that it belongs to.
+    pub part: Part,
+}
+
+/// A part of the requests during a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Runs on the version in roll-out alone.
+    Trial,
+    /// Runs on the baseline alone.
+    Control,
+    /// Gets the version in roll-out where it would get the baseline.
+    Share,
+    /// Takes no part.
+    Rest,
 }
 
-impl Comparison<'_> {
-    /// Returns the arm that a version's work on the request counts for.
-    #[must_use]
-    pub fn arm(&self, version: &name::Version) -> Arm {
-        let since = self.rollout.since;
-        if self.inside && *version == self.rollout.version {
-            Arm::Candidate(since)
-        } else if !self.inside && *version == self.rollout.baseline {
-            Arm::Control(since)
+impl Part {
+    fn of(place: f64, share: f64) -> Self {
+        if place < share.min(TRIAL_SHARE) {
+            Self::Trial
+        } else if place >= 1.0 - CONTROL_SHARE {
+            Self::Control
+        } else if place < share {
+            Self::Share
         } else {
-            Arm::Plain
+            Self::Rest
         }
     }
 }
 
-/// Returns the comparison that a request with these steps takes part in.
+/// Returns the comparison that a request takes part in.
 ///
 /// A session's requests all have the same place. Shares only grow, so a request
-/// inside of a stage's share is inside of the later ones.
+/// that gets the version in one stage gets it in the later ones.
 #[must_use]
-pub fn comparison<'a>(
-    config: &'a Config,
-    ask: &Ask,
-    steps: &[name::Version],
-) -> Option<Comparison<'a>> {
+pub fn comparison<'a>(config: &'a Config, ask: &Ask) -> Option<Comparison<'a>> {
     let key = ask.session.as_ref().map_or(ask.id.as_str(), |s| &s.id);
-    let concerned = |r: &&Rollout| {
-        r.progress == Progress::Running
-            && (steps.contains(&r.baseline) || steps.contains(&r.version))
-            && config.is_allowed(&ask.account, &r.version)
-    };
-    let mut outside = None;
-    for rollout in config.rollouts.iter().filter(concerned) {
-        let share = rollout.stages[rollout.stage].share.min(MAX_SHARE);
-        let inside = position(rollout.version.as_str(), key) < share;
-        let comparison = Comparison { rollout, inside };
-        if inside {
-            return Some(comparison);
-        }
-        outside = outside.or(Some(comparison));
-    }
-    outside
+    let mut running = (config.rollouts.iter())
+        .filter(|r| r.progress == Progress::Running && config.is_allowed(&ask.account, &r.version));
+    running.find_map(|rollout| {
+        let share = rollout.stages[rollout.stage].share;
+        let part = Part::of(position(rollout.version.as_str(), key), share);
+        (part != Part::Rest).then_some(Comparison { rollout, part })
+    })
 }
 
 /// Returns the place of `key` in 0 to 1, drawn by a hash that `salt` makes independent of other uses.
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -148,7 +148,8 @@
         let mut actions: Vec<_> = (config.rollouts.iter().filter(running))
             .filter_map(|rollout| {
                 let began = self.began(rollout, now);
-                decide(rollout, config, pool, now.since(began), silent)
+                let strange = self.watch.has_moved(&rollout.baseline, pool, rollout.since);
+                decide(rollout, pool, now.since(began), silent, strange)
             })
             .collect();
         actions.extend(self.watch.step(config, pool, now));
@@ -208,13 +209,12 @@
 
 fn decide(
     rollout: &Rollout,
-    config: &Config,
     pool: &Pool,
     spent: Span,
     silent: bool,
+    strange: bool,
 ) -> Option<Action> {
     let findings = findings(rollout, pool);
-    let strange = is_strange(rollout, config, pool);
     for (at, (evidence, part)) in findings.evidence.into_iter().zip(PARTS).enumerate() {
         // Ratings that moved for the baseline too say nothing about the version.
         let counts = at + 1 < PARTS.len() || !strange;
@@ -296,22 +296,3 @@
     }
     0
 }
-
-/// Returns whether the baseline's ratings differ from those before the stage.
-fn is_strange(rollout: &Rollout, config: &Config, pool: &Pool) -> bool {
-    let explored = |task: &name::Task| config.rules.task(task).is_some_and(|r| r.explore);
-    let mut now = watch::Strata::default();
-    let mut before = watch::Strata::default();
-    for (record, _) in pool.records() {
-        let key = &record.key;
-        if key.version != rollout.baseline || !explored(&key.task) {
-            continue;
-        }
-        if key.arm == Arm::Control(rollout.since) {
-            now.add(key, &record.counts);
-        } else {
-            before.add(key, &record.counts);
-        }
-    }
-    watch::has_shifted(&now, &before)
-}
--- a/crates/core/src/rollout/watch.rs
+++ b/crates/core/src/rollout/watch.rs
@@ -2,14 +2,14 @@
 //!
 //! A stable version has no control arm, so its latest requests are compared
 //! with its own earlier ones, by the same test as in roll-outs. Ratings are
-//! compared per kind, size and role, because the planner moves work between
+//! compared within kind, size and role, because the planner moves work between
 //! versions. What moves for the other versions too has a common cause and
 //! stops nothing. Times to the first token depend on load and are left to the
 //! predictions.
 
 use crate::{
     config::{Change, Config, Limit, Progress, Standing},
-    evidence::{Counts, Key, Pool, Role},
+    evidence::{Arm, Counts, Key, Pool, Role},
     name, request,
     time::{Span, Time},
 };
@@ -28,12 +28,18 @@
 /// Windows that begin at a point in a day, for each version.
 const WINDOWS_A_DAY: f64 = 8_640.0;
 
+/// Points that cover the latest ratings when the rating service is checked.
+const RECENT_POINTS: usize = 12;
+
 /// Highest probability of a false alarm of one version in a day.
 const FALSE_ALARM_A_DAY: f64 = 0.01;
 
 /// Fewest requests or ratings before a window that it is compared with.
 const REFERENCE: f64 = 100.0;
 
+/// Fewest earlier ratings of a kind of work that is compared.
+const STRATUM_REFERENCE: f64 = 20.0;
+
 /// Change of mean ratings that makes the rating service strange.
 const SHIFT: f64 = 0.08;
 
@@ -158,6 +164,24 @@
 }
 
 impl Watch {
+    /// Returns whether the ratings of a version moved lately, against those of earlier Plain work.
+    #[must_use]
+    pub fn has_moved(&self, version: &name::Version, pool: &Pool, since: u64) -> bool {
+        let back = self.points.len().saturating_sub(RECENT_POINTS);
+        let Some((_, earlier)) = self.points.get(back) else {
+            return false;
+        };
+        let own = |v: &name::Version| v == version;
+        let recent = Strata::of(pool).filtered(own).minus(&earlier.filtered(own));
+        let mut before = Strata::default();
+        for (record, _) in pool.records() {
+            if record.key.version == *version && record.key.arm != Arm::Control(since) {
+                before.add(&record.key, &record.counts);
+            }
+        }
+        has_shifted(&recent, &before)
+    }
+
     /// Returns what to do about stable versions that turned bad.
     pub fn step(&mut self, config: &Config, pool: &Pool, now: Time) -> Vec<Action> {
         let current = Strata::of(pool);
@@ -227,21 +251,29 @@
     wealth::worse(now, before, margin)
 }
 
-/// Returns the log of the evidence that ratings fell on any kind of work; the bets share one wealth.
+/// Returns the log of the evidence that ratings fell.
+///
+/// Each rating counts by its difference from the earlier mean of its kind of
+/// work, halved and moved to the middle of 0 to 1.
 fn ratings<F>(now: &Strata, before: &Strata, filter: F) -> f64
 where
     F: Fn(&name::Version) -> bool,
 {
-    let own = now.list.iter().filter(|s| filter(&s.place.0));
-    let compared = own.filter_map(|stratum| {
-        let early = Sample::shortfall(before.get(&stratum.place)?);
-        let late = Sample::shortfall(&stratum.counts);
-        (early.size() >= REFERENCE).then(|| evidence(&late, &early, QUALITY_MARGIN))
-    });
-    let (count, sum) = compared.fold((0.0_f64, 0.0), |(count, sum), log| {
-        (count + 1.0, sum + log.exp())
-    });
-    (sum / count.max(1.0)).ln().max(0.0)
+    let (mut late, mut early) = (Sample::default(), Sample::default());
+    for stratum in now.list.iter().filter(|s| filter(&s.place.0)) {
+        let Some(counts) = before.get(&stratum.place) else {
+            continue;
+        };
+        let reference = Sample::shortfall(counts);
+        if reference.size() >= STRATUM_REFERENCE {
+            late.add_centred(&Sample::shortfall(&stratum.counts), reference.mean());
+            early.add_centred(&reference, reference.mean());
+        }
+    }
+    if early.size() < REFERENCE {
+        return 0.0;
+    }
+    evidence(&late, &early, QUALITY_MARGIN / 2.0)
 }
 
 fn action(config: &Config, version: &name::Version, reason: String) -> Action {
--- a/crates/core/src/rollout/wealth.rs
+++ b/crates/core/src/rollout/wealth.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Adds another sample's losses, halved around `centre` and moved to 0.5.
+    pub fn add_centred(&mut self, other: &Self, centre: f64) {
+        let moved = (other.levels.iter()).map(|(loss, n)| (0.5 + (loss - centre) / 2.0, *n));
+        self.levels.extend(moved);
+    }
+
     /// Returns the number of outcomes.
     #[must_use]
     pub fn size(&self) -> f64 {
