--- a/bench/src/policy.rs
+++ b/bench/src/policy.rs
@@ -10,6 +10,7 @@
 
 mod cost;
 mod exposure;
+mod load;
 mod pools;
 mod sim;
 mod world;
@@ -23,6 +24,7 @@
         if deployment.is_none_or(|d| d == each) {
             println!("\n## {each}");
             cost::measure(&mut report, each, seed);
+            load::measure(&mut report, each, seed);
             exposure::measure(&mut report, each, seed);
         }
     }
--- a/bench/src/policy/sim.rs
+++ b/bench/src/policy/sim.rs
@@ -99,6 +99,8 @@
     pub finished: bool,
     /// Why the roll-out was last held.
     pub held: Option<String>,
+    /// Milliseconds of slots used, by model.
+    pub busy_ms: Vec<u64>,
 }
 
 /// An attempt that runs or waits.
@@ -194,7 +196,10 @@
         sessions: vec![None; sessions + 1],
         fault_began: None,
         left: stream.len(),
-        outcome: Outcome::default(),
+        outcome: Outcome {
+            busy_ms: vec![0; world.config.inventory.versions.len()],
+            ..Outcome::default()
+        },
     };
     run.start();
     while let Some((now, step)) = run.agenda.next() {
@@ -349,6 +354,7 @@
     #[expect(clippy::cast_precision_loss)]
     fn end(&mut self, mut job: Job, now: Time) {
         self.pools.release(job.model, job.domain);
+        self.outcome.busy_ms[job.model] += now.since(job.sent).as_millis();
         self.serve_waiting(job.model, now);
         // Work in a failure domain that is gone starts again elsewhere.
         if self.pools.gone() == Some(job.domain) {
--- a/crates/core/src/estimate/level.rs
+++ b/crates/core/src/estimate/level.rs
@@ -236,14 +236,10 @@
         let shared = Normal::pooled(deviations.chain([prior])).unwrap_or(prior);
         (alone.iter().enumerate())
             .map(|(at, alone)| {
-                let group = Normal::new(
-                    alone.mean + change(alone.mean) + shared.mean,
-                    alone.variance + shared.variance,
-                );
-                // The group's mean is as uncertain as the version's own quality
-                // on the task, so ratings of the step itself soon outweigh it.
+                let mean = alone.mean + change(alone.mean) + shared.mean;
                 let measured = ratings(&self.cells[start + at]).mean(variance);
-                group.member(own + group.variance, measured)
+                let spread = own + alone.variance + shared.variance;
+                Normal::new(mean, 0.0).member(spread, measured)
             })
             .collect()
     }
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -314,22 +314,23 @@
                 && !option.gone
         };
         let exposed = self.estimates.exposed(&rollout.version, rollout.since);
-        let open = exposed < rollout.stages[rollout.stage].exposure && usable(new) && usable(old);
-        if !open {
+        if !usable(new) || !usable(old) {
             return;
         }
+        let open = exposed < rollout.stages[rollout.stage].exposure;
         let place = plan.steps.iter().position(|v| *v == rollout.baseline);
         let good = option::single(self, case, old).quality.mean >= case.ask.quality;
         match (part, place) {
-            (Part::Trial, _) if good => {
+            (Part::Trial, _) if good && open => {
                 *plan = option::single(self, case, new).plan(case);
                 plan.arm = Arm::Candidate(rollout.since);
             }
+            // The control goes on after the exposure is used up, and sharpens the comparison.
             (Part::Control, _) if good => {
                 *plan = option::single(self, case, old).plan(case);
                 plan.arm = Arm::Control(rollout.since);
             }
-            (Part::Trial | Part::Share, Some(step)) => {
+            (Part::Trial | Part::Share, Some(step)) if open => {
                 plan.steps[step] = rollout.version.clone();
                 plan.arm = Arm::Share(rollout.since);
             }
--- /dev/null
+++ b/crates/core/tests/estimate.rs
@@ -0,0 +1,214 @@
+//! Tests of predictions.
+
+use masticlock_core::{
+    config::{Change, Config},
+    estimate::{Estimates, Normal, Prediction},
+    evidence::{Arm, EPOCH, EPOCHS_KEPT, Event, Key, Pool, Role},
+    inventory, name,
+    request::Size,
+    settings,
+    time::Time,
+};
+
+const INVENTORY: &str = r#"{
+    "domains": [],
+    "versions": [
+        {"name": "a@1", "model": "a", "prompt_cost": 100, "answer_cost": 300, "prior_quality": 0.8,
+         "prior_first_ms": 100, "prior_token_ms": 5, "stable": true},
+        {"name": "b@1", "model": "b", "prompt_cost": 100, "answer_cost": 300, "prior_quality": 0.6,
+         "prior_first_ms": 100, "prior_token_ms": 5, "stable": true}
+    ],
+    "upstreams": [],
+    "accounts": []
+}"#;
+
+const RULES: &str = r#"{
+    "accounts": [],
+    "tasks": [
+        {"task": "t1", "quality": 0.8, "deadline_ms": 1000},
+        {"task": "t2", "quality": 0.8, "deadline_ms": 1000}
+    ]
+}"#;
+
+fn config() -> Config {
+    let raw: inventory::Raw = settings::parse("inventory.json", INVENTORY).unwrap();
+    let rules: inventory::RawRules = settings::parse("rules.json", RULES).unwrap();
+    Config::default()
+        .changed(&Change::Import(raw))
+        .and_then(|c| c.changed(&Change::SetRules(rules)))
+        .unwrap()
+}
+
+fn pool() -> Pool {
+    Pool::new(name::Instance::try_from("i").unwrap(), 1, Time::ZERO)
+}
+
+fn key(version: &str, task: &str, size: Size, role: Role) -> Key {
+    Key {
+        version: name::Version::try_from(version).unwrap(),
+        task: name::Task::try_from(task).unwrap(),
+        size,
+        role,
+        arm: Arm::Plain,
+    }
+}
+
+fn rate(pool: &mut Pool, key: &Key, rating: f64, count: usize) {
+    for _ in 0..count {
+        pool.record(key, Event::Rated(rating));
+    }
+}
+
+fn predict(pool: &Pool, version: &str, task: &str, size: Size) -> Prediction {
+    let estimates = Estimates::new(&config(), pool);
+    let version = name::Version::try_from(version).unwrap();
+    let task = estimates.task(&name::Task::try_from(task).unwrap());
+    *estimates.prediction(estimates.version(&version).unwrap(), task, size)
+}
+
+fn close(a: Normal, b: Normal) -> bool {
+    (a.mean - b.mean).abs() < 1e-9 && (a.variance - b.variance).abs() < 1e-9
+}
+
+/// Guards against predictions without evidence that differ from the stated prior.
+#[test]
+fn prior_counts_until_evidence_comes() {
+    let config = config();
+    for entry in &config.inventory.versions {
+        let prior = Prediction::prior(entry);
+        let got = predict(&pool(), entry.name.as_str(), "t1", Size::Small);
+        assert!(close(got.alone, prior.alone), "{got:?} {prior:?}");
+        assert!(close(got.kept, prior.kept), "{got:?} {prior:?}");
+        assert!(close(got.second, prior.second), "{got:?} {prior:?}");
+        assert!((got.escalation - prior.escalation).abs() < 1e-9);
+    }
+}
+
+/// Guards against ratings that spill over to other versions, don't reach related
+/// work, or count for it as much as for their own.
+#[test]
+fn evidence_is_partially_pooled() {
+    let mut pool = pool();
+    rate(
+        &mut pool,
+        &key("a@1", "t1", Size::Small, Role::Alone),
+        0.5,
+        100,
+    );
+    let mean = |version, task, size| predict(&pool, version, task, size).alone.mean;
+    let own = mean("a@1", "t1", Size::Small);
+    let size = mean("a@1", "t1", Size::Large);
+    let task = mean("a@1", "t2", Size::Small);
+    assert!(
+        own < 0.66 && own < size && size < task && task < 0.8,
+        "{own} {size} {task}"
+    );
+    assert!((mean("b@1", "t1", Size::Small) - 0.6).abs() < 1e-9);
+    let deviation = |size| predict(&pool, "a@1", "t1", size).alone.variance;
+    assert!(deviation(Size::Small) < deviation(Size::Large));
+}
+
+/// Guards against evidence that keeps its weight for ever: without new ratings
+/// the prediction returns to the prior and its uncertainty grows.
+#[test]
+fn predictions_age_to_the_prior() {
+    let mut pool = pool();
+    rate(
+        &mut pool,
+        &key("a@1", "t1", Size::Small, Role::Alone),
+        0.3,
+        200,
+    );
+    let mut last = predict(&pool, "a@1", "t1", Size::Small).alone;
+    let mut now = Time::ZERO;
+    for _ in 0..EPOCHS_KEPT {
+        now += EPOCH;
+        pool.tick(now);
+        let next = predict(&pool, "a@1", "t1", Size::Small).alone;
+        assert!(next.mean > last.mean && next.variance > last.variance);
+        last = next;
+    }
+    assert!((last.mean - 0.8).abs() < 1e-9);
+}
+
+/// Guards against answers kept by a cascade that count as the version's own quality,
+/// and against cascades whose steps are not learned.
+#[test]
+fn steps_of_cascades_are_learned_apart() {
+    let mut pool = pool();
+    let first = key("a@1", "t1", Size::Small, Role::First);
+    let before = predict(&pool, "a@1", "t1", Size::Small);
+    rate(&mut pool, &first, 0.6, 200);
+    rate(
+        &mut pool,
+        &key("b@1", "t1", Size::Small, Role::Second),
+        0.9,
+        200,
+    );
+    for at in 0..200 {
+        pool.record(&first, completed(100, 0, 1));
+        if at % 10 == 0 {
+            pool.record(&first, Event::Escalated);
+        }
+    }
+    let after = predict(&pool, "a@1", "t1", Size::Small);
+    assert!(close(after.alone, before.alone));
+    assert!(after.kept.mean < before.kept.mean - 0.1, "{after:?}");
+    assert!((0.1..0.15).contains(&after.escalation), "{after:?}");
+    let related = predict(&pool, "a@1", "t2", Size::Small);
+    assert!(related.kept.mean < before.kept.mean, "{related:?}");
+    assert!(predict(&pool, "b@1", "t1", Size::Small).second.mean > 0.75);
+}
+
+const fn completed(first_ms: u64, stream_ms: u64, tokens: u64) -> Event {
+    Event::Completed {
+        first_ms,
+        stream_ms,
+        tokens,
+    }
+}
+
+/// Guards against times that ignore measurements or their slow tail.
+#[test]
+fn times_follow_measurements() {
+    let mut pool = pool();
+    let key = key("a@1", "t1", Size::Small, Role::Alone);
+    for at in 0..1_000 {
+        let first_ms = if at % 5 == 0 { 2_000 } else { 400 };
+        pool.record(&key, completed(first_ms, 2_000, 101));
+    }
+    let got = predict(&pool, "a@1", "t1", Size::Small);
+    assert!((700.0..740.0).contains(&got.first_ms), "{got:?}");
+    assert!((2_000.0..2_400.0).contains(&got.first_high_ms), "{got:?}");
+    assert!((19.5..20.0).contains(&got.token_ms), "{got:?}");
+    let estimates = Estimates::new(&config(), &pool);
+    assert!((estimates.answer_tokens(0, Size::Small, 400) - 101.0).abs() < 1e-9);
+    assert!((estimates.answer_tokens(0, Size::Small, 50) - 50.0).abs() < 1e-9);
+    assert!((estimates.answer_tokens(1, Size::Small, 400) - 200.0).abs() < 1e-9);
+}
+
+/// Guards against an import that loses what was learned of the versions that stay.
+#[test]
+fn new_configuration_keeps_predictions() {
+    let mut pool = pool();
+    rate(
+        &mut pool,
+        &key("b@1", "t2", Size::Small, Role::Alone),
+        0.9,
+        100,
+    );
+    let mut config = config();
+    let old = Estimates::new(&config, &pool);
+    let mut added = config.inventory.versions[0].clone();
+    added.name = name::Version::try_from("a@2").unwrap();
+    config.inventory.versions.insert(1, added.clone());
+    config.rules.tasks.remove(0);
+    let new = old.aligned(&config);
+    let at = |e: &Estimates, version: &str| {
+        let version = name::Version::try_from(version).unwrap();
+        let task = e.task(&name::Task::try_from("t2").unwrap());
+        *e.prediction(e.version(&version).unwrap(), task, Size::Small)
+    };
+    assert_eq!(at(&new, "b@1"), at(&old, "b@1"));
+    assert_eq!(at(&new, "a@2"), Prediction::prior(&added));
+}
