--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -319,7 +319,10 @@
         }
         let open = exposed < rollout.stages[rollout.stage].exposure;
         let place = plan.steps.iter().position(|v| *v == rollout.baseline);
-        let good = option::single(self, case, old).quality.mean >= case.ask.quality;
+        // Sessions outlive the conditions of one request, so they get the version
+        // by share only and take no part in the comparison.
+        let good = case.ask.session.is_none()
+            && option::single(self, case, old).quality.mean >= case.ask.quality;
         match (part, place) {
             (Part::Trial, _) if good && open => {
                 *plan = option::single(self, case, new).plan(case);
@@ -330,7 +333,7 @@
                 *plan = option::single(self, case, old).plan(case);
                 plan.arm = Arm::Control(rollout.since);
             }
-            (Part::Trial | Part::Share, Some(step)) if open => {
+            (Part::Share, Some(step)) if open => {
                 plan.steps[step] = rollout.version.clone();
                 plan.arm = Arm::Share(rollout.since);
             }
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -23,7 +23,7 @@
 pub const FALSE_ALARM: f64 = 0.01;
 
 /// Parts of [`FALSE_ALARM`] for errors, crashes, first tokens and ratings.
-const PARTS: [f64; 4] = [0.2, 0.1, 0.2, 0.5];
+const PARTS: [f64; 4] = [0.3, 0.05, 0.1, 0.55];
 
 /// Excess of errors and crashes that is not worth a stop.
 pub const ERROR_MARGIN: f64 = 0.005;
@@ -86,6 +86,8 @@
     pub candidate: Counts,
     /// Counters of its baseline at the same time.
     pub control: Counts,
+    /// Requests that the version was sent in the stage, with those outside of the comparison.
+    pub exposed: u64,
     /// Log of the evidence that the version has more errors, crashes, later tokens or lower ratings.
     pub evidence: [f64; 4],
 }
@@ -185,6 +187,7 @@
     };
     let candidate = arm(Arm::Candidate(rollout.since), &rollout.version);
     let control = arm(Arm::Control(rollout.since), &rollout.baseline);
+    let share = arm(Arm::Share(rollout.since), &rollout.version);
     let worse = |sample: fn(&Counts) -> Sample, margin| {
         wealth::worse(&sample(&candidate), &sample(&control), margin)
     };
@@ -195,21 +198,37 @@
         worse(Sample::shortfall, QUALITY_MARGIN),
     ];
     Findings {
+        exposed: candidate.started + share.started,
         candidate,
         control,
         evidence,
     }
 }
 
-/// Returns the log of the evidence at which a test of a stage stops the roll-out.
+/// Returns the log of the evidence at which a test stops the roll-out.
 ///
-/// Each stage has half of the false alarms of the one before, so that all stages keep to the stated rate.
+/// The part of false alarms is halved from one stage to the next, so that all
+/// stages keep to the stated rate. `earlier` counts the stages before this one
+/// in which the test could act.
 #[must_use]
-pub fn threshold(stage: usize, part: f64) -> f64 {
-    let share = 0.5_f64.powi(i32::try_from(stage).unwrap_or(i32::MAX) + 1);
+pub fn threshold(earlier: usize, part: f64) -> f64 {
+    let share = 0.5_f64.powi(i32::try_from(earlier).unwrap_or(i32::MAX).saturating_add(1));
     -(FALSE_ALARM * part * share).ln()
 }
 
+/// Returns the stages before the current one in which a test could act.
+fn earlier(rollout: &Rollout, test: usize) -> usize {
+    let stages = &rollout.stages[..rollout.stage];
+    if test + 1 < PARTS.len() {
+        return stages.len();
+    }
+    // Ratings stop nothing in a stage that is too small for them.
+    stages
+        .iter()
+        .filter(|s| s.exposure >= RATED_EXPOSURE)
+        .count()
+}
+
 fn decide(
     rollout: &Rollout,
     pool: &Pool,
@@ -220,8 +239,9 @@
     let findings = findings(rollout, pool);
     for (at, (evidence, part)) in findings.evidence.into_iter().zip(PARTS).enumerate() {
         // Ratings that moved for the baseline too say nothing about the version.
-        let counts = at + 1 < PARTS.len() || !strange;
-        if counts && evidence >= threshold(rollout.stage, part) {
+        let rated = rollout.stages[rollout.stage].exposure >= RATED_EXPOSURE;
+        let counts = at + 1 < PARTS.len() || (rated && !strange);
+        if counts && evidence >= threshold(earlier(rollout, at), part) {
             return Some(Action::Change(Change::RollBack {
                 version: rollout.version.clone(),
                 reason: describe(at, &findings),
@@ -245,7 +265,7 @@
     }
     if let Some(reason) = missing(rollout, &findings) {
         let exposure = rollout.stages[rollout.stage].exposure;
-        let used_up = findings.candidate.started >= exposure;
+        let used_up = findings.exposed >= exposure;
         return used_up.then(|| hold(reason)).flatten();
     }
     Some(Action::Change(Change::AdvanceRollout {
@@ -257,10 +277,7 @@
 fn describe(test: usize, findings: &Findings) -> String {
     format!(
         "{} are worse than the baseline's: evidence e^{:.1} after {} requests and {} ratings",
-        SUBJECTS[test],
-        findings.evidence[test],
-        findings.candidate.started,
-        findings.candidate.ratings
+        SUBJECTS[test], findings.evidence[test], findings.exposed, findings.candidate.ratings
     )
 }
 
--- a/crates/core/src/rollout/watch.rs
+++ b/crates/core/src/rollout/watch.rs
@@ -20,16 +20,16 @@
 };
 
 /// Time between two points from which windows begin.
-const STEP: Span = Span::from_secs(10);
+const STEP: Span = Span::from_secs(30);
 
 /// Points that are kept.
-const POINTS: usize = 64;
+const POINTS: usize = 33;
 
 /// Windows that begin at a point in a day, for each version.
-const WINDOWS_A_DAY: f64 = 8_640.0;
+const WINDOWS_A_DAY: f64 = 2_880.0;
 
 /// Points that cover the latest ratings when the rating service is checked.
-const RECENT_POINTS: usize = 12;
+const RECENT_POINTS: usize = 4;
 
 /// Highest probability of a false alarm of one version in a day.
 const FALSE_ALARM_A_DAY: f64 = 0.01;
@@ -164,7 +164,7 @@
 }
 
 impl Watch {
-    /// Returns whether the ratings of a version moved lately, against those of earlier Plain work.
+    /// Returns whether the ratings of a version moved lately, against those outside of the comparison that began at `since`.
     #[must_use]
     pub fn has_moved(&self, version: &name::Version, pool: &Pool, since: u64) -> bool {
         let back = self.points.len().saturating_sub(RECENT_POINTS);
--- a/crates/core/src/rollout/wealth.rs
+++ b/crates/core/src/rollout/wealth.rs
@@ -11,8 +11,13 @@
 
 use crate::evidence::{Counts, counts::BUCKETS};
 
-/// Stakes, as parts of the largest one that can't lose everything.
-const STAKES: [f64; 8] = [0.01, 0.03, 0.08, 0.18, 0.35, 0.55, 0.75, 0.92];
+/// Stakes on the candidate, as parts of the largest one that can't lose everything.
+///
+/// They fit differences that show within some hundred outcomes.
+const CANDIDATE_STAKES: [f64; 5] = [0.06, 0.15, 0.3, 0.5, 0.8];
+
+/// Stakes on the control, which has many outcomes and bets on small differences.
+const CONTROL_STAKES: [f64; 5] = [0.01, 0.05, 0.2, 0.5, 0.85];
 
 /// Means that are tried first, evenly spaced in log odds.
 const GRID: usize = 48;
@@ -108,7 +113,7 @@
         if mean >= 1.0 {
             return 0.0;
         }
-        self.wealth(|stake, loss| stake / mean * (loss - mean))
+        self.wealth(CANDIDATE_STAKES, |stake, loss| stake / mean * (loss - mean))
     }
 
     /// Returns the log of the wealth from betting on a mean below `mean`.
@@ -116,14 +121,16 @@
         if mean >= 1.0 {
             return 0.0;
         }
-        self.wealth(|stake, loss| stake / (1.0 - mean) * (mean - loss))
+        self.wealth(CONTROL_STAKES, |stake, loss| {
+            stake / (1.0 - mean) * (mean - loss)
+        })
     }
 
-    fn wealth<G>(&self, gain: G) -> f64
+    fn wealth<G>(&self, stakes: [f64; 5], gain: G) -> f64
     where
         G: Fn(f64, f64) -> f64,
     {
-        let logs = STAKES.map(|stake| {
+        let logs = stakes.map(|stake| {
             let terms = self.levels.iter();
             terms.map(|(loss, n)| n * gain(stake, *loss).ln_1p()).sum()
         });
