--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 
+mod protect;
 mod report;
 mod table;
 
@@ -17,10 +18,18 @@
     /// Prints the table from error kind to answer.
     #[bpaf(command)]
     Errors,
+    /// Measures overload, cold restarts and the loss of a failure domain.
+    #[bpaf(command)]
+    Protect {
+        /// Seed of the load and the network
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+    },
 }
 
 fn main() -> ExitCode {
     match subject().run() {
         Subject::Errors => table::run(),
+        Subject::Protect { seed } => protect::run(seed),
     }
 }
--- a/crates/core/src/slot/table.rs
+++ b/crates/core/src/slot/table.rs
@@ -10,6 +10,13 @@
     time::{Span, Time},
 };
 
+/// Weight of failures in a row after which an upstream is suspended.
+const SUSPEND: u32 = 4;
+/// Weight of a connection that broke.
+const BROKEN: u32 = 2;
+/// Weight of work that was not sent, which can have a local cause.
+const UNSENT: u32 = 1;
+
 plain! {
     /// A slot that is lent, as its owner keeps it.
     #[derive(Eq)]
@@ -50,6 +57,8 @@
     ownership: Ownership,
     warmth: Warmth,
     used: Vec<Used>,
+    /// Weight of failures since the last completion.
+    failures: u32,
 }
 
 /// The upstreams that an instance owns or is about to own.
@@ -69,6 +78,7 @@
             ownership: Ownership::new(announcement.incarnation, known),
             warmth: Warmth::new(announcement.cold, announcement.warm),
             used: Vec::new(),
+            failures: 0,
         }
     }
 
@@ -77,15 +87,30 @@
     }
 
     fn free(&self) -> u32 {
+        if self.failures >= SUSPEND {
+            return 0;
+        }
         self.warmth.limit().saturating_sub(self.lent())
     }
 
+    /// Counts a failure. An upstream that only fails gets no work until its
+    /// next announcement, and then as little as in a cold start.
+    fn failed(&mut self, weight: u32, epoch: u32) {
+        let before = self.failures;
+        self.failures += weight;
+        let suspended = before < SUSPEND && self.failures >= SUSPEND;
+        if suspended && weight == BROKEN && epoch == self.warmth.epoch() {
+            self.warmth.chill();
+        }
+    }
+
     fn sweep(&mut self, now: Time) {
         self.used.retain(|used| now < used.until);
     }
 
     fn update(&mut self, announcement: &Announcement, now: Time) {
         self.announcement.clone_from(announcement);
+        self.failures = 0;
         if self.ownership.restarted(announcement.incarnation, now) {
             self.warmth.chill();
         }
@@ -292,9 +317,14 @@
         };
         let used = entry.used.swap_remove(at);
         match report {
-            Report::Completed { first_ms } => entry.warmth.completed(first_ms, used.epoch),
+            Report::Completed { first_ms } => {
+                entry.failures = 0;
+                entry.warmth.completed(first_ms, used.epoch);
+            }
             Report::Refused if used.epoch == entry.warmth.epoch() => entry.warmth.chill(),
-            Report::Refused | Report::NotSent | Report::Failed | Report::Cancelled => {}
+            Report::Failed => entry.failed(BROKEN, used.epoch),
+            Report::NotSent => entry.failed(UNSENT, used.epoch),
+            Report::Refused | Report::Cancelled => {}
         }
     }
 
