--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 
+mod control;
 mod protect;
 mod report;
 mod table;
@@ -18,11 +19,24 @@
     /// Prints the table from error kind to answer.
     #[bpaf(command)]
     Errors,
-    /// Measures overload, cold restarts and the loss of a failure domain.
+    /// Measures the control plane: changes, elections, cuts, restarts and idle cost.
+    #[bpaf(command)]
+    Control {
+        /// Seed, printed with the run; the changes and faults are the same for every seed
+        #[bpaf(fallback(1), display_fallback)]
+        seed: u64,
+        /// Changes of each part
+        #[bpaf(fallback(500), display_fallback)]
+        changes: usize,
+        /// Seconds of the idle part
+        #[bpaf(fallback(20), display_fallback)]
+        idle: u64,
+    },
+    /// Measures overload, cold restarts, and the loss and take-out of a failure domain.
     #[bpaf(command)]
     Protect {
         /// Seed of the load and the network
-        #[bpaf(argument("SEED"), fallback(1))]
+        #[bpaf(fallback(1), display_fallback)]
         seed: u64,
     },
 }
@@ -30,6 +44,11 @@
 fn main() -> ExitCode {
     match subject().run() {
         Subject::Errors => table::run(),
+        Subject::Control {
+            seed,
+            changes,
+            idle,
+        } => control::run(seed, changes, idle),
         Subject::Protect { seed } => protect::run(seed),
     }
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -16,9 +16,10 @@
 };
 
 use arc_swap::ArcSwap;
+use jsonrpsee::Methods;
 use masticlock_core::{
     config, error,
-    gossip::{Body, Key, Status},
+    gossip::{self, Body, Key, Status},
     name,
     request::Fingerprint,
     suspect,
@@ -28,6 +29,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{client::Pool, clock::Clock, control, port::Snapshot, rpc::Failure};
+pub use run::TICK;
 use state::State;
 
 /// Time limit of a call to an instance of the own failure domain.
@@ -66,7 +68,7 @@
     itself: Weak<Self>,
 }
 
-/// Starts the part on a bound listener.
+/// Starts the part on a bound listener, which also answers the methods `more`.
 ///
 /// # Errors
 ///
@@ -79,6 +81,7 @@
     settings: Settings,
     listener: TcpListener,
     snapshot: Arc<ArcSwap<Snapshot>>,
+    more: Methods,
 ) -> io::Result<Arc<Peer>> {
     let address = listener.local_addr()?;
     let clock = Clock::start();
@@ -97,7 +100,8 @@
         stop,
         settings,
     });
-    let methods = methods::methods(&peer).map_err(io::Error::other)?;
+    let mut methods = methods::methods(&peer).map_err(io::Error::other)?;
+    methods.merge(more).map_err(io::Error::other)?;
     let secret = peer.settings.secret.clone();
     let server = async move {
         let end = async move {
@@ -186,6 +190,57 @@
         self.outbox.notify_one();
     }
 
+    /// Returns the restrictions that were made without the majority.
+    #[must_use]
+    pub fn restrictions(&self) -> Vec<(name::Restriction, config::Limit)> {
+        let state = self.state();
+        let records = state.gossip.store().records();
+        records
+            .filter_map(|record| match (&record.key, &record.body) {
+                (Key::Restriction(id), Body::Restriction(limit)) => {
+                    Some((id.clone(), limit.clone()))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Returns the records that concern all failure domains: restrictions and crash evidence.
+    #[must_use]
+    pub fn global_records(&self) -> Vec<gossip::Record> {
+        let state = self.state();
+        let is_global = |key: &Key| matches!(key, Key::Restriction(_) | Key::Evidence(_));
+        let records = state.gossip.store().records();
+        records.filter(|r| is_global(&r.key)).cloned().collect()
+    }
+
+    /// Takes records of other failure domains.
+    pub fn take_records(&self, records: Vec<gossip::Record>) {
+        if records.is_empty() {
+            return;
+        }
+        let now = self.now();
+        // The answer is for a sender that may lack records, and this one has them all.
+        let _answer = self
+            .state()
+            .gossip
+            .receive(gossip::Message::Push(records), now);
+        self.refresh();
+        self.outbox.notify_one();
+    }
+
+    /// Waits until two disks have all bills, at most for `limit`.
+    pub async fn drain(&self, limit: Span) {
+        let end = self.now() + limit;
+        while self.bills().open > 0 && self.now() < end {
+            tokio::time::sleep(run::TICK).await;
+        }
+        let open = self.bills().open;
+        if open > 0 {
+            log::warn!("{open} bills are left to their witnesses");
+        }
+    }
+
     /// Returns what may be done with a request.
     #[must_use]
     pub fn verdict(&self, fingerprint: Fingerprint) -> suspect::Verdict {
