--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 
+mod path;
 mod report;
 mod table;
 
@@ -17,10 +18,21 @@
     /// Prints the table from error kind to answer.
     #[bpaf(command)]
     Errors,
+    /// Measures the request path of one entry instance.
+    #[bpaf(command)]
+    Path {
+        /// Seconds of each turn
+        #[bpaf(fallback(5))]
+        seconds: u64,
+        /// Seed of the arrival times
+        #[bpaf(fallback(1))]
+        seed: u64,
+    },
 }
 
 fn main() -> ExitCode {
     match subject().run() {
         Subject::Errors => table::run(),
+        Subject::Path { seconds, seed } => path::run(seconds, seed),
     }
 }
--- a/crates/core/src/attempt/event.rs
+++ b/crates/core/src/attempt/event.rs
@@ -1,7 +1,7 @@
 //! Input and output of the request steps.
 
 use crate::{
-    claim, error, ledger, name, slot,
+    claim, error, evidence, ledger, name, slot,
     time::{Span, Time},
 };
 
@@ -273,6 +273,13 @@
     FinishAnswered,
     /// Records how the claimed call ended without an answer.
     Finish(claim::End),
+    /// Counts what happened to a version's work.
+    Observe {
+        /// Index of the step of the plan.
+        step: usize,
+        /// What happened.
+        event: evidence::Event,
+    },
     /// Delivers the final bill.
     Settle(ledger::Bill),
 }
--- a/crates/core/src/attempt/machine.rs
+++ b/crates/core/src/attempt/machine.rs
@@ -4,7 +4,7 @@
 use super::{Action, Ask, Event, Limits, Safety, Step, Usage, Work};
 use crate::{
     budget::Budget,
-    claim, error, ledger, name, slot,
+    claim, error, evidence, ledger, name, slot,
     time::{Span, Time},
 };
 
@@ -343,6 +343,9 @@
             self.witness = Witness::Asked;
             out.push(Action::Open(self.open_bill()));
         }
+        if !resume {
+            self.observe(evidence::Event::Started, out);
+        }
         out.push(Action::Send {
             attempt: index(at),
             lease,
@@ -352,6 +355,16 @@
         });
     }
 
+    /// Reports what happened to the current step's version. A plain service has none.
+    pub(super) fn observe(&self, event: evidence::Event, out: &mut Vec<Action>) {
+        if self.step < self.plan.len() {
+            out.push(Action::Observe {
+                step: self.step,
+                event,
+            });
+        }
+    }
+
     fn open_bill(&self) -> ledger::Bill {
         let part = self.plan.get(self.step).map(|step| {
             step.part(Usage {
--- a/crates/core/src/attempt/receive.rs
+++ b/crates/core/src/attempt/receive.rs
@@ -5,7 +5,7 @@
     machine::{Delivery, Phase, Stage, Witness},
     retry::unknown_error,
 };
-use crate::{budget::Budget, ledger, slot, time::Time};
+use crate::{budget::Budget, evidence, ledger, slot, time::Time};
 
 impl Machine {
     /// Passes on what is kept, once the witness holds the bill and no later
@@ -103,14 +103,19 @@
             return self.failed(attempt, &Fault::Broken, now, budget, out);
         }
         let first = self.attempts[at].first.unwrap_or(now);
-        let report = slot::Report::Completed {
-            first_ms: first.since(self.attempts[at].sent).as_millis(),
-        };
-        self.finish_attempt(at, report, out);
+        let first_ms = first.since(self.attempts[at].sent).as_millis();
+        self.finish_attempt(at, slot::Report::Completed { first_ms }, out);
         let usage = usage.unwrap_or(self.seen_usage());
+        let completed = evidence::Event::Completed {
+            first_ms,
+            stream_ms: now.since(first).as_millis(),
+            tokens: usage.answer_tokens,
+        };
+        self.observe(completed, out);
         self.add_part(usage);
         let uncertain = certainty.is_some_and(|c| c < self.limits.certainty);
         if uncertain && !self.is_last_step() {
+            self.observe(evidence::Event::Escalated, out);
             self.step += 1;
             self.restart(out);
             return self.acquire(false, now, out);
--- a/crates/core/src/attempt/retry.rs
+++ b/crates/core/src/attempt/retry.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     budget::Budget,
-    claim, error, slot,
+    claim, error, evidence, slot,
     time::{Span, Time},
 };
 
@@ -111,6 +111,7 @@
     /// Ends a silent attempt: its connection is closed and its pool discarded.
     fn lose(&mut self, at: usize, now: Time, budget: &Budget, out: &mut Vec<Action>) {
         self.avoid_upstream(at);
+        self.observe(evidence::Event::Failed, out);
         self.close(at, slot::Report::Failed, true, true, out);
         self.after_failure(None, now, budget, out);
     }
@@ -162,6 +163,7 @@
             Fault::Broken => {
                 self.may_have_run = true;
                 self.avoid_upstream(at);
+                self.observe(evidence::Event::Failed, out);
                 self.finish_attempt(at, slot::Report::Failed, out);
             }
             Fault::SlotLost => {
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -135,7 +135,7 @@
             }
             Action::Claim => self.claim(),
             Action::Send { attempt, after, .. } => self.send(attempt, after),
-            Action::Cancel { .. } => {}
+            Action::Cancel { .. } | Action::Observe { .. } => {}
             Action::Keep => self.kept.extend(self.offset),
             Action::Forget => self.kept.clear(),
             Action::Flush => self.caller.append(&mut self.kept),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -23,7 +23,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use arc_swap::ArcSwap;
@@ -41,12 +41,17 @@
 pub use run::run;
 pub use settings::{RawLimits, RawSettings, Settings, SettingsError};
 
-use crate::port::{Announcements, Answers, Bills, Claims, Slots, Snapshot};
+use crate::{
+    clock::Clock,
+    port::{Announcements, Answers, Bills, Claims, Outcomes, Slots, Snapshot},
+};
 
 /// What an entry instance is made of.
 pub struct Parts {
     /// Settings.
     pub settings: Settings,
+    /// Clock that the planner's predictions share.
+    pub clock: Clock,
     /// The configuration in force.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
     /// Slots on upstreams.
@@ -59,6 +64,8 @@
     pub bills: Arc<dyn Bills>,
     /// Answers of requests with an idempotency key.
     pub answers: Arc<dyn Answers>,
+    /// Evidence of what versions did.
+    pub outcomes: Arc<dyn Outcomes>,
     /// Free slots, as the planner sees them.
     pub supply: Arc<dyn policy::Supply + Send + Sync>,
     /// Chooses plans.
@@ -87,6 +94,7 @@
     claims: Arc<dyn Claims>,
     bills: Arc<dyn Bills>,
     answers: Arc<dyn Answers>,
+    outcomes: Arc<dyn Outcomes>,
     supply: Arc<dyn policy::Supply + Send + Sync>,
     planner: Arc<Mutex<dyn policy::Planner>>,
     signer: Signer,
@@ -94,7 +102,7 @@
     budget: Budget,
     metrics: metrics::Metrics,
     runtime: runtime::Handle,
-    started: Instant,
+    clock: Clock,
     /// Number of the process, so that ids of two starts differ.
     boot: u64,
     next: AtomicU64,
@@ -106,13 +114,12 @@
 
 impl Shared {
     fn now(&self) -> Time {
-        let millis = self.started.elapsed().as_millis();
-        Time::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// Returns a time as the runtime's timers take it.
     fn instant(&self, time: Time) -> tokio::time::Instant {
-        (self.started + Duration::from_millis(time.as_millis())).into()
+        self.clock.instant(time).into()
     }
 
     fn next_seed(&self) -> u64 {
@@ -199,11 +206,12 @@
         claims: parts.claims,
         bills: parts.bills,
         answers: parts.answers,
+        outcomes: parts.outcomes,
         supply: parts.supply,
         planner: parts.planner,
         budget: Budget::default(),
         runtime: runtime::Handle::current(),
-        started: Instant::now(),
+        clock: parts.clock,
         boot,
         next: AtomicU64::new(0),
         active: AtomicUsize::new(0),
@@ -216,8 +224,7 @@
         // The sender lives as long as the server.
         let _ = stage.wait_for(|s| *s >= Stage::Closed).await;
     };
-    let server = Server::new_with_acceptor(guard::Guard::new(listener, limits)?)
-        .idle_timeout(Duration::from_millis(limits.idle_ms));
+    let server = Server::new_with_acceptor(guard::Guard::new(listener, limits)?);
     let front = front::Front(shared.clone());
     let server = tokio::spawn(server.run_with_graceful_shutdown(front, closed, None));
     Ok(Handle {
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -13,7 +13,7 @@
     attempt::{Action, Event, Fault, Machine, Step},
     claim,
     config::Standing,
-    error, name, policy, slot,
+    error, evidence, name, policy, slot,
     time::{Span, Time},
 };
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -66,6 +66,8 @@
     payload: Payload,
     kept: Vec<u8>,
     answer: Option<Answer>,
+    /// The plan's steps and arm, which the evidence is counted for.
+    plan: (Vec<name::Version>, evidence::Arm),
     has_head: bool,
     sleep: Pin<Box<Sleep>>,
     sleeps_until: Time,
@@ -92,6 +94,7 @@
             payload: Payload::None,
             kept: Vec::new(),
             answer: None,
+            plan: (Vec::new(), evidence::Arm::Plain),
             has_head: false,
             started,
         };
@@ -310,11 +313,12 @@
                 }
             }
             Action::Finish(end) => self.finish_claim(end),
+            Action::Observe { step, event } => self.observe(step, event),
             Action::Settle(bill) => self.shared.bills.settle(bill),
         }
     }
 
-    fn plan(&self) -> Result<Vec<Step>, error::Error> {
+    fn plan(&mut self) -> Result<Vec<Step>, error::Error> {
         let Kind::Model { ask, .. } = &self.job.kind else {
             return Ok(Vec::new());
         };
@@ -332,6 +336,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         let (plan, _) = planner.plan(ask, &view)?;
         drop(planner);
+        self.plan = (plan.steps.clone(), plan.arm);
         let steps = plan.steps.into_iter().map(|version| {
             let entry = snapshot.config.inventory.version(&version);
             Step {
@@ -343,6 +348,21 @@
         Ok(steps.collect())
     }
 
+    fn observe(&self, step: usize, event: evidence::Event) {
+        let (versions, arm) = &self.plan;
+        let (Kind::Model { ask, .. }, Some(version)) = (&self.job.kind, versions.get(step)) else {
+            return;
+        };
+        let key = evidence::Key {
+            version: version.clone(),
+            task: ask.task.clone(),
+            size: ask.size(),
+            role: evidence::Role::of(step, versions.len()),
+            arm: *arm,
+        };
+        self.shared.outcomes.record(&key, event);
+    }
+
     fn acquire(
         &mut self,
         attempt: u32,
--- a/crates/node/src/entry/guard.rs
+++ b/crates/node/src/entry/guard.rs
@@ -129,8 +129,12 @@
     limits: RawLimits,
     open: Arc<AtomicUsize>,
     phase: Phase,
-    /// When the head must be complete.
-    head_limit: Option<Pin<Box<Sleep>>>,
+    /// When the first byte of the current head came.
+    head_since: Instant,
+    /// When the last bytes were written, or the connection was opened.
+    active: Instant,
+    /// Runs until the limit of the current phase or earlier.
+    timer: Option<Pin<Box<Sleep>>>,
     /// When the caller must have taken a byte.
     stall_limit: Option<Pin<Box<Sleep>>>,
     /// An error that is written before the connection ends.
@@ -150,7 +154,9 @@
                 bytes: 0,
                 matched: 0,
             },
-            head_limit: None,
+            head_since: Instant::now(),
+            active: Instant::now(),
+            timer: None,
             stall_limit: None,
             farewell: None,
             linger: None,
@@ -171,6 +177,7 @@
         else {
             return;
         };
+        let is_first = bytes == 0;
         for &byte in new {
             bytes += 1;
             matched = match byte {
@@ -180,7 +187,6 @@
             };
             if matched == END.len() {
                 self.phase = Phase::Body;
-                self.head_limit = None;
                 return;
             }
         }
@@ -188,9 +194,32 @@
         if bytes > self.limits.head_bytes {
             let message = format!("a head has at most {} bytes", self.limits.head_bytes);
             self.fail(error::Kind::HeadersTooLarge, message);
-        } else if self.head_limit.is_none() && bytes > 0 {
-            let limit = Instant::now() + Duration::from_millis(self.limits.receive_ms);
-            self.head_limit = Some(Box::pin(sleep_until(limit)));
+        } else if is_first {
+            self.head_since = Instant::now();
+        }
+    }
+
+    /// Waits for the limit of the current phase.
+    ///
+    /// A timer that is due too early is set again, so that an ordinary request
+    /// needs no change of the timer.
+    fn poll_limit(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let millis = Duration::from_millis;
+        let due = match self.phase {
+            Phase::Body => return Poll::Pending,
+            Phase::Head { bytes: 0, .. } => self.active + millis(self.limits.idle_ms),
+            Phase::Head { .. } => self.head_since + millis(self.limits.receive_ms),
+        };
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(due)));
+        if timer.deadline() > due {
+            timer.as_mut().reset(due);
+        }
+        loop {
+            ready!(timer.as_mut().poll(context));
+            if Instant::now() >= due {
+                return Poll::Ready(());
+            }
+            timer.as_mut().reset(due);
         }
     }
 
@@ -237,6 +266,7 @@
 
     /// Expects the next head after an answer, but not after an interim one.
     fn answering(&mut self, bytes: &[u8]) {
+        self.active = Instant::now();
         if self.phase == Phase::Body && !bytes.starts_with(b"HTTP/1.1 100") {
             self.phase = Phase::Head {
                 bytes: 0,
@@ -291,10 +321,11 @@
                 }
                 buffer.set_filled(before);
             } else {
-                let Some(limit) = &mut this.head_limit else {
-                    return Poll::Pending;
-                };
-                ready!(limit.as_mut().poll(context));
+                ready!(this.poll_limit(context));
+                if matches!(this.phase, Phase::Head { bytes: 0, .. }) {
+                    // An idle connection ends like one that its caller closed.
+                    return Poll::Ready(Ok(()));
+                }
                 let message = format!("the head did not arrive in {} ms", this.limits.receive_ms);
                 this.fail(error::Kind::SlowCaller, message);
             }
--- a/crates/node/src/fake/town.rs
+++ b/crates/node/src/fake/town.rs
@@ -7,7 +7,7 @@
     name,
 };
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::{runtime::Handle, time::sleep};
 
 use super::{Announcer, Conduct, Engine, Profile, Service};
 use crate::{
@@ -135,6 +135,15 @@
     ///
     /// Returns an error if a port can't be bound or a limit is out of range.
     pub async fn start(plan: Plan) -> io::Result<Self> {
+        Self::start_on(plan, &Handle::current()).await
+    }
+
+    /// Starts the processes of a plan with the upstreams on a runtime of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port can't be bound or a limit is out of range.
+    pub async fn start_on(plan: Plan, upstreams: &Handle) -> io::Result<Self> {
         let import = Change::Import(inventory(plan.engines.len())?);
         let config = Config::default()
             .changed(&import)
@@ -147,12 +156,12 @@
             if profile.versions.is_empty() {
                 profile.versions.push(name("advisor@1")?);
             }
-            let engine = Engine::start(profile).await?;
+            let engine = upstreams.spawn(Engine::start(profile)).await??;
             let said = announcement(&format!("engine-{at}"), &engine)?;
             announcers.push(announce(&site, said));
             engines.push(engine);
         }
-        let service = Service::start(plan.service).await?;
+        let service = upstreams.spawn(Service::start(plan.service)).await??;
         announcers.push(announce(&site, announcement_of(&service)?));
         let town = Self {
             site,
--- a/crates/node/src/local/site.rs
+++ b/crates/node/src/local/site.rs
@@ -11,7 +11,9 @@
 
 use super::{Fleet, Ledger, Register, Shelf};
 use crate::{
+    clock::Clock,
     entry::{self, Handle, Parts, Settings},
+    evidence::Evidence,
     port::Snapshot,
 };
 
@@ -23,6 +25,8 @@
     pub register: Arc<Register>,
     /// Bills.
     pub ledger: Arc<Ledger>,
+    /// Evidence.
+    pub evidence: Arc<Evidence>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     handle: Handle,
 }
@@ -44,14 +48,19 @@
             config: Arc::new(config),
             lease_end: None,
         }));
+        // Evidence of a single instance stays with it.
+        let clock = Clock::start();
+        let evidence = Arc::new(Evidence::new(&settings.instance, 1, clock));
         let handle = entry::start(Parts {
             settings,
+            clock,
             snapshot: snapshot.clone(),
             slots: fleet.clone(),
             announcements: fleet.clone(),
             claims: register.clone(),
             bills: ledger.clone(),
             answers: Arc::new(Shelf::default()),
+            outcomes: evidence.clone(),
             supply: fleet.clone(),
             planner: Arc::new(Mutex::new(planner::Adaptive::new())),
         })
@@ -60,6 +69,7 @@
             fleet,
             register,
             ledger,
+            evidence,
             snapshot,
             handle,
         })
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -7,7 +7,9 @@
     stream::BoxStream,
 };
 pub use masticlock_core::slot::Report;
-use masticlock_core::{claim, config, directory, error, ledger, request, slot, time::Span};
+use masticlock_core::{
+    claim, config, directory, error, evidence, ledger, request, slot, time::Span,
+};
 
 /// The configuration in force on this instance.
 #[derive(Clone, Debug)]
@@ -86,6 +88,18 @@
     fn settle(&self, bill: ledger::Bill);
 }
 
+/// Counts what happened to the work of versions.
+pub trait Outcomes: Send + Sync {
+    /// Counts an event.
+    fn record(&self, key: &evidence::Key, event: evidence::Event);
+}
+
+impl Outcomes for crate::evidence::Evidence {
+    fn record(&self, key: &evidence::Key, event: evidence::Event) {
+        self.record(key, event);
+    }
+}
+
 /// A part of a stored answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Part {
