Spill to other failure domains and cap service calls at the longest hold

Cause: the quickstart showed that work in a taken-out failure domain was refused although others had room, and that calls of plain services without a deadline asked for a longer hold (60 s) than slots allow (30 s). A contact instance places the work of other failure domains; the slot is renewed and released at its owner directly. An instance of a taken-out failure domain is not ready, so that the load balancer uses others.

--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -94,8 +94,8 @@
         pub incarnation: u64,
         /// Base URL of the upstream.
         pub address: String,
-        /// Whether the upstream is in another failure domain.
-        pub far: bool,
+        /// Address of the owner, if the upstream is in another failure domain.
+        pub far: Option<String>,
     }
 
     /// The answer to an announcement.
--- a/crates/core/src/slot/table.rs
+++ b/crates/core/src/slot/table.rs
@@ -280,7 +280,7 @@
             upstream: entry.announcement.upstream.clone(),
             incarnation: entry.announcement.incarnation,
             address: entry.announcement.address.clone(),
-            far: false,
+            far: None,
         }
     }
 
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -177,7 +177,7 @@
                 upstream: name(&format!("u{}", self.leases)),
                 incarnation: 1,
                 address: String::new(),
-                far: false,
+                far: None,
             })
         };
         let wait = if self.chance(10) { 11_000 } else { 50 };
--- a/crates/node/examples/quickstart/main.rs
+++ b/crates/node/examples/quickstart/main.rs
@@ -32,7 +32,7 @@
 const REQUESTS: u64 = 120;
 
 /// Longest run of the whole example.
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 /// Time after which a taken-out failure domain gets no new work.
 const TAKE_OUT_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -143,6 +143,14 @@
         *self.stage.borrow() == Stage::Serving
     }
 
+    /// Returns whether the own failure domain gets no new work, so that the load balancer should
+    /// use other instances.
+    fn is_taken_out(&self) -> bool {
+        let snapshot = self.snapshot.load();
+        let taken_out = &snapshot.config.taken_out;
+        taken_out.binary_search(&self.settings.domain).is_ok()
+    }
+
     fn is_closed(&self) -> bool {
         *self.stage.borrow() >= Stage::Closed
     }
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -47,7 +47,7 @@
         let path = request.uri().path();
         match path {
             "/healthz" => Ok(status(StatusCode::OK)),
-            "/readyz" if self.0.is_ready() => Ok(status(StatusCode::OK)),
+            "/readyz" if self.0.is_ready() && !self.0.is_taken_out() => Ok(status(StatusCode::OK)),
             "/readyz" => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
             "/v1/chat/completions" if *request.method() == Method::POST => self.work(request).await,
             "/upstreams/v1/announce" if *request.method() == Method::POST => {
--- a/crates/node/src/entry/job.rs
+++ b/crates/node/src/entry/job.rs
@@ -1,6 +1,8 @@
 //! Admission: credential, headers and body of a request.
 
-use masticlock_core::{attempt, claim, config::Config, error, name, request, session, time::Time};
+use masticlock_core::{
+    attempt, claim, config::Config, error, name, request, session, slot, time::Time,
+};
 use poem::http::{HeaderMap, Method, Uri, header};
 use serde_json::{Map, Value};
 use sha2::{Digest, Sha256};
@@ -317,7 +319,8 @@
                     safety,
                     lookup: lookup.is_some(),
                 },
-                deadline: self.deadline(None)?,
+                // A slot that can't be taken back is lent for so long at most.
+                deadline: self.deadline(None)?.min(self.arrived + slot::HOLD_MAX),
                 outlives_caller: false,
                 prompt_tokens: 0,
                 seed: self.shared.next_seed(),
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -83,7 +83,9 @@
     peer: Arc<Peer>,
     feed: Feed,
     snapshot: Arc<ArcSwap<Snapshot>>,
+    evidence: Evidence,
     journal: Journal,
+    clock: Clock,
     control: Arc<Control>,
     planner: Arc<Mutex<planner::Adaptive>>,
 }
@@ -123,12 +125,14 @@
     }
     let entry = entry::start(Parts {
         settings: settings.entry,
+        clock: shared.clock,
         snapshot: shared.snapshot,
         slots: shared.peer.clone(),
         announcements: shared.peer.clone(),
         claims: Arc::new(Claims::new(shared.control)),
         bills: shared.peer.clone(),
         answers: Arc::new(Shelf::default()),
+        outcomes: Arc::new(shared.evidence),
         supply: shared.peer.clone(),
         planner: shared.planner,
     })
@@ -171,7 +175,9 @@
             peer: shared.peer.clone(),
             feed: shared.feed.clone(),
             snapshot: shared.snapshot.clone(),
+            evidence: shared.evidence.clone(),
             journal: shared.journal.clone(),
+            clock: shared.clock,
             control: shared.control.clone(),
             planner: shared.planner.clone(),
         };
--- a/crates/node/src/instance/bridge.rs
+++ b/crates/node/src/instance/bridge.rs
@@ -103,6 +103,7 @@
         let (Some(config), Some(end)) = (&view.config, view.lease_end) else {
             return;
         };
+        self.peer.set_contacts(&view.contacts);
         let restricted = self.restricted(config);
         let lease_end = Some(self.clock.instant(end));
         let before = self.snapshot.load();
--- a/crates/node/src/local/fleet.rs
+++ b/crates/node/src/local/fleet.rs
@@ -118,7 +118,6 @@
         let Some(at) = pick::best(&candidates, &ask.avoid, salt) else {
             return Ok(None);
         };
-        let far = candidates[at].far;
         table.next += 1;
         let id = table.next;
         let entry = &mut table.upstreams[usable[at]];
@@ -129,7 +128,7 @@
             upstream: entry.said.upstream.clone(),
             incarnation: entry.said.incarnation,
             address: entry.said.address.clone(),
-            far,
+            far: None,
         }))
     }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,6 +5,7 @@
 mod methods;
 mod run;
 mod slots;
+mod spill;
 mod state;
 
 pub mod wire;
@@ -59,6 +60,8 @@
     clock: Clock,
     pool: Pool,
     state: Mutex<State>,
+    /// The other failure domains. Never locked together with `state`.
+    far: Mutex<spill::Far>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     /// Signals that a slot may have become free.
     freed: Notify,
@@ -94,6 +97,7 @@
         clock,
         pool,
         state: Mutex::new(state),
+        far: Mutex::default(),
         snapshot,
         freed: Notify::new(),
         outbox: Notify::new(),
@@ -137,6 +141,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn far(&self) -> MutexGuard<'_, spill::Far> {
+        self.far.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn call<P, R>(
         &self,
         address: &str,
--- a/crates/node/src/peer/methods.rs
+++ b/crates/node/src/peer/methods.rs
@@ -49,6 +49,8 @@
     add(&mut module, wire::GOSSIP, gossip)?;
     add(&mut module, wire::ANNOUNCE, announce)?;
     add(&mut module, wire::ACQUIRE, acquire)?;
+    add(&mut module, wire::PLACE, place)?;
+    add(&mut module, wire::SUMMARY, summary)?;
     add(&mut module, wire::RENEW, renew)?;
     add(&mut module, wire::RELEASE, release)?;
     add(&mut module, wire::HANDOVER, handover)?;
@@ -85,6 +87,17 @@
     })
 }
 
+async fn place(peer: Arc<Peer>, params: wire::Acquire) -> Result<wire::Acquired, error::Error> {
+    Ok(match peer.place(params).await {
+        Ok(lease) => wire::Acquired::Granted(lease),
+        Err(refusal) => wire::Acquired::Refused(refusal),
+    })
+}
+
+async fn summary(peer: Arc<Peer>, _: wire::Nothing) -> Result<Vec<wire::Free>, error::Error> {
+    Ok(peer.summary())
+}
+
 async fn renew(peer: Arc<Peer>, params: wire::Renew) -> Result<Vec<Renewal>, error::Error> {
     let now = peer.now();
     let mut state = peer.state();
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -109,6 +109,8 @@
             self.give_back(lease, Report::Cancelled);
         }
         self.renew(renewals, now);
+        let peer = self.clone();
+        tokio::spawn(async move { peer.ask_summary().await });
         self.outbox.notify_one();
     }
 
@@ -117,6 +119,10 @@
         let mut owners: Vec<(String, Vec<Lease>)> = Vec::new();
         let mut state = self.state();
         for lease in leases {
+            if let Some(to) = lease.far.clone() {
+                add(&mut owners, to, lease);
+                continue;
+            }
             let owner = state.view.owner(&lease.upstream).cloned();
             let Some(owner) = owner else {
                 continue;
@@ -126,10 +132,7 @@
                 state.holder.renewed(&lease, renewal, now, now);
                 continue;
             }
-            match owners.iter_mut().find(|(to, _)| *to == owner.address) {
-                Some((_, list)) => list.push(lease),
-                None => owners.push((owner.address, vec![lease])),
-            }
+            add(&mut owners, owner.address, lease);
         }
         drop(state);
         for (to, leases) in owners {
@@ -174,6 +177,13 @@
     }
 }
 
+fn add(owners: &mut Vec<(String, Vec<Lease>)>, to: String, lease: Lease) {
+    match owners.iter_mut().find(|(address, _)| *address == to) {
+        Some((_, list)) => list.push(lease),
+        None => owners.push((to, vec![lease])),
+    }
+}
+
 /// Returns a slot as other instances name it.
 pub fn named(lease: &Lease) -> wire::Slot {
     wire::Slot {
--- a/crates/node/src/peer/slots.rs
+++ b/crates/node/src/peer/slots.rs
@@ -36,15 +36,24 @@
 
     /// Asks another owner for a slot.
     async fn acquire_at(&self, owner: &Contact, ask: &Ask) -> Result<Lease, Refusal> {
+        self.acquire_through(&owner.address, wire::ACQUIRE, ask)
+            .await
+    }
+
+    /// Asks the instance at an address for a slot and starts it.
+    pub(super) async fn acquire_through(
+        &self,
+        address: &str,
+        method: &str,
+        ask: &Ask,
+    ) -> Result<Lease, Refusal> {
         let sent = self.now();
         let params = wire::Acquire {
             ask: ask.clone(),
             holder: self.settings.instance.clone(),
         };
         let limit = slot::SLOT_START;
-        let answer = self
-            .call(&owner.address, wire::ACQUIRE, &params, limit)
-            .await;
+        let answer = self.call(address, method, &params, limit).await;
         let lease = match answer {
             Ok(wire::Acquired::Granted(lease)) => lease,
             Ok(wire::Acquired::Refused(refusal)) => return Err(refusal),
@@ -64,7 +73,7 @@
 
     /// Returns the other owners of upstreams that serve the request, in random
     /// order, and whether there is any upstream.
-    fn owners(&self, ask: &Ask) -> (Vec<Contact>, bool) {
+    pub(super) fn owners(&self, ask: &Ask) -> (Vec<Contact>, bool) {
         let state = self.state();
         let mut owners = Vec::new();
         let mut any = false;
@@ -105,7 +114,11 @@
                     break;
                 }
             }
-            if !any {
+            let spills = self.may_spill(ask);
+            if spills && let Some(lease) = self.acquire_far(ask).await {
+                return Ok(lease);
+            }
+            if !any && !spills {
                 let message = "no upstream that may run the request is known";
                 let error = error::Error::new(error::Kind::NoUpstream, message);
                 return Err(error.retry_after(slot::ANNOUNCEMENT.as_millis()));
@@ -123,6 +136,9 @@
 
     /// Gives a slot back to its owner.
     pub(super) fn give_back(&self, lease: Lease, report: Report) {
+        if let Some(owner) = lease.far.clone() {
+            return self.release_at(owner, lease, report);
+        }
         let now = self.now();
         let mut state = self.state();
         let owner = state.view.owner(&lease.upstream).cloned();
@@ -227,9 +243,21 @@
 }
 
 impl policy::Supply for Peer {
-    /// Counts the free slots of owned upstreams. The limits of others are known
-    /// and their load is not, so they count as free.
     fn room(&self, version: &name::Version) -> policy::Room {
+        let (near, total) = self.near_room(version);
+        let (far, far_total) = self.far_room(version);
+        policy::Room {
+            near,
+            far,
+            total: total + far_total,
+        }
+    }
+}
+
+impl Peer {
+    /// Counts the free slots of owned upstreams, and all slots. The limits of
+    /// other owners are known and their load is not, so theirs count as free.
+    pub(super) fn near_room(&self, version: &name::Version) -> (u32, u32) {
         let target = Target::Version(version.clone());
         let now = self.now();
         let state = self.state();
@@ -240,10 +268,6 @@
                 total += upstream.warm;
             }
         }
-        policy::Room {
-            near,
-            far: 0,
-            total,
-        }
+        (near, total)
     }
 }
--- a/crates/node/src/peer/wire.rs
+++ b/crates/node/src/peer/wire.rs
@@ -11,6 +11,10 @@
 pub const ANNOUNCE: &str = "peer.announce";
 /// Asks the owner for a slot.
 pub const ACQUIRE: &str = "slot.acquire";
+/// Asks a contact instance of another failure domain for a slot there.
+pub const PLACE: &str = "slot.place";
+/// Asks what is free in the failure domain.
+pub const SUMMARY: &str = "peer.summary";
 /// Renews slots.
 pub const RENEW: &str = "slot.renew";
 /// Gives a slot back.
@@ -57,6 +61,21 @@
         Refused(slot::Refusal),
     }
 
+    /// Parameters of methods without parameters.
+    #[derive(Eq)]
+    pub struct Nothing {}
+
+    /// What is free for a version, as [`SUMMARY`] lists it.
+    #[derive(Eq)]
+    pub struct Free {
+        /// The version.
+        pub version: name::Version,
+        /// Free slots.
+        pub free: u32,
+        /// All slots.
+        pub total: u32,
+    }
+
     /// A slot as [`RENEW`] and [`RELEASE`] name it.
     #[derive(Eq)]
     pub struct Slot {
--- a/scenario/src/world/lease.rs
+++ b/scenario/src/world/lease.rs
@@ -159,7 +159,8 @@
             }
         }
         let holder = instance(&self.parts[asker].name);
-        let far = self.parts[asker].domain != self.parts[id].domain;
+        let is_far = self.parts[asker].domain != self.parts[id].domain;
+        let far = is_far.then(|| self.parts[id].name.clone());
         let Some(process) = self.entry(id) else {
             return;
         };
