Run requests as their crash evidence allows

Cause: crash evidence was merged but nothing on the way to a slot looked at it. A request that failed on an upstream is held until a probe tells whether the upstream's process is gone; a suspect request runs under an exclusive permit of the control log; a quarantined one is refused. A final answer is never held. Conclusion: the slots port carries the fingerprint, so the request path is unchanged.

--- a/bench/src/protect/traffic.rs
+++ b/bench/src/protect/traffic.rs
@@ -150,6 +150,7 @@
         let ask = Ask {
             request: name::Request::try_from("r").expect("a valid name"),
             account: account(0),
+            fingerprint: None,
             target: Target::Version(version()),
             avoid: Vec::new(),
             wait: Span::ZERO,
--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    name,
+    name, request,
     time::{Span, Time},
 };
 
@@ -62,6 +62,9 @@
         pub request: name::Request,
         /// The client account, for fair shares.
         pub account: name::Account,
+        /// Digest of the work, for crash evidence; `None` for calls of plain services.
+        #[serde(default)]
+        pub fingerprint: Option<request::Fingerprint>,
         /// What the upstream must serve.
         pub target: Target,
         /// Upstreams that failed this request before.
--- a/crates/core/tests/world/parts.rs
+++ b/crates/core/tests/world/parts.rs
@@ -138,6 +138,7 @@
         let ask = slot::Ask {
             request: name::Request::try_from("r").unwrap(),
             account: name::Account::try_from("a").unwrap(),
+            fingerprint: None,
             target: Target::Version(version(upstream)),
             avoid: Vec::new(),
             wait: Span::ZERO,
--- a/crates/node/examples/quickstart/deployment.rs
+++ b/crates/node/examples/quickstart/deployment.rs
@@ -167,7 +167,6 @@
         first: Duration::from_millis(first_ms),
         between: Duration::from_millis(1),
         tokens,
-        certainty: Some(0.9),
         ..Profile::default()
     })
 }
--- a/crates/node/examples/quickstart/load.rs
+++ b/crates/node/examples/quickstart/load.rs
@@ -139,7 +139,7 @@
                 })),
             Kind::Status => self
                 .client
-                .get(format!("{url}/services/booking/bookings/{key}")),
+                .get(format!("{url}/services/booking/bookings/booking-{number}")),
             Kind::Booking => self
                 .client
                 .post(format!("{url}/services/booking/bookings"))
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -373,9 +373,14 @@
             Option<masticlock_core::time::Span>,
         ),
     ) {
+        let fingerprint = match &self.job.kind {
+            Kind::Model { ask, .. } => Some(ask.fingerprint),
+            Kind::Call { .. } => None,
+        };
         let ask = slot::Ask {
             request: self.job.ask.id.clone(),
             account: self.job.ask.account.clone(),
+            fingerprint,
             target,
             avoid,
             wait,
--- a/crates/node/src/entry/send.rs
+++ b/crates/node/src/entry/send.rs
@@ -143,6 +143,7 @@
     let ask = slot::Ask {
         request: job.ask.id.clone(),
         account: job.ask.account.clone(),
+        fingerprint: None,
         target: slot::Target::Service(service.clone()),
         avoid: Vec::new(),
         wait: shared.settings.attempt.first_byte,
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -4,6 +4,7 @@
 mod bills;
 mod methods;
 mod run;
+mod runs;
 mod slots;
 mod spill;
 mod state;
@@ -29,7 +30,13 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::{Notify, watch};
 
-use crate::{client::Pool, clock::Clock, control, port::Snapshot, rpc::Failure};
+use crate::{
+    client::{Control, Pool},
+    clock::Clock,
+    control,
+    port::Snapshot,
+    rpc::Failure,
+};
 pub use run::TICK;
 use state::State;
 
@@ -62,6 +69,10 @@
     state: Mutex<State>,
     /// The other failure domains. Never locked together with `state`.
     far: Mutex<spill::Far>,
+    /// Never locked together with `state`.
+    runs: Mutex<runs::Runs>,
+    /// Without control replicas no suspect request runs.
+    control: Option<Control>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     /// Signals that a slot may have become free.
     freed: Notify,
@@ -89,6 +100,12 @@
     let address = listener.local_addr()?;
     let clock = Clock::start();
     let pool = Pool::new(&settings.secret).map_err(io::Error::other)?;
+    let control = match settings.replicas.as_slice() {
+        [] => None,
+        replicas => {
+            Some(Control::new(replicas.to_vec(), &settings.secret).map_err(io::Error::other)?)
+        }
+    };
     let state = State::new(&settings, &address.to_string(), clock.now());
     let (stop, mut stopped) = watch::channel(false);
     let peer = Arc::new_cyclic(|itself| Peer {
@@ -98,6 +115,8 @@
         pool,
         state: Mutex::new(state),
         far: Mutex::default(),
+        runs: Mutex::default(),
+        control,
         snapshot,
         freed: Notify::new(),
         outbox: Notify::new(),
@@ -141,6 +160,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn runs(&self) -> MutexGuard<'_, runs::Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn far(&self) -> MutexGuard<'_, spill::Far> {
         self.far.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/src/peer/slots.rs
+++ b/crates/node/src/peer/slots.rs
@@ -94,7 +94,7 @@
         (owners, any)
     }
 
-    async fn acquire_any(&self, ask: &Ask) -> Result<Lease, error::Error> {
+    pub(super) async fn acquire_any(&self, ask: &Ask) -> Result<Lease, error::Error> {
         let end = self.now() + ask.wait;
         loop {
             let refusal = match self.acquire_here(ask) {
@@ -203,10 +203,11 @@
 
 impl port::Slots for Peer {
     fn acquire(&self, ask: Ask) -> BoxFuture<'_, Result<Lease, error::Error>> {
-        Box::pin(async move { self.acquire_any(&ask).await })
+        Box::pin(async move { self.acquire_known(&ask).await })
     }
 
     fn release(&self, lease: Lease, report: Report) {
+        self.run_released(&lease, report);
         let mut state = self.state();
         let held = state.holder.released(&lease);
         state.drop_watchers(std::slice::from_ref(&lease));
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -62,6 +62,7 @@
     Ask {
         request: name::Request::try_from(format!("r{number}")).unwrap(),
         account: name::Account::try_from("a").unwrap(),
+        fingerprint: None,
         target: Target::Version(name::Version::try_from("m@1").unwrap()),
         avoid: Vec::new(),
         wait,
--- a/scenario/src/world/acquire.rs
+++ b/scenario/src/world/acquire.rs
@@ -54,6 +54,7 @@
             let ask = slot::Ask {
                 request: request.clone(),
                 account: job.ask.account.clone(),
+                fingerprint: None,
                 target,
                 avoid,
                 wait,
