--- a/crates/core/tests/consensus/rules.rs
+++ b/crates/core/tests/consensus/rules.rs
@@ -246,3 +246,61 @@
         "{actions:?}"
     );
 }
+
+/// Guards against a promotion that leaves no majority if the new voter is lost right after it.
+#[test]
+fn a_learner_is_promoted_after_the_lost_voter_is_removed() {
+    let mut world = World::new(4, 3, 1, Odds::GOOD, None);
+    assert_eq!(
+        world.run_until(5_000, |w| Ok(w.leader().is_some())),
+        Ok(true)
+    );
+    let leader = world.leader().unwrap();
+    let lost = (leader + 1) % 3;
+    let (learner, lost_id) = (world.id(3), world.id(lost));
+    world.crash(lost);
+    let steps = [
+        (
+            Event::AddLearner {
+                ticket: 0,
+                member: member(3, learner),
+            },
+            false,
+        ),
+        (
+            Event::Promote {
+                ticket: 0,
+                id: learner,
+            },
+            false,
+        ),
+        (
+            Event::Remove {
+                ticket: 0,
+                id: lost_id,
+            },
+            false,
+        ),
+        (
+            Event::Promote {
+                ticket: 0,
+                id: learner,
+            },
+            true,
+        ),
+    ];
+    world.ticket();
+    for (event, is_voter) in steps {
+        let case = format!("{event:?}");
+        world.step(leader, event).unwrap();
+        world.run(LEASE.as_millis() * 2).unwrap();
+        let members = world.nodes[leader]
+            .process
+            .as_ref()
+            .unwrap()
+            .replica
+            .members();
+        assert_eq!(members.is_voter(learner), is_voter, "{case}");
+        assert_eq!(members.is_learner(learner), !is_voter, "{case}");
+    }
+}
