--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -72,13 +72,18 @@
     }
 
     pub(super) fn propose(&mut self, ticket: u64, payload: Payload) {
-        let full = self.log.last_index() - self.commit >= self.limits.uncommitted;
-        let checked = self.check_lead().and(if full {
-            Err(Refusal::Overloaded)
-        } else {
-            Ok(())
+        let limits = self.limits;
+        let checked = self.check_lead().and_then(|()| {
+            if payload.as_bytes().len() > limits.payload_bytes {
+                let problem = format!("a payload has at most {} bytes", limits.payload_bytes);
+                return Err(Refusal::Unfit(problem));
+            }
+            if self.log.last_index() - self.commit >= limits.uncommitted {
+                return Err(Refusal::Overloaded);
+            }
+            Ok(Content::Payload(payload))
         });
-        self.submit(ticket, checked.map(|()| Content::Payload(payload)));
+        self.submit(ticket, checked);
     }
 
     /// Starts a membership change, one at a time.
@@ -250,20 +255,23 @@
         self.finish_commit();
     }
 
+    /// Reports the election after the first commit of the term, or ends the term if the leader is
+    /// not a voter.
     fn finish_commit(&mut self) {
         let (id, commit) = (self.id, self.commit);
         let State::Leader(lead) = &mut self.state else {
             return;
         };
-        if !lead.elected && commit >= lead.first {
+        if commit < lead.first {
+            return;
+        }
+        if self.log.members_index() <= commit && !self.log.members().is_voter(id) {
+            self.follow();
+        } else if !lead.elected {
             lead.elected = true;
             let term = lead.term;
             self.act(Action::Elected { term });
         }
-        let members = self.log.members();
-        if self.log.members_index() <= commit && !members.is_voter(id) {
-            self.follow();
-        }
     }
 
     /// Answers the tickets of a committed entry.
