--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -107,7 +107,9 @@
     active: AtomicUsize,
     idle: Notify,
     stage: watch::Sender<Stage>,
-    cut: AtomicBool,
+    /// Wakes all requests when they must end.
+    cut: Arc<Notify>,
+    is_cut: AtomicBool,
 }
 
 impl Shared {
@@ -156,7 +158,7 @@
     }
 
     fn is_cut(&self) -> bool {
-        self.cut.load(Ordering::Relaxed)
+        self.is_cut.load(Ordering::Acquire)
     }
 }
 
@@ -185,8 +187,8 @@
     server: JoinHandle<io::Result<()>>,
 }
 
-/// Time for requests to see a cut and for their errors to reach the callers.
-const CUT_GRACE: Duration = Duration::from_millis(2 * driver::CUT_CHECK.as_millis());
+/// Time for errors of requests that were cut to reach the callers.
+const CUT_GRACE: Duration = Duration::from_millis(500);
 
 /// Starts to serve callers and upstreams.
 ///
@@ -223,7 +225,8 @@
         active: AtomicUsize::new(0),
         idle: Notify::new(),
         stage: watch::Sender::new(Stage::Serving),
-        cut: AtomicBool::new(false),
+        cut: Arc::default(),
+        is_cut: AtomicBool::new(false),
     });
     let mut stage = shared.stage.subscribe();
     let closed = async move {
@@ -277,7 +280,8 @@
         }
         let left = self.active();
         self.shared.stage.send_replace(Stage::Cut);
-        self.shared.cut.store(true, Ordering::Relaxed);
+        self.shared.is_cut.store(true, Ordering::Release);
+        self.shared.cut.notify_waiters();
         // Keep-alive connections without a request are closed by the server.
         let _ = timeout(CUT_GRACE, &mut self.server).await;
         self.server.abort();
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -5,7 +5,7 @@
     future::{Future, poll_fn},
     pin::Pin,
     sync::{Arc, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use futures_util::future::BoxFuture;
@@ -16,7 +16,10 @@
     error, evidence, name, policy, slot,
     time::{Span, Time},
 };
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::{
+    sync::futures::OwnedNotified,
+    time::{Sleep, sleep_until},
+};
 
 use super::{
     Active, Shared,
@@ -49,9 +52,6 @@
     Answer(Answer),
 }
 
-/// Longest time until a request sees that the instance must end.
-pub(super) const CUT_CHECK: Span = Span::from_millis(500);
-
 /// One request with its connections.
 pub(super) struct Driver {
     pub(super) shared: Arc<Shared>,
@@ -69,8 +69,10 @@
     /// The plan's steps and arm, which the evidence is counted for.
     plan: (Vec<name::Version>, evidence::Arm),
     has_head: bool,
-    sleep: Pin<Box<Sleep>>,
-    sleeps_until: Time,
+    /// Set when the request first waits, and due at a time limit or earlier.
+    timer: Option<(Pin<Box<Sleep>>, Time)>,
+    /// Resolves when the instance ends its requests.
+    cut: Pin<Box<OwnedNotified>>,
     started: Time,
     _active: Active,
 }
@@ -81,8 +83,8 @@
         let started = shared.now();
         let mut driver = Self {
             _active: Active::new(&shared),
-            sleep: Box::pin(sleep_until(shared.instant(started + CUT_CHECK))),
-            sleeps_until: started + CUT_CHECK,
+            timer: None,
+            cut: Box::pin(shared.cut.clone().notified_owned()),
             shared,
             job,
             machine,
@@ -146,6 +148,9 @@
     }
 
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Event> {
+        if self.shared.is_cut() || self.cut.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Event::Stop);
+        }
         for at in 0..self.wires.len() {
             if let Some(wire) = &mut self.wires[at]
                 && let Poll::Ready(signal) = wire.poll(context)
@@ -172,36 +177,32 @@
         Poll::Pending
     }
 
-    /// Waits for the next time limit, or for the end of the instance.
+    /// Waits for the next time limit.
     ///
     /// A timer that is due too early only costs a look at the clock, so it is
     /// reset when a limit moves closer, and not at each piece of a stream.
     fn poll_time(&mut self, context: &mut Context<'_>) -> Poll<Event> {
         let wake = self.machine.wake();
+        let shared = &self.shared;
+        let (sleep, due) = self
+            .timer
+            .get_or_insert_with(|| (Box::pin(sleep_until(shared.instant(wake))), wake));
+        if wake < *due {
+            *due = wake;
+            sleep.as_mut().reset(shared.instant(wake));
+        }
         loop {
-            if wake < self.sleeps_until {
-                self.set_timer(wake);
-            }
-            if self.sleep.as_mut().poll(context).is_pending() {
-                return Poll::Pending;
-            }
-            let now = self.shared.now();
-            self.set_timer(now + CUT_CHECK);
-            if self.shared.is_cut() {
-                return Poll::Ready(Event::Stop);
-            }
-            if now >= wake {
+            ready!(sleep.as_mut().poll(context));
+            if shared.now() >= wake {
+                // A timer that has fired must not be polled again.
+                self.timer = None;
                 return Poll::Ready(Event::Tick);
             }
+            *due = wake;
+            sleep.as_mut().reset(shared.instant(wake));
         }
     }
 
-    fn set_timer(&mut self, at: Time) {
-        self.sleeps_until = at;
-        let instant: Instant = self.shared.instant(at);
-        self.sleep.as_mut().reset(instant);
-    }
-
     fn event_of(&mut self, at: usize, signal: Signal) -> Event {
         let attempt = u32::try_from(at).unwrap_or(u32::MAX);
         match signal {
@@ -368,10 +369,7 @@
         attempt: u32,
         target: slot::Target,
         avoid: Vec<name::Upstream>,
-        (wait, hold): (
-            masticlock_core::time::Span,
-            Option<masticlock_core::time::Span>,
-        ),
+        (wait, hold): (Span, Option<Span>),
     ) {
         let fingerprint = match &self.job.kind {
             Kind::Model { ask, .. } => Some(ask.fingerprint),
