Enforce account limits on the request path by shared limits

The entry authenticated callers but held no rate or concurrency limit. Slots gets admit, which grants a request's place in its account's limits; the part between instances borrows shares and answers without a call unless a share is too small. A refusal brings the next question to the lender forward, and the request is tried once more after the answer.

With three parts and a concurrency of 9, one instance has 7 requests open and all together 9.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -170,7 +170,9 @@
         self.first(upstream.as_str())
     }
 
-    fn first(&self, key: &str) -> Option<&Contact> {
+    /// Returns the member that ranks highest for a key.
+    #[must_use]
+    pub fn first(&self, key: &str) -> Option<&Contact> {
         let names = self.members.iter().map(|member| &member.name);
         let first = slot::rendezvous(key, names)?;
         self.members.iter().find(|member| member.name == *first)
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -19,7 +19,7 @@
 pub const SHARE_LEASE: Span = Span::from_secs(3);
 /// How often a borrower asks for the share it needs.
 pub const BORROW: Span = Span::from_secs(1);
-/// How often a borrower asks that had to refuse requests.
+/// Shortest time between two questions of a borrower that refuses requests.
 const HURRY: Span = Span::from_millis(100);
 /// Requests of one second that a rate lets through at once.
 const BURST_MS: u64 = 1_000;
@@ -96,6 +96,7 @@
     filled: Time,
     asked: u64,
     ask_at: Time,
+    asked_at: Time,
     window: Window,
     /// What the last whole window needed.
     needed: Amount,
@@ -160,6 +161,7 @@
             filled: now,
             asked: 0,
             ask_at: now,
+            asked_at: Time::ZERO,
             window: Window::new(now),
             needed: Amount {
                 rate: 0,
@@ -211,12 +213,12 @@
         self.window.seen += 1;
         let amount = self.amount(now);
         if self.open >= amount.concurrency {
-            self.window.refused += 1;
+            self.refuse(now);
             let wait = self.window.turn(now);
             return Err(limited("too many requests are open", wait));
         }
         if self.tokens < REQUEST {
-            self.window.refused += 1;
+            self.refuse(now);
             let lack = REQUEST - self.tokens;
             let wait = (lack * 1_000).checked_div(amount.rate);
             let wait = wait.unwrap_or(BORROW.as_millis());
@@ -228,6 +230,12 @@
         Ok(())
     }
 
+    /// Counts a refusal and brings the next question to the lender forward.
+    fn refuse(&mut self, now: Time) {
+        self.window.refused += 1;
+        self.ask_at = self.ask_at.min(now.max(self.asked_at + HURRY));
+    }
+
     /// Records that an admitted request ended.
     pub fn ended(&mut self) {
         self.open = self.open.saturating_sub(1);
@@ -316,6 +324,26 @@
         &mut self.list[at].1
     }
 
+    /// Returns what to ask the lender of a client account for, if it is time.
+    pub fn ask(&mut self, account: &name::Account, now: Time) -> Option<Ask> {
+        let share = self.list.iter_mut().find(|(other, _)| other == account);
+        share.and_then(|(_, share)| share.ask(now))
+    }
+
+    /// Records that an admitted request of a client account ended.
+    pub fn ended(&mut self, account: &name::Account) {
+        if let Some((_, share)) = self.list.iter_mut().find(|(other, _)| other == account) {
+            share.ended();
+        }
+    }
+
+    /// Takes over a grant to a client account's share.
+    pub fn granted(&mut self, account: &name::Account, grant: &Grant, sent: Time, now: Time) {
+        if let Some((_, share)) = self.list.iter_mut().find(|(other, _)| other == account) {
+            share.granted(grant, sent, now);
+        }
+    }
+
     /// Returns all shares.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (&name::Account, &mut Share)> {
         self.list
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -78,15 +78,17 @@
             arrived,
         };
         if request.uri().path().starts_with("/services/") {
-            let job = entrance.call(request.method(), request.uri(), body)?;
+            let mut job = entrance.call(request.method(), request.uri(), body)?;
             if snapshot.cut_off().is_some() && !job.is_repeatable() {
                 let message = "a call that runs at most once needs a majority of control";
                 return Err(error::Error::new(error::Kind::CutOff, message));
             }
+            job.admission = shared.slots.admit(&job.ask.account).await?;
             return Ok(self.run(job).await);
         }
-        let job = entrance.model(&body)?;
+        let mut job = entrance.model(&body)?;
         drop(body);
+        job.admission = shared.slots.admit(&job.ask.account).await?;
         self.model(job).await
     }
 
--- a/crates/node/src/entry/job.rs
+++ b/crates/node/src/entry/job.rs
@@ -6,6 +6,7 @@
 use sha2::{Digest, Sha256};
 
 use super::{Shared, wire::HOP_BY_HOP};
+use crate::port::Admission;
 
 /// A request that was admitted.
 pub(super) struct Job {
@@ -13,6 +14,8 @@
     pub(super) kind: Kind,
     pub(super) key: Option<claim::Key>,
     pub(super) fingerprint: request::Fingerprint,
+    /// Its place within the limits of the client account.
+    pub(super) admission: Admission,
 }
 
 impl Job {
@@ -263,6 +266,7 @@
             },
             key,
             fingerprint,
+            admission: Admission::unlimited(),
         })
     }
 
@@ -332,6 +336,7 @@
             },
             key,
             fingerprint,
+            admission: Admission::unlimited(),
         })
     }
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -2,6 +2,7 @@
 //! slots, restrictions, crash evidence and open records of bills.
 
 mod bills;
+mod limits;
 mod methods;
 mod run;
 mod slots;
--- a/crates/node/src/peer/methods.rs
+++ b/crates/node/src/peer/methods.rs
@@ -4,7 +4,7 @@
 };
 
 use jsonrpsee::{Methods, RpcModule, core::RegisterMethodError, types::ErrorObjectOwned};
-use masticlock_core::{error, slot::Renewal};
+use masticlock_core::{error, limit, slot::Renewal};
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{Peer, wire};
@@ -54,6 +54,7 @@
     add(&mut module, wire::HANDOVER, handover)?;
     add(&mut module, wire::WITNESS_OPEN, open)?;
     add(&mut module, wire::WITNESS_CLOSE, close)?;
+    add(&mut module, wire::BORROW, borrow)?;
     add(&mut module, wire::RESTRICT, restrict)?;
     Ok(module.into())
 }
@@ -123,6 +124,10 @@
     Ok(())
 }
 
+async fn borrow(peer: Arc<Peer>, params: wire::Borrow) -> Result<limit::Grant, error::Error> {
+    Ok(peer.lend(&params.account, &params.holder, params.ask))
+}
+
 async fn restrict(peer: Arc<Peer>, params: wire::Restrict) -> Result<(), error::Error> {
     peer.restrict(params.id, params.limit);
     Ok(())
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -109,6 +109,7 @@
             self.give_back(lease, Report::Cancelled);
         }
         self.renew(renewals, now);
+        self.borrow(now);
         self.outbox.notify_one();
     }
 
--- a/crates/node/src/peer/slots.rs
+++ b/crates/node/src/peer/slots.rs
@@ -200,6 +200,22 @@
         }
     }
 
+    fn admit(
+        &self,
+        account: &name::Account,
+    ) -> BoxFuture<'_, Result<port::Admission, error::Error>> {
+        let account = account.clone();
+        Box::pin(async move {
+            match self.admit_here(&account) {
+                Ok(admission) => Ok(admission),
+                Err(error) if self.borrow_now(&account).await => {
+                    self.admit_here(&account).map_err(|_| error)
+                }
+                Err(error) => Err(error),
+            }
+        })
+    }
+
     fn lost(&self, lease: &Lease) -> BoxFuture<'static, ()> {
         let lost = self.state().watch(lease);
         Box::pin(async move {
--- a/crates/node/src/peer/wire.rs
+++ b/crates/node/src/peer/wire.rs
@@ -1,7 +1,7 @@
 //! Names and parameters of the JSON-RPC methods between entry instances.
 
 use masticlock_core::{
-    config, directory, gossip, ledger, name, plain,
+    config, directory, gossip, ledger, limit, name, plain,
     slot::{self, Report},
 };
 
@@ -21,6 +21,8 @@
 pub const WITNESS_OPEN: &str = "witness.open";
 /// Closes records of bills.
 pub const WITNESS_CLOSE: &str = "witness.close";
+/// Asks the lender of a client account's limits for a share.
+pub const BORROW: &str = "limit.borrow";
 /// Applies a restriction without the majority.
 pub const RESTRICT: &str = "operator.restrict";
 
@@ -107,6 +109,17 @@
         pub keys: Vec<ledger::Key>,
     }
 
+    /// Parameters of [`BORROW`].
+    #[derive(Eq)]
+    pub struct Borrow {
+        /// The client account.
+        pub account: name::Account,
+        /// The instance that asks.
+        pub holder: name::Instance,
+        /// What it asks for.
+        pub ask: limit::Ask,
+    }
+
     /// Parameters of [`RESTRICT`].
     #[derive(Eq)]
     pub struct Restrict {
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Instant};
 
 use futures_util::{
-    future::{BoxFuture, pending},
+    future::{BoxFuture, pending, ready},
     stream::BoxStream,
 };
 pub use masticlock_core::slot::Report;
-use masticlock_core::{claim, config, directory, error, ledger, request, slot, time::Span};
+use masticlock_core::{claim, config, directory, error, ledger, name, request, slot, time::Span};
 
 /// The configuration in force on this instance.
 #[derive(Clone, Debug)]
@@ -28,6 +28,34 @@
     }
 }
 
+/// A request's place within the limits of its client account, which ends when
+/// it is dropped.
+pub struct Admission(Option<Box<dyn FnOnce() + Send + Sync>>);
+
+impl Admission {
+    /// Returns the place of a request that no limit applies to.
+    #[must_use]
+    pub const fn unlimited() -> Self {
+        Self(None)
+    }
+
+    /// Returns a place whose end calls `end`.
+    pub fn new<F>(end: F) -> Self
+    where
+        F: FnOnce() + Send + Sync + 'static,
+    {
+        Self(Some(Box::new(end)))
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        if let Some(end) = self.0.take() {
+            end();
+        }
+    }
+}
+
 /// Lends slots on upstreams.
 pub trait Slots: Send + Sync {
     /// Waits for a slot, at most as long as the request says.
@@ -40,6 +68,15 @@
     /// Returns a slot, with what its holder saw of the upstream.
     fn release(&self, lease: slot::Lease, report: Report);
 
+    /// Admits a request within the limits of its client account.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Kind::RateLimited`] with the time to come back.
+    fn admit(&self, _account: &name::Account) -> BoxFuture<'_, Result<Admission, error::Error>> {
+        Box::pin(ready(Ok(Admission::unlimited())))
+    }
+
     /// Resolves when the slot can't be renewed any more and its work must end.
     fn lost(&self, _lease: &slot::Lease) -> BoxFuture<'static, ()> {
         Box::pin(pending())
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -17,10 +17,10 @@
     port::{Announcements, Bills, Report, Slots, Snapshot},
 };
 use masticlock_core::{
-    config::{Config, Limit},
+    config::{Change, Config, Limit},
     directory::{Announcement, State},
     error,
-    inventory::Offer,
+    inventory::{self, Offer},
     ledger::Bill,
     name,
     policy::Supply,
@@ -69,6 +69,16 @@
     }
 }
 
+fn config() -> Config {
+    let raw: inventory::Raw = serde_json::from_str(
+        r#"{"domains": [{"name": "east", "region": "r"}], "versions": [], "upstreams": [],
+            "accounts": [{"name": "a", "rate": 40, "concurrency": 9, "key_sha256":
+            "0000000000000000000000000000000000000000000000000000000000000000"}]}"#,
+    )
+    .unwrap();
+    Config::default().changed(&Change::Import(raw)).unwrap()
+}
+
 fn start(count: usize) -> Vec<Arc<Peer>> {
     let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
     let listeners: Vec<_> = (0..count).map(bind).collect();
@@ -86,7 +96,7 @@
             secret: SECRET.into(),
         };
         let snapshot = Snapshot {
-            config: Arc::new(Config::default()),
+            config: Arc::new(config()),
             lease_end: None,
         };
         let snapshot = Arc::new(ArcSwap::from_pointee(snapshot));
@@ -291,3 +301,44 @@
         assert_eq!(answer.is_ok(), allowed, "{secret}");
     }
 }
+
+/// Guards against a client account that exceeds its limits by using several
+/// instances, or can't use them on one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limits_hold_over_all_instances() {
+    let peers = start(3);
+    joined(&peers).await;
+    let account = name::Account::try_from("a").unwrap();
+    let unknown = name::Account::try_from("x").unwrap();
+    assert!(peers[0].admit(&unknown).await.is_err());
+    // A new lender waits until grants of its predecessor would be over.
+    let _ = peers[0].admit(&account).await;
+    sleep(Duration::from_millis(3_500)).await;
+    let mut open = Vec::new();
+    for _ in 0..40 {
+        if let Ok(admission) = peers[0].admit(&account).await {
+            open.push(admission);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    // Nine at once over all instances; each other instance has one of its own.
+    assert_eq!(open.len(), 7, "requests open on one instance");
+    let mut others = Vec::new();
+    for turn in 0..20 {
+        let admitted = peers[1 + turn % 2].admit(&account).await;
+        others.extend(admitted);
+    }
+    assert_eq!(open.len() + others.len(), 9);
+    drop(open);
+    drop(others);
+    let begin = Instant::now();
+    let mut admitted = 0u32;
+    while begin.elapsed() < Duration::from_secs(3) {
+        for peer in &peers {
+            admitted += u32::from(peer.admit(&account).await.is_ok());
+        }
+        sleep(Duration::from_millis(2)).await;
+    }
+    // Three seconds and a burst of one second.
+    assert!((60..=170).contains(&admitted), "{admitted} requests in 3 s");
+}
