--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,9 @@
 use bpaf::Bpaf;
 
 mod control;
+mod log;
+mod path;
+mod policy;
 mod protect;
 mod report;
 mod table;
@@ -19,6 +22,13 @@
     /// Prints the table from error kind to answer.
     #[bpaf(command)]
     Errors,
+    /// Measures the replicated log.
+    #[bpaf(command)]
+    Log {
+        /// Seed of the election timeouts
+        #[bpaf(fallback(1), display_fallback)]
+        seed: u64,
+    },
     /// Measures the control plane: changes, elections, cuts, restarts and idle cost.
     #[bpaf(command)]
     Control {
@@ -32,6 +42,16 @@
         #[bpaf(fallback(20), display_fallback)]
         idle: u64,
     },
+    /// Measures the request path of one entry instance.
+    #[bpaf(command)]
+    Path {
+        /// Seconds of each turn
+        #[bpaf(fallback(5), display_fallback)]
+        seconds: u64,
+        /// Seed of the arrival times
+        #[bpaf(fallback(1), display_fallback)]
+        seed: u64,
+    },
     /// Measures overload, cold restarts, and the loss and take-out of a failure domain.
     #[bpaf(command)]
     Protect {
@@ -39,16 +59,36 @@
         #[bpaf(fallback(1), display_fallback)]
         seed: u64,
     },
+    /// Measures cost, quality and rollouts of the decision code.
+    #[bpaf(command)]
+    Policy {
+        /// The deployment to model: pindan-crown or cascade-loomworks. Without it, both
+        #[bpaf(argument("NAME"))]
+        deployment: Option<policy::Deployment>,
+        /// The table to measure: cost, load or rollouts. Without it, all
+        #[bpaf(argument("NAME"))]
+        table: Option<policy::Table>,
+        /// Seed of all draws
+        #[bpaf(argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+    },
 }
 
 fn main() -> ExitCode {
     match subject().run() {
         Subject::Errors => table::run(),
+        Subject::Log { seed } => log::run(seed),
         Subject::Control {
             seed,
             changes,
             idle,
         } => control::run(seed, changes, idle),
+        Subject::Path { seconds, seed } => path::run(seconds, seed),
         Subject::Protect { seed } => protect::run(seed),
+        Subject::Policy {
+            deployment,
+            table,
+            seed,
+        } => policy::run(deployment, table, seed),
     }
 }
--- a/crates/core/src/rollout/watch.rs
+++ b/crates/core/src/rollout/watch.rs
@@ -2,14 +2,14 @@
 //!
 //! A stable version has no control arm, so its latest requests are compared
 //! with its own earlier ones, by the same test as in roll-outs. Ratings are
-//! compared per kind, size and role, because the planner moves work between
+//! compared within kind, size and role, because the planner moves work between
 //! versions. What moves for the other versions too has a common cause and
 //! stops nothing. Times to the first token depend on load and are left to the
 //! predictions.
 
 use crate::{
     config::{Change, Config, Limit, Progress, Standing},
-    evidence::{Counts, Key, Pool, Role},
+    evidence::{Arm, Counts, Key, Pool, Role},
     name, request,
     time::{Span, Time},
 };
@@ -20,13 +20,16 @@
 };
 
 /// Time between two points from which windows begin.
-const STEP: Span = Span::from_secs(10);
+const STEP: Span = Span::from_secs(30);
 
 /// Points that are kept.
-const POINTS: usize = 64;
+const POINTS: usize = 33;
 
 /// Windows that begin at a point in a day, for each version.
-const WINDOWS_A_DAY: f64 = 8_640.0;
+const WINDOWS_A_DAY: f64 = 2_880.0;
+
+/// Points that cover the latest ratings when the rating service is checked.
+const RECENT_POINTS: usize = 4;
 
 /// Highest probability of a false alarm of one version in a day.
 const FALSE_ALARM_A_DAY: f64 = 0.01;
@@ -34,6 +37,9 @@
 /// Fewest requests or ratings before a window that it is compared with.
 const REFERENCE: f64 = 100.0;
 
+/// Fewest earlier ratings of a kind of work that is compared.
+const STRATUM_REFERENCE: f64 = 20.0;
+
 /// Change of mean ratings that makes the rating service strange.
 const SHIFT: f64 = 0.08;
 
@@ -43,6 +49,9 @@
 /// Evidence that the other versions fail too, at which errors have a common cause.
 const COMMON_CAUSE: f64 = 3.0;
 
+/// Standard deviations of excess below which no bet can have won enough.
+const WORTHWHILE_DEVIATIONS: f64 = 2.0;
+
 /// Counters of a version on one kind of work.
 #[derive(Clone, Debug, PartialEq)]
 struct Stratum {
@@ -107,12 +116,15 @@
         }
     }
 
-    fn total(&self) -> Counts {
-        let mut total = Counts::default();
-        for stratum in &self.list {
-            total.add(&stratum.counts);
-        }
-        total
+    fn error_sample<F>(&self, filter: F) -> Sample
+    where
+        F: Fn(&name::Version) -> bool,
+    {
+        let own = self.list.iter().filter(|s| filter(&s.place.0));
+        let (ended, errors) = own.fold((0, 0), |(ended, errors), s| {
+            (ended + s.counts.ended(), errors + s.counts.errors)
+        });
+        Sample::binary(ended, errors)
     }
 
     fn started(&self) -> u64 {
@@ -152,6 +164,24 @@
 }
 
 impl Watch {
+    /// Returns whether the ratings of a version moved lately, against those outside of the comparison that began at `since`.
+    #[must_use]
+    pub fn has_moved(&self, version: &name::Version, pool: &Pool, since: u64) -> bool {
+        let back = self.points.len().saturating_sub(RECENT_POINTS);
+        let Some((_, earlier)) = self.points.get(back) else {
+            return false;
+        };
+        let own = |v: &name::Version| v == version;
+        let recent = Strata::of(pool).filtered(own).minus(&earlier.filtered(own));
+        let mut before = Strata::default();
+        for (record, _) in pool.records() {
+            if record.key.version == *version && record.key.arm != Arm::Control(since) {
+                before.add(&record.key, &record.counts);
+            }
+        }
+        has_shifted(&recent, &before)
+    }
+
     /// Returns what to do about stable versions that turned bad.
     pub fn step(&mut self, config: &Config, pool: &Pool, now: Time) -> Vec<Action> {
         let current = Strata::of(pool);
@@ -165,65 +195,85 @@
             }
             self.points.push((now, current.clone()));
         }
-        let versions = config.inventory.versions.iter().map(|v| &v.name);
-        versions
+        let stable: Vec<_> = (config.inventory.versions.iter().map(|v| &v.name))
             .filter(|v| config.standing(v) == Standing::Stable)
-            .filter_map(|v| {
-                let reason = self.finding(v, &current)?;
-                Some(action(config, v, reason))
-            })
-            .collect()
-    }
-
-    /// Returns why a version counts as turned bad.
-    fn finding(&self, version: &name::Version, current: &Strata) -> Option<String> {
-        let limit = (WINDOWS_A_DAY / FALSE_ALARM_A_DAY).ln() + 2.0_f64.ln();
+            .collect();
+        let mut actions: Vec<(&name::Version, Action)> = Vec::new();
         // Windows double in length, so a few of them cover all points.
-        let starts = (0..).map(|power| 1_usize << power);
-        let starts = starts.take_while(|back| *back <= self.points.len());
-        for back in starts {
+        let lengths = (0..usize::BITS).map(|power| 1 << power);
+        for back in lengths.take_while(|back| *back <= self.points.len()) {
             let earlier = &self.points[self.points.len() - back].1;
             let window = current.minus(earlier);
-            let is_own = |v: &name::Version| v == version;
-            let (own, own_before) = (window.filtered(is_own), earlier.filtered(is_own));
-            let others = || window.filtered(|v| !is_own(v));
-            let others_before = || earlier.filtered(|v| !is_own(v));
-            if errors(&own, &own_before) >= limit
-                && errors(&others(), &others_before()) < COMMON_CAUSE
-            {
-                return Some("errors rose in service".to_owned());
-            }
-            if ratings(&own, &own_before) >= limit && !has_shifted(&others(), &others_before()) {
-                return Some("ratings fell in service".to_owned());
+            for version in &stable {
+                let known = actions.iter().any(|(v, _)| v == version);
+                if let (false, Some(reason)) = (known, finding(version, &window, earlier)) {
+                    actions.push((version, action(config, version, reason)));
+                }
             }
         }
-        None
+        actions.into_iter().map(|(_, action)| action).collect()
     }
 }
 
-/// Returns the log of the evidence that errors rose.
-fn errors(now: &Strata, before: &Strata) -> f64 {
-    let (now, before) = (
-        Sample::errors(&now.total()),
-        Sample::errors(&before.total()),
-    );
+/// Returns why a version counts as turned bad.
+fn finding(version: &name::Version, window: &Strata, earlier: &Strata) -> Option<String> {
+    let limit = (WINDOWS_A_DAY / FALSE_ALARM_A_DAY).ln() + 2.0_f64.ln();
+    let own = |v: &name::Version| v == version;
+    let others = |v: &name::Version| v != version;
+    if errors(window, earlier, own) >= limit && errors(window, earlier, others) < COMMON_CAUSE {
+        return Some("errors rose in service".to_owned());
+    }
+    if ratings(window, earlier, own) >= limit
+        && !has_shifted(&window.filtered(others), &earlier.filtered(others))
+    {
+        return Some("ratings fell in service".to_owned());
+    }
+    None
+}
+
+/// Returns the log of the evidence that errors rose for the versions that pass `filter`.
+fn errors<F>(now: &Strata, before: &Strata, filter: F) -> f64
+where
+    F: Fn(&name::Version) -> bool + Copy,
+{
+    let (now, before) = (now.error_sample(filter), before.error_sample(filter));
     if before.size() < REFERENCE {
         return 0.0;
     }
-    wealth::worse(&now, &before, ERROR_MARGIN)
+    evidence(&now, &before, ERROR_MARGIN)
 }
 
-/// Returns the log of the evidence that ratings fell on any kind of work; the bets share one wealth.
-fn ratings(now: &Strata, before: &Strata) -> f64 {
-    let compared = now.list.iter().filter_map(|stratum| {
-        let early = Sample::shortfall(before.get(&stratum.place)?);
-        let late = Sample::shortfall(&stratum.counts);
-        (early.size() >= REFERENCE).then(|| wealth::worse(&late, &early, QUALITY_MARGIN))
-    });
-    let (count, sum) = compared.fold((0.0_f64, 0.0), |(count, sum), log| {
-        (count + 1.0, sum + log.exp())
-    });
-    (sum / count.max(1.0)).ln().max(0.0)
+/// Returns the log of the evidence that a loss rose, or 0 if a look at it is not worthwhile.
+fn evidence(now: &Sample, before: &Sample, margin: f64) -> f64 {
+    if wealth::excess(now, before) < WORTHWHILE_DEVIATIONS {
+        return 0.0;
+    }
+    wealth::worse(now, before, margin)
+}
+
+/// Returns the log of the evidence that ratings fell.
+///
+/// Each rating counts by its difference from the earlier mean of its kind of
+/// work, halved and moved to the middle of 0 to 1.
+fn ratings<F>(now: &Strata, before: &Strata, filter: F) -> f64
+where
+    F: Fn(&name::Version) -> bool,
+{
+    let (mut late, mut early) = (Sample::default(), Sample::default());
+    for stratum in now.list.iter().filter(|s| filter(&s.place.0)) {
+        let Some(counts) = before.get(&stratum.place) else {
+            continue;
+        };
+        let reference = Sample::shortfall(counts);
+        if reference.size() >= STRATUM_REFERENCE {
+            late.add_centred(&Sample::shortfall(&stratum.counts), reference.mean());
+            early.add_centred(&reference, reference.mean());
+        }
+    }
+    if early.size() < REFERENCE {
+        return 0.0;
+    }
+    evidence(&late, &early, QUALITY_MARGIN / 2.0)
 }
 
 fn action(config: &Config, version: &name::Version, reason: String) -> Action {
--- a/crates/core/src/rollout/wealth.rs
+++ b/crates/core/src/rollout/wealth.rs
@@ -11,8 +11,13 @@
 
 use crate::evidence::{Counts, counts::BUCKETS};
 
-/// Stakes, as parts of the largest one that can't lose everything.
-const STAKES: [f64; 8] = [0.01, 0.03, 0.08, 0.18, 0.35, 0.55, 0.75, 0.92];
+/// Stakes on the candidate, as parts of the largest one that can't lose everything.
+///
+/// They fit differences that show within some hundred outcomes.
+const CANDIDATE_STAKES: [f64; 5] = [0.06, 0.15, 0.3, 0.5, 0.8];
+
+/// Stakes on the control, which has many outcomes and bets on small differences.
+const CONTROL_STAKES: [f64; 5] = [0.01, 0.05, 0.2, 0.5, 0.85];
 
 /// Means that are tried first, evenly spaced in log odds.
 const GRID: usize = 48;
@@ -23,6 +28,9 @@
 /// Steps that narrow the place of the smallest wealth.
 const NARROWING: usize = 24;
 
+/// Standard deviations of excess below which a threshold's bet counts as lost without a closer look.
+const SLOWER_DEVIATIONS: f64 = 1.0;
+
 /// Counts of losses from 0 to 1.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Sample {
@@ -71,6 +79,12 @@
         }
     }
 
+    /// Adds another sample's losses, halved around `centre` and moved to 0.5.
+    pub fn add_centred(&mut self, other: &Self, centre: f64) {
+        let moved = (other.levels.iter()).map(|(loss, n)| (0.5 + (loss - centre) / 2.0, *n));
+        self.levels.extend(moved);
+    }
+
     /// Returns the number of outcomes.
     #[must_use]
     pub fn size(&self) -> f64 {
@@ -99,7 +113,7 @@
         if mean >= 1.0 {
             return 0.0;
         }
-        self.wealth(|stake, loss| stake / mean * (loss - mean))
+        self.wealth(CANDIDATE_STAKES, |stake, loss| stake / mean * (loss - mean))
     }
 
     /// Returns the log of the wealth from betting on a mean below `mean`.
@@ -107,14 +121,16 @@
         if mean >= 1.0 {
             return 0.0;
         }
-        self.wealth(|stake, loss| stake / (1.0 - mean) * (mean - loss))
+        self.wealth(CONTROL_STAKES, |stake, loss| {
+            stake / (1.0 - mean) * (mean - loss)
+        })
     }
 
-    fn wealth<G>(&self, gain: G) -> f64
+    fn wealth<G>(&self, stakes: [f64; 5], gain: G) -> f64
     where
         G: Fn(f64, f64) -> f64,
     {
-        let logs = STAKES.map(|stake| {
+        let logs = stakes.map(|stake| {
             let terms = self.levels.iter();
             terms.map(|(loss, n)| n * gain(stake, *loss).ln_1p()).sum()
         });
@@ -181,15 +197,22 @@
         .map(|at| {
             let (candidate, control) = (Sample::slow(candidate, at + 1), Sample::slow(control, at));
             // A bet that has not won counts as lost.
-            match worse(&candidate, &control, 0.0) {
-                log if log > 0.0 => log,
-                _ => f64::NEG_INFINITY,
+            if excess(&candidate, &control) < SLOWER_DEVIATIONS {
+                return f64::NEG_INFINITY;
             }
+            worse(&candidate, &control, 0.0)
         })
         .collect();
     log_mean(&logs).max(0.0)
 }
 
+/// Returns by how many standard deviations the candidate's mean loss exceeds the control's.
+#[must_use]
+pub fn excess(candidate: &Sample, control: &Sample) -> f64 {
+    let variance = candidate.variance() + control.variance();
+    (candidate.mean() - control.mean()) / variance.sqrt().max(f64::MIN_POSITIVE)
+}
+
 /// Returns whether the candidate's mean loss exceeds the control's by less than `bound`.
 ///
 /// `deviations` standard deviations of the difference are granted for chance.
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -135,7 +135,7 @@
             }
             Action::Claim => self.claim(),
             Action::Send { attempt, after, .. } => self.send(attempt, after),
-            Action::Cancel { .. } => {}
+            Action::Cancel { .. } | Action::Observe { .. } => {}
             Action::Keep => self.kept.extend(self.offset),
             Action::Forget => self.kept.clear(),
             Action::Flush => self.caller.append(&mut self.kept),
@@ -177,7 +177,7 @@
                 upstream: name(&format!("u{}", self.leases)),
                 incarnation: 1,
                 address: String::new(),
-                far: false,
+                far: None,
             })
         };
         let wait = if self.chance(10) { 11_000 } else { 50 };
