--- a/scenario/src/world/job.rs
+++ b/scenario/src/world/job.rs
@@ -171,8 +171,6 @@
     fn act(&mut self, id: Id, request: &name::Request, action: Action) {
         match action {
             Action::Plan => self.plan(id, request),
-            // Evidence only moves predictions, which the world keeps at their priors.
-            Action::Observe { .. } => {}
             Action::Acquire {
                 attempt,
                 target,
