--- a/crates/core/src/attempt/receive.rs
+++ b/crates/core/src/attempt/receive.rs
@@ -113,7 +113,9 @@
         };
         self.observe(completed, out);
         self.add_part(usage);
-        let uncertain = certainty.is_some_and(|c| c < self.limits.certainty);
+        // An engine that says nothing of its certainty could otherwise end every cascade at its
+        // first step, below the quality target.
+        let uncertain = certainty.is_none_or(|c| c < self.limits.certainty);
         if uncertain && !self.is_last_step() {
             self.observe(evidence::Event::Escalated, out);
             self.step += 1;
--- a/crates/node/examples/quickstart/deployment.rs
+++ b/crates/node/examples/quickstart/deployment.rs
@@ -59,6 +59,7 @@
     pub domain: String,
     pub engine: Option<Engine>,
     pub service: Option<Service>,
+    offers: Option<name::Service>,
     _announcer: Announcer,
 }
 
@@ -174,6 +175,7 @@
 async fn start_upstream(
     entry: &inventory::Upstream,
     urls: Vec<String>,
+    running: &[Upstream],
 ) -> Result<Upstream, Failure> {
     let mut said = Announcement {
         upstream: entry.name.clone(),
@@ -200,7 +202,11 @@
             engine = Some(started);
         }
         Offer::Service => {
-            let started = Service::start(Conduct::default()).await?;
+            let same = running.iter().find(|u| u.offers == entry.service);
+            let started = match same.and_then(|u| u.service.as_ref()) {
+                Some(first) => first.replica().await?,
+                None => Service::start(Conduct::default()).await?,
+            };
             said.address = started.line().url();
             service = Some(started);
         }
@@ -211,6 +217,7 @@
         domain: entry.domain.to_string(),
         engine,
         service,
+        offers: entry.service.clone(),
         _announcer: Announcer::start(said, credential, urls),
     })
 }
@@ -243,9 +250,8 @@
         deployment.entries = start_entries(&deployment.addresses).await?;
         for entry in &inventory.upstreams {
             let urls = deployment.urls(Some(entry.domain.as_str()));
-            deployment
-                .upstreams
-                .push(start_upstream(entry, urls).await?);
+            let started = start_upstream(entry, urls, &deployment.upstreams).await?;
+            deployment.upstreams.push(started);
         }
         deployment.wait_for_upstreams().await?;
         Ok(deployment)
@@ -312,9 +318,13 @@
             .sum()
     }
 
-    /// Returns how often the booking of a key ran, over all booking services.
+    /// Returns how often the booking of a key ran, on any instance of the booking service.
     pub fn bookings(&self, key: &str) -> u64 {
-        let services = self.upstreams.iter().filter_map(|u| u.service.as_ref());
-        services.map(|service| service.runs(key)).sum()
+        let mut services = self.upstreams.iter().filter(|u| {
+            let offers = u.offers.as_ref().map(name::Service::as_str);
+            offers == Some("booking")
+        });
+        let service = services.find_map(|u| u.service.as_ref());
+        service.map_or(0, |service| service.runs(key))
     }
 }
--- a/crates/node/examples/quickstart/load.rs
+++ b/crates/node/examples/quickstart/load.rs
@@ -19,6 +19,15 @@
 /// Requests that run at once.
 const CONCURRENCY: usize = 8;
 
+/// Interval of requests, below the rate that the inventory grants [`ACCOUNTS`] together.
+const INTERVAL: Duration = Duration::from_millis(14);
+
+/// Client accounts that send, in turn.
+const ACCOUNTS: [&str; 3] = ["crown-dispatch", "wa-growers", "crown-dispatch"];
+
+/// Times that a request is repeated when its client account is over its rate.
+const REPEATS: u32 = 5;
+
 /// A kind of request of the example.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
@@ -124,8 +133,24 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner) = ready;
     }
 
-    /// Sends one request of a kind.
+    /// Sends one request of a kind and comes back when it is told to.
     pub async fn send(&self, kind: Kind, number: u64, stream: bool) -> Result<Answer, Failure> {
+        let start = Instant::now();
+        let mut answer = self.send_once(kind, number, stream).await?;
+        for _ in 0..REPEATS {
+            if answer.status != StatusCode::TOO_MANY_REQUESTS {
+                break;
+            }
+            let told: Value = serde_json::from_str(&answer.body)?;
+            let millis = told["error"]["retry_after_ms"].as_u64();
+            sleep(Duration::from_millis(millis.ok_or("no time to come back")?)).await;
+            answer = self.send_once(kind, number, stream).await?;
+        }
+        answer.time = start.elapsed();
+        Ok(answer)
+    }
+
+    async fn send_once(&self, kind: Kind, number: u64, stream: bool) -> Result<Answer, Failure> {
         let url = self.url().ok_or("no instance is ready")?;
         let key = format!("{}-{number}", kind.name().replace(' ', "-"));
         let request = match kind {
@@ -146,7 +171,8 @@
                 .header("idempotency-key", &key)
                 .json(&json!({"palm": number})),
         };
-        finish(request.bearer_auth("example-key-crown-dispatch")).await
+        let account = ACCOUNTS[usize::try_from(number)? % ACCOUNTS.len()];
+        finish(request.bearer_auth(format!("example-key-{account}"))).await
     }
 
     /// Sends a booking through the instance at `url`.
@@ -170,6 +196,7 @@
             }
             let caller = self.clone();
             open.spawn(async move { caller.send(kind, number, number % 2 == 0).await });
+            sleep(INTERVAL).await;
         }
         while let Some(answer) = open.join_next().await {
             take(&mut seen, Some(answer))?;
@@ -190,7 +217,7 @@
             while open.len() >= CONCURRENCY {
                 take(&mut seen, open.join_next().await)?;
             }
-            sleep(Duration::from_millis(2)).await;
+            sleep(INTERVAL).await;
         }
         while let Some(answer) = open.join_next().await {
             take(&mut seen, Some(answer))?;
--- a/crates/node/src/fake/service.rs
+++ b/crates/node/src/fake/service.rs
@@ -68,6 +68,19 @@
         })
     }
 
+    /// Starts another instance of the service, with the same bookings and faults.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn replica(&self) -> io::Result<Self> {
+        let line = Line::start(Handler(self.shared.clone())).await?;
+        Ok(Self {
+            line: Arc::new(line),
+            shared: self.shared.clone(),
+        })
+    }
+
     /// Returns its connections.
     #[must_use]
     pub fn line(&self) -> &Line {
