--- a/crates/core/src/consensus.rs
+++ b/crates/core/src/consensus.rs
@@ -32,6 +32,9 @@
 use crate::time::Span;
 
 /// Interval between a leader's heartbeats.
+///
+/// The lease outlasts one lost heartbeat. A shorter interval adds to the idle cost, which is bounded
+/// by 3 KB/s per instance.
 pub const HEARTBEAT: Span = Span::from_millis(400);
 
 /// Longest time between two ticks that a process may leave.
--- a/crates/core/src/storage/frame.rs
+++ b/crates/core/src/storage/frame.rs
@@ -1,3 +1,5 @@
+use std::io;
+
 use super::Error;
 
 /// Bytes before a frame's body: length and CRC32 with 4 bytes each, and number with 8 bytes, all
@@ -16,10 +18,10 @@
 
 /// Returns the frame as bytes.
 pub fn encode(number: u64, body: &[u8]) -> Result<Vec<u8>, Error> {
-    let length = u32::try_from(body.len()).map_err(|_| Error::Damaged {
-        file: String::new(),
-        offset: 0,
-        problem: format!("a record of {} bytes is too long", body.len()),
+    let length = u32::try_from(body.len()).map_err(|e| Error::Disk {
+        operation: "encode",
+        file: format!("a frame of {} bytes", body.len()),
+        source: io::Error::new(io::ErrorKind::InvalidInput, e),
     })?;
     let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
     bytes.extend_from_slice(&length.to_le_bytes());
--- a/crates/core/tests/consensus/world.rs
+++ b/crates/core/tests/consensus/world.rs
@@ -490,6 +490,7 @@
         Folder::create(self.nodes[node].disk.boxed(), &image).unwrap();
     }
 
+    /// Starts a process after a delay in milliseconds, unless it runs already.
     pub fn start_in(&mut self, delay: u64, node: usize) {
         self.push(delay, Item::Start { node });
     }
