--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -3,6 +3,7 @@
 //! [`start`] serves callers and upstreams. The decisions about a request are
 //! in [`masticlock_core::attempt`]; this module only carries them out.
 
+mod deliver;
 mod driver;
 mod front;
 mod guard;
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -30,6 +30,8 @@
     assert_eq!(bills.len(), 1);
     assert_eq!(bills[0].cost(), 26);
     eventually(|| town.site.fleet.used() == 0).await;
+    let counts = town.site.evidence.read(|pool| pool.total(|_| true));
+    assert_eq!((counts.started, counts.completed, counts.errors), (1, 1, 0));
 }
 
 /// Guards against a stream with gaps, duplicates, no cost or no end mark.
--- a/crates/node/tests/entry_limits.rs
+++ b/crates/node/tests/entry_limits.rs
@@ -8,7 +8,7 @@
 use kit::{ask, content, eventually, messages, model, start};
 use masticlock::{
     entry::RawLimits,
-    fake::{Profile, Town, text_of},
+    fake::{Profile, Town, settings, text_of},
 };
 use reqwest::Client;
 use serde_json::Value;
@@ -199,6 +199,24 @@
     assert_eq!(town.engines[0].record().runs, 0);
 }
 
+/// Guards against settings under which an instance refuses or holds everything.
+#[test]
+fn settings_out_of_range_are_refused() {
+    type Change = fn(&mut RawLimits);
+    let cases: [(&str, Change); 4] = [
+        ("limits.total_ms", |l| l.total_ms = 0),
+        ("limits.attempts", |l| l.attempts = 0),
+        ("limits.connections", |l| l.connections = 0),
+        ("limits.certainty", |l| l.certainty = 1.5),
+    ];
+    for (field, change) in cases {
+        let mut limits = LIMITS;
+        change(&mut limits);
+        let error = settings(limits).unwrap_err().to_string();
+        assert!(error.contains(field), "{error}");
+    }
+}
+
 fn slow(tokens: u64) -> Profile {
     Profile {
         tokens,
