--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -11,7 +11,6 @@
 mod metrics;
 mod pool;
 mod reply;
-mod run;
 mod send;
 mod settings;
 mod sse;
@@ -39,7 +38,6 @@
 };
 
 pub use job::key_digest;
-pub use run::run;
 pub use settings::{RawLimits, RawSettings, Settings, SettingsError};
 
 use crate::{
@@ -148,6 +146,14 @@
         *self.stage.borrow() == Stage::Serving
     }
 
+    /// Returns whether the own failure domain gets no new work, so that the load balancer should
+    /// use other instances.
+    fn is_taken_out(&self) -> bool {
+        let snapshot = self.snapshot.load();
+        let taken_out = &snapshot.config.taken_out;
+        taken_out.binary_search(&self.settings.domain).is_ok()
+    }
+
     fn is_closed(&self) -> bool {
         *self.stage.borrow() >= Stage::Closed
     }
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -372,9 +372,14 @@
         avoid: Vec<name::Upstream>,
         (wait, hold): (Span, Option<Span>),
     ) {
+        let fingerprint = match &self.job.kind {
+            Kind::Model { ask, .. } => Some(ask.fingerprint),
+            Kind::Call { .. } => None,
+        };
         let ask = slot::Ask {
             request: self.job.ask.id.clone(),
             account: self.job.ask.account.clone(),
+            fingerprint,
             target,
             avoid,
             wait,
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -47,7 +47,7 @@
         let path = request.uri().path();
         match path {
             "/healthz" => Ok(status(StatusCode::OK)),
-            "/readyz" if self.0.is_ready() => Ok(status(StatusCode::OK)),
+            "/readyz" if self.0.is_ready() && !self.0.is_taken_out() => Ok(status(StatusCode::OK)),
             "/readyz" => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
             "/v1/chat/completions" if *request.method() == Method::POST => self.work(request).await,
             "/upstreams/v1/announce" if *request.method() == Method::POST => {
@@ -78,15 +78,17 @@
             arrived,
         };
         if request.uri().path().starts_with("/services/") {
-            let job = entrance.call(request.method(), request.uri(), body)?;
+            let mut job = entrance.call(request.method(), request.uri(), body)?;
             if snapshot.cut_off().is_some() && !job.is_repeatable() {
                 let message = "a call that runs at most once needs a majority of control";
                 return Err(error::Error::new(error::Kind::CutOff, message));
             }
+            job.admission = shared.slots.admit(&job.ask.account).await?;
             return Ok(self.run(job).await);
         }
-        let job = entrance.model(&body)?;
+        let mut job = entrance.model(&body)?;
         drop(body);
+        job.admission = shared.slots.admit(&job.ask.account).await?;
         self.model(job).await
     }
 
--- a/crates/node/src/peer/methods.rs
+++ b/crates/node/src/peer/methods.rs
@@ -4,7 +4,7 @@
 };
 
 use jsonrpsee::{Methods, RpcModule, core::RegisterMethodError, types::ErrorObjectOwned};
-use masticlock_core::{error, slot::Renewal};
+use masticlock_core::{error, limit, slot::Renewal};
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{Peer, wire};
@@ -49,11 +49,14 @@
     add(&mut module, wire::GOSSIP, gossip)?;
     add(&mut module, wire::ANNOUNCE, announce)?;
     add(&mut module, wire::ACQUIRE, acquire)?;
+    add(&mut module, wire::PLACE, place)?;
+    add(&mut module, wire::SUMMARY, summary)?;
     add(&mut module, wire::RENEW, renew)?;
     add(&mut module, wire::RELEASE, release)?;
     add(&mut module, wire::HANDOVER, handover)?;
     add(&mut module, wire::WITNESS_OPEN, open)?;
     add(&mut module, wire::WITNESS_CLOSE, close)?;
+    add(&mut module, wire::BORROW, borrow)?;
     add(&mut module, wire::RESTRICT, restrict)?;
     Ok(module.into())
 }
@@ -85,6 +88,17 @@
     })
 }
 
+async fn place(peer: Arc<Peer>, params: wire::Acquire) -> Result<wire::Acquired, error::Error> {
+    Ok(match peer.place(params).await {
+        Ok(lease) => wire::Acquired::Granted(lease),
+        Err(refusal) => wire::Acquired::Refused(refusal),
+    })
+}
+
+async fn summary(peer: Arc<Peer>, _: wire::Nothing) -> Result<Vec<wire::Free>, error::Error> {
+    Ok(peer.summary())
+}
+
 async fn renew(peer: Arc<Peer>, params: wire::Renew) -> Result<Vec<Renewal>, error::Error> {
     let now = peer.now();
     let mut state = peer.state();
@@ -123,6 +137,10 @@
     Ok(())
 }
 
+async fn borrow(peer: Arc<Peer>, params: wire::Borrow) -> Result<limit::Grant, error::Error> {
+    Ok(peer.lend(&params.account, &params.holder, params.ask))
+}
+
 async fn restrict(peer: Arc<Peer>, params: wire::Restrict) -> Result<(), error::Error> {
     peer.restrict(params.id, params.limit);
     Ok(())
