--- /dev/null
+++ b/scenario/src/bin/fault-matrix.rs
@@ -0,0 +1,7 @@
+//! Prints the fault matrix.
+
+use masticlock_scenario::matrix;
+
+fn main() {
+    print!("{}", matrix::page(&matrix::all()));
+}
--- a/scenario/src/lib.rs
+++ b/scenario/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 pub mod invariant;
+pub mod matrix;
 pub mod run;
 pub mod script;
 pub mod syntax;
--- a/scenario/src/run.rs
+++ b/scenario/src/run.rs
@@ -10,10 +10,10 @@
 };
 
 use crate::{
-    invariant,
+    invariant::{self, Violation},
     script::{Action, Expect, Script, Step},
     world::{
-        SETTLED, Unknown, World, change_of,
+        self, Mutation, SETTLED, Unknown, World, change_of,
         record::{Asked, End, Record},
     },
 };
@@ -25,8 +25,14 @@
 /// What a script showed.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
-    /// Expectations and invariants that did not hold.
+    /// Expectations that did not hold.
     pub failures: Vec<String>,
+    /// Invariants that were broken.
+    pub broken: Vec<Violation>,
+    /// Placed faults that struck.
+    pub struck: usize,
+    /// Whether a message fault is placed that no message met.
+    pub pending: bool,
     /// Steps that were run.
     pub steps: usize,
     /// Requests of callers, resends included.
@@ -41,11 +47,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} steps, {} requests, {} runs, {} failures, digest {}",
+            "{} steps, {} requests, {} runs, {} failures, {} broken, digest {}",
             self.steps,
             self.requests,
             self.runs,
             self.failures.len(),
+            self.broken.len(),
             &self.digest[..16]
         )
     }
@@ -58,51 +65,77 @@
     expect: Expect,
 }
 
+/// A fault to place while a script runs.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Time of the script from which on the step counts.
+    pub from: Time,
+    /// The step.
+    pub step: world::step::Step,
+    /// The request whose step counts; `None` counts that of any.
+    pub label: Option<&'static str>,
+    /// The fault.
+    pub column: world::step::Column,
+}
+
 /// Runs a script.
 ///
 /// # Errors
 ///
 /// Returns [`Unknown`] if the script names a deployment or part that does not exist.
 pub fn run(script: &Script) -> Result<Report, Unknown> {
-    let mut world = World::new(script.seed, None);
+    run_with(script, None, None)
+}
+
+/// Runs a script with a placed fault and a deliberate one.
+///
+/// # Errors
+///
+/// Returns [`Unknown`] if the script names a deployment or part that does not exist.
+pub fn run_with(
+    script: &Script,
+    placement: Option<&Placement>,
+    mutation: Option<Mutation>,
+) -> Result<Report, Unknown> {
+    let mut world = World::new(script.seed, mutation);
     let deployment = script.deployment.as_deref().unwrap_or("pindan-crown");
     world.deploy(deployment, &script.parts)?;
     let mut report = Report::default();
     let mut later = Vec::new();
+    let mut placement = placement;
     for step in &script.steps {
+        if let Some(p) = placement.take_if(|p| p.from <= step.at) {
+            world.run_until(SETTLED + p.from.since(Time::ZERO));
+            world.place(p.step, p.label, p.column);
+        }
         let at = SETTLED + step.at.since(Time::ZERO);
         world.run_until(at);
         report.steps += 1;
-        if let Action::Expect(expect) = &step.action {
-            match expect {
-                Expect::InForce | Expect::OneLeader => {
-                    if let Some(seen) = expected_now(&mut world, expect) {
-                        report.failures.push(format!("line {}: {seen}", step.line));
-                    }
+        match &step.action {
+            Action::Expect(expect @ (Expect::InForce | Expect::OneLeader | Expect::Repaired)) => {
+                if let Some(seen) = expected_now(&mut world, expect) {
+                    report.failures.push(format!("line {}: {seen}", step.line));
                 }
-                _ => later.push(Later {
-                    line: step.line,
-                    at,
-                    expect: expect.clone(),
-                }),
             }
-        } else {
-            act(&mut world, step)?;
+            Action::Expect(expect) => later.push(Later {
+                line: step.line,
+                at,
+                expect: expect.clone(),
+            }),
+            _ => act(&mut world, step)?,
         }
     }
     world.run_until(world.now() + REST);
     let told = world.outcomes().to_vec();
+    report.struck = world.struck().len();
+    report.pending = world.has_pending_fate();
     let record = world.finish();
     for later in later {
         if let Some(seen) = expected(&record, &told, &later) {
             report.failures.push(format!("line {}: {seen}", later.line));
         }
     }
-    let broken = invariant::broken(&record);
-    let broken = broken
-        .into_iter()
-        .map(|v| format!("{}: {}", v.name, v.seen));
-    report.failures.extend(broken);
+    report.broken = invariant::broken(&record);
     report.requests = record.asked.len();
     report.runs = record.runs.len();
     report.digest = digest(&record);
@@ -128,7 +161,12 @@
 }
 
 fn parts(world: &World, name: &str) -> Result<Vec<usize>, Unknown> {
-    let found = world.members_of(name);
+    let leader = world.leader();
+    let found = match name {
+        "leader" => leader.into_iter().collect(),
+        "others" => world.all().filter(|id| Some(*id) != leader).collect(),
+        _ => world.members_of(name),
+    };
     if found.is_empty() {
         return Err(Unknown::Part(name.to_owned()));
     }
@@ -213,6 +251,7 @@
             let leaders = world.leaders();
             (leaders != 1).then(|| format!("{leaders} leaders"))
         }
+        Expect::Repaired => (!world.is_repaired()).then(|| "a repair is not complete".to_owned()),
         _ => world.not_in_force(),
     }
 }
@@ -239,6 +278,10 @@
             let runs = runs(record, label);
             (runs != 1).then(|| format!("{label} ran {runs} times"))
         }
+        Expect::RanAtMost(label, most) => {
+            let runs = runs(record, label);
+            (runs > *most).then(|| format!("{label} ran {runs} times"))
+        }
         Expect::BilledOnce(label) => {
             let billed = record.asked.iter().filter(|a| {
                 a.label == *label
@@ -281,7 +324,7 @@
             ))
             .then(|| format!("{id} has the outcome {outcome:?}"))
         }
-        Expect::InForce | Expect::OneLeader => None,
+        Expect::InForce | Expect::OneLeader | Expect::Repaired => None,
     }
 }
 
--- a/scenario/src/script.rs
+++ b/scenario/src/script.rs
@@ -1,6 +1,9 @@
 //! A parsed script.
 
-use masticlock_core::{name, time::Time};
+use masticlock_core::{
+    name,
+    time::{Span, Time},
+};
 
 /// What a part of the deployment is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +58,8 @@
     pub work: Work,
     /// The caller's session.
     pub session: Option<String>,
+    /// How long the upstream works on it; `None` is a short time.
+    pub takes: Option<Span>,
 }
 
 /// What a request asks for.
@@ -164,6 +169,10 @@
     NotRun(String),
     /// The request's work ran exactly once.
     RanOnce(String),
+    /// The request's work ran at most that often.
+    RanAtMost(String, usize),
+    /// Every replica that lost its data is a voter again.
+    Repaired,
     /// The request was billed exactly once.
     BilledOnce(String),
     /// No work starts on the failure domain, upstream or version from now on.
--- a/scenario/src/syntax.rs
+++ b/scenario/src/syntax.rs
@@ -43,7 +43,7 @@
     Seed(u64),
     Deployment(String),
     Part(Part),
-    Step(Time, Action),
+    Steps(Vec<(Time, Action)>),
 }
 
 /// Parses a script.
@@ -72,11 +72,15 @@
                 column: 1,
                 problem: format!("{} is declared twice", part.name),
             })?,
-            Statement::Step(time, action) => script.steps.push(Step {
-                line: at + 1,
-                at: time,
-                action,
-            }),
+            Statement::Steps(steps) => {
+                script
+                    .steps
+                    .extend(steps.into_iter().map(|(time, action)| Step {
+                        line: at + 1,
+                        at: time,
+                        action,
+                    }));
+            }
         }
     }
     script.steps.sort_by_key(|step| step.at);
@@ -159,8 +163,11 @@
         after("entry", cut_err(plain(Role::Entry))).map(Statement::Part),
         after("engine", cut_err(engine)).map(Statement::Part),
         after("service", cut_err(service)).map(Statement::Part),
-        after("at", cut_err((terminated(time, space1), action)))
-            .map(|(at, action)| Statement::Step(at, action)),
+        after(
+            "at",
+            cut_err((terminated(time, space1), opt(repeated), action)),
+        )
+        .map(|(at, repeated, action)| Statement::Steps(steps(at, repeated, &action))),
         fail.context(expected(
             "seed, deployment, control, entry, engine, service or at",
         )),
@@ -178,6 +185,31 @@
     Ok(Time::ZERO + Span::from_millis(amount * unit))
 }
 
+/// The number of repeats of an action and the time between them.
+fn repeated(input: &mut &str) -> ModalResult<(u64, Span)> {
+    let (count, every) = (
+        after("repeat", cut_err(number)),
+        terminated(then("every", time), space1),
+    )
+        .parse_next(input)?;
+    Ok((count, every.since(Time::ZERO)))
+}
+
+/// Repeats an action. Requests get the number of the repeat behind their labels.
+fn steps(at: Time, repeated: Option<(u64, Span)>, action: &Action) -> Vec<(Time, Action)> {
+    let Some((count, every)) = repeated else {
+        return vec![(at, action.clone())];
+    };
+    let one = |number: u64| {
+        let mut action = action.clone();
+        if let Action::Send(request) = &mut action {
+            request.label = format!("{}-{}", request.label, number + 1);
+        }
+        (at + every.times(number), action)
+    };
+    (0..count).map(one).collect()
+}
+
 fn plain<'s>(role: Role) -> impl Parser<&'s str, Part, winnow::error::ErrMode<ContextError>> {
     (text, then("in", named)).map(move |(name, domain)| Part {
         name,
@@ -274,11 +306,12 @@
 }
 
 fn request(input: &mut &str, label: String, work: Work) -> ModalResult<Action> {
-    let (account, through, key, session, crashes) = (
+    let (account, through, key, session, takes, crashes) = (
         then("as", named),
         then("through", text),
         opt(then("key", text)),
         opt(then("session", text)),
+        opt(then("takes", time)),
         opt((space1, "crashes")),
     )
         .parse_next(input)?;
@@ -290,6 +323,7 @@
         crashes: crashes.is_some(),
         work,
         session,
+        takes: takes.map(|end| end.since(Time::ZERO)),
     }))
 }
 
@@ -340,6 +374,15 @@
             after("on", cut_err(text)),
         )
         .map(Expect::NoNewWork),
+        "repaired".value(Expect::Repaired),
+        (
+            text,
+            preceded(
+                (space1, "ran", space1, "at", space1),
+                after("most", cut_err(number)),
+            ),
+        )
+            .map(|(label, times)| Expect::RanAtMost(label, times)),
         (terminated(text, space1), fate).map(|(label, fate)| fate(label)),
     ))
     .parse_next(input)
--- a/scenario/src/world/control.rs
+++ b/scenario/src/world/control.rs
@@ -24,8 +24,10 @@
     step::Step,
 };
 
-/// Entries after which a snapshot is taken, so that a repair sends one.
-const SNAPSHOT_EVERY: u64 = 20;
+/// Entries after which a snapshot is taken. Few, so that a repair sends one.
+const SNAPSHOT_EVERY: u64 = 4;
+/// Entries that stay in memory behind a snapshot.
+const TRAILING: u64 = 1;
 
 /// What stays when the process ends.
 pub(super) struct Control {
@@ -165,6 +167,10 @@
         let machine = restore(&image.snapshot.data);
         let settings = consensus::Settings {
             seed,
+            limits: consensus::Limits {
+                trailing: TRAILING,
+                ..consensus::Limits::default()
+            },
             ..consensus::Settings::default()
         };
         let config = Arc::new(machine.config().clone());
--- a/scenario/src/world/fault.rs
+++ b/scenario/src/world/fault.rs
@@ -76,6 +76,11 @@
         self.push(Span::ZERO, Due::Tick(id, self.parts[id].boot));
     }
 
+    /// Returns all parts.
+    pub fn all(&self) -> impl Iterator<Item = Id> + use<> {
+        0..self.parts.len()
+    }
+
     /// Returns the parts that a name stands for: a part, or those of a failure domain.
     #[must_use]
     pub fn members_of(&self, name: &str) -> Vec<Id> {
--- a/scenario/src/world/front.rs
+++ b/scenario/src/world/front.rs
@@ -177,6 +177,7 @@
             service: admitted.service,
             repeatable,
             crashes: asked.crashes,
+            takes: asked.takes,
         });
         if let Some(process) = self.entry(id) {
             process.jobs.push(job);
--- a/scenario/src/world/job.rs
+++ b/scenario/src/world/job.rs
@@ -57,6 +57,7 @@
     pub(super) service: Option<name::Service>,
     pub(super) repeatable: bool,
     pub(super) crashes: bool,
+    pub(super) takes: Option<Span>,
     pub(super) machine: Machine,
     pub(super) first: Vec<Action>,
     pub(super) gate: Gate,
@@ -79,6 +80,7 @@
     pub(super) service: Option<name::Service>,
     pub(super) repeatable: bool,
     pub(super) crashes: bool,
+    pub(super) takes: Option<Span>,
 }
 
 impl Job {
@@ -93,6 +95,7 @@
             service: opening.service,
             repeatable: opening.repeatable,
             crashes: opening.crashes,
+            takes: opening.takes,
             machine,
             first,
             gate: Gate::Evidence,
--- a/scenario/src/world/lease.rs
+++ b/scenario/src/world/lease.rs
@@ -74,7 +74,7 @@
             self.forward(id, &announcement, per_instance);
             return;
         }
-        let me = instance(&self.parts[id].name);
+        let (me, boot) = (instance(&self.parts[id].name), self.parts[id].boot);
         let Some(upstream) = self.find(announcement.upstream.as_str()) else {
             return;
         };
@@ -86,13 +86,14 @@
             || (process.gossip.store().get(&key))
                 .is_some_and(|r| r.incarnation == announcement.incarnation);
         if mutation == Some(Mutation::NoTakeoverWait)
-            && let Some(token) = announcement.token.clone().filter(|t| t.owner != me)
+            && let Some(token) =
+                (announcement.token.clone()).filter(|t| t.owner != me || t.boot != boot)
         {
             take_at_once(&mut process.table, &announcement, &token, now);
         }
         if per_instance && let Some(token) = &mut announcement.token {
             // Every instance believes that the token is its own.
-            (token.owner, token.boot) = (me, self.parts[id].boot);
+            (token.owner, token.boot) = (me, boot);
         }
         let Some(process) = self.entry(id) else {
             return;
--- a/scenario/src/world/message.rs
+++ b/scenario/src/world/message.rs
@@ -1,8 +1,9 @@
 //! Messages between the parts.
 
 use masticlock_core::{
-    attempt::Usage, claim, command, consensus, directory, feed, gossip, ledger, machine, name,
-    slot, time::Time,
+    attempt::Usage,
+    claim, command, consensus, directory, feed, gossip, ledger, machine, name, slot,
+    time::{Span, Time},
 };
 
 use super::Id;
@@ -81,7 +82,7 @@
         request: name::Request,
         attempt: u32,
         result: Result<slot::Lease, slot::Refusal>,
-        hold: Option<masticlock_core::time::Span>,
+        hold: Option<Span>,
         sent: Time,
     },
     /// `slot.renew`.
@@ -140,6 +141,10 @@
     pub after: Option<u64>,
     /// Whether running it crashes the upstream.
     pub crashes: bool,
+    /// The request's deadline.
+    pub deadline: Time,
+    /// How long the upstream works on it; `None` is a short time.
+    pub takes: Option<Span>,
     /// Since when the sender had contact with a leader.
     pub reachable: Option<Time>,
 }
--- a/scenario/src/world/net.rs
+++ b/scenario/src/world/net.rs
@@ -77,6 +77,12 @@
         self.fate = Some((flow, part, fate));
     }
 
+    /// Returns whether a fate is set that no message met.
+    #[must_use]
+    pub const fn has_fate(&self) -> bool {
+        self.fate.is_some()
+    }
+
     /// Returns the times at which a message arrives.
     pub fn arrivals(&mut self, from: Id, to: Id, flow: Flow, at: Time) -> Vec<Time> {
         if from != to && (!self.passes(from, to) || self.is_silent(from, to)) {
--- a/scenario/src/world/step.rs
+++ b/scenario/src/world/step.rs
@@ -178,6 +178,12 @@
         &self.injector.struck
     }
 
+    /// Returns whether a message fault is placed that no message met.
+    #[must_use]
+    pub const fn has_pending_fate(&self) -> bool {
+        self.net.has_fate()
+    }
+
     /// Notes that a step is reached at a part, and lets a fault placed there strike.
     pub(super) fn reach(&mut self, step: Step, id: Id, request: Option<&name::Request>) {
         let label = request.and_then(|r| {
@@ -332,5 +338,6 @@
         crashes: true,
         work: script::Work::Task(name::Task::try_from("palm-question").expect("a name")),
         session: None,
+        takes: None,
     }
 }
--- a/scenario/src/world/upstream.rs
+++ b/scenario/src/world/upstream.rs
@@ -250,7 +250,13 @@
         }
         upstream.next += 1;
         let number = upstream.next;
-        let load = u32::try_from(upstream.runs.len()).unwrap_or(u32::MAX) + 1;
+        // A slot lasts until the deadline of a call that can't be cancelled.
+        let held = upstream
+            .runs
+            .iter()
+            .filter(|r| now < r.work.deadline)
+            .count();
+        let load = u32::try_from(held).unwrap_or(u32::MAX) + 1;
         let run = record::Run {
             at: now,
             upstream: name::Upstream::try_from(name).expect("part names are names"),
@@ -266,7 +272,11 @@
             reachable: work.reachable,
         };
         let crashes = work.crashes;
-        let first = if work.version.is_some() { FIRST } else { CALL };
+        let first = match (work.version.is_some(), work.takes) {
+            (true, _) => FIRST,
+            (false, Some(takes)) => takes,
+            (false, None) => CALL,
+        };
         upstream.runs.push(Run {
             number,
             offset: work.after.map_or(0, |after| after + 1),
@@ -321,7 +331,10 @@
             let text = (!streams).then(|| answer_of(&work.label));
             self.signal_to(id, &work, to, Signal::End { text });
         } else {
-            self.push(BETWEEN, Due::Progress(id, boot, number));
+            let between = work.takes.map_or(BETWEEN, |takes| {
+                Span::from_millis(takes.as_millis() / PIECES)
+            });
+            self.push(between, Due::Progress(id, boot, number));
         }
     }
 
--- a/scenario/src/world/wire.rs
+++ b/scenario/src/world/wire.rs
@@ -83,6 +83,8 @@
             repeatable: job.repeatable,
             after,
             crashes: job.crashes,
+            deadline: job.ask.deadline,
+            takes: job.takes,
             reachable,
         };
         self.send(id, upstream, Body::Work(Box::new(work)));
--- a/scenario/tests/scripts.rs
+++ b/scenario/tests/scripts.rs
@@ -32,6 +32,7 @@
             "{name} differs between two runs"
         );
         failures.extend(first.failures.iter().map(|f| format!("{name}: {f}")));
+        failures.extend(first.broken.iter().map(|v| format!("{name}: {v:?}")));
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
