--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -7,10 +7,10 @@
 use std::cmp::Ordering;
 
 use crate::{
-    config::{self, Standing},
+    config::{self, Progress, Standing},
     error::{self, Kind},
     estimate::Estimates,
-    evidence,
+    evidence::{self, Arm},
     inventory::{AccountRule, TaskRule, WhenFull},
     name,
     policy::{Considered, Plan, Planner, Verdict, View},
@@ -22,19 +22,25 @@
 pub mod share;
 
 use option::Candidate;
+use share::{Comparison, Part};
 
 /// Deviations of predicted quality that are taken off its mean before it is compared with the target.
-pub const CAUTION: f64 = 1.0;
+pub const CAUTION: f64 = 0.1;
 
 /// Deviations above its mean at which a plan must reach the target to be explored.
-pub const HOPE: f64 = 1.0;
+pub const HOPE: f64 = 0.5;
+
+/// Requests of a task over which plans that are explored may use up the surplus of the others.
+pub const SURPLUS_REQUESTS: f64 = 200.0;
 
 /// Most plans that are listed as considered.
 pub const MAX_CONSIDERED: usize = 8;
 
 /// Chooses plans from evidence.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Adaptive {
+    /// Deviations that are taken off predicted quality.
+    caution: f64,
     estimates: Estimates,
     /// Revision that `estimates` and `standings` belong to.
     revision: Option<u64>,
@@ -42,6 +48,8 @@
     standings: Vec<Standing>,
     /// Kept between requests so that choosing doesn't allocate.
     options: Vec<Candidate>,
+    /// By task, the predicted quality above target of the latest requests, summed.
+    surplus: Vec<f64>,
 }
 
 /// A request with the rules that apply to it.
@@ -57,8 +65,21 @@
 impl Adaptive {
     /// Returns a planner that knows only priors.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub const fn new() -> Self {
+        Self::with_caution(CAUTION)
+    }
+
+    /// Returns a planner that takes `caution` deviations off predicted quality.
+    #[must_use]
+    pub const fn with_caution(caution: f64) -> Self {
+        Self {
+            caution,
+            estimates: Estimates::EMPTY,
+            revision: None,
+            standings: Vec::new(),
+            options: Vec::new(),
+            surplus: Vec::new(),
+        }
     }
 
     /// Returns the predictions in use.
@@ -90,6 +111,7 @@
         let explored = self.explored(case, taken);
         let mut plan = self.options[explored.unwrap_or(taken)].plan(case);
         plan.explores = explored.is_some();
+        self.count_surplus(case, plan.quality - case.ask.quality);
         let considered = self.considered(case, explored.unwrap_or(taken), &plan);
         if explored.is_none() {
             self.compare(case, &mut plan);
@@ -126,8 +148,12 @@
             return Err(overloaded(&option));
         }
         let mut plan = option.plan(case);
-        if let Some(comparison) = share::comparison(case.view.config, case.ask, &plan.steps) {
-            plan.arm = comparison.arm(&plan.steps[0]);
+        let rollout = (case.view.config.rollouts.iter())
+            .find(|r| r.version == plan.steps[0] && r.progress == Progress::Running);
+        if let Some(rollout) = rollout {
+            // A session outlives the conditions under which it began, so it
+            // counts for exposure and not for the comparison.
+            plan.arm = Arm::Share(rollout.since);
         }
         let chosen = Considered {
             plan: plan.clone(),
@@ -185,7 +211,7 @@
         let hopeful = |o: &Candidate| o.quality.mean >= case.ask.quality;
         let closest = (self.options.iter().enumerate())
             .filter(|(_, o)| o.in_time(case) && hopeful(o))
-            .max_by(|(_, a), (_, b)| a.bound().total_cmp(&b.bound()));
+            .max_by(|(_, a), (_, b)| a.bound.total_cmp(&b.bound));
         if let Some((at, _)) = closest {
             return Ok(at);
         }
@@ -224,7 +250,19 @@
         taken.ok_or_else(|| overloaded(option))
     }
 
-    /// Returns a cheaper plan that is taken to learn about it.
+    fn count_surplus(&mut self, case: &Case<'_>, surplus: f64) {
+        let task = self.estimates.task(&case.ask.task);
+        if self.surplus.len() <= task {
+            self.surplus.resize(task + 1, 0.0);
+        }
+        let sum = &mut self.surplus[task];
+        *sum += surplus - *sum / SURPLUS_REQUESTS;
+    }
+
+    /// Returns the cheaper plan with the largest expected saving, to learn whether it reaches the target.
+    ///
+    /// The mean predicted quality of a task's requests stays at its target: a
+    /// plan predicted below it is only taken against a surplus of earlier ones.
     fn explored(&self, case: &Case<'_>, taken: usize) -> Option<usize> {
         let chance = case.rule.explore;
         if !case.task.is_some_and(|t| t.explore)
@@ -234,51 +272,72 @@
             return None;
         }
         let limit = self.options[taken].cost;
-        self.options.iter().position(|o| {
+        let task = self.estimates.task(&case.ask.task);
+        let surplus = self.surplus.get(task).copied().unwrap_or(0.0);
+        let open = (self.options.iter().enumerate()).filter(|(_, o)| {
             o.cost < limit
                 && o.in_time(case)
                 && !o.full
                 && !o.gone
                 && !o.is_good(case)
                 && o.quality.lower(-HOPE) >= case.ask.quality
-        })
+                && surplus + o.quality.mean >= case.ask.quality
+        });
+        let gain = |o: &Candidate| (limit - o.cost) * o.quality.chance_above(case.ask.quality);
+        open.max_by(|(_, a), (_, b)| gain(a).total_cmp(&gain(b)))
+            .map(|(at, _)| at)
     }
 
-    /// Puts a version in roll-out in the place of its baseline for the stage's share of requests.
+    /// Applies the request's part in a roll-out to its plan.
     ///
-    /// Both arms are subject to the same conditions, so they differ in nothing
-    /// but the version.
+    /// Trial and control requests are drawn by hash under the same conditions
+    /// and run alone, so they differ in nothing but the version. Until the
+    /// comparison says otherwise, a version in roll-out counts as good as its baseline.
     fn compare(&self, case: &Case<'_>, plan: &mut Plan) {
         if case.view.cut_off.is_some() || !case.task.is_some_and(|t| t.explore) {
             return;
         }
-        let Some(comparison) = share::comparison(case.view.config, case.ask, &plan.steps) else {
+        let Some(Comparison { rollout, part }) = share::comparison(case.view.config, case.ask)
+        else {
             return;
         };
-        let rollout = comparison.rollout;
-        let exposed = self.estimates.exposed(&rollout.version, rollout.since);
-        let (Some(step), Some(at)) = (
-            plan.steps.iter().position(|v| *v == rollout.baseline),
-            case.index(&rollout.version),
-        ) else {
+        let (Some(new), Some(old)) = (case.index(&rollout.version), case.index(&rollout.baseline))
+        else {
             return;
         };
-        let option = option::single(self, case, at);
-        let open = exposed < rollout.stages[rollout.stage].exposure
-            && case.allows(at)
-            && case.is_served(at)
-            && option.in_time(case)
-            && !option.full
-            && !option.gone;
-        if open {
-            plan.arm = comparison.arm(if comparison.inside {
-                &rollout.version
-            } else {
-                &rollout.baseline
-            });
-            if comparison.inside {
+        let usable = |at| {
+            let option = option::single(self, case, at);
+            case.allows(at)
+                && self.standings[at] != Standing::Withdrawn
+                && option.in_time(case)
+                && !option.full
+                && !option.gone
+        };
+        let exposed = self.estimates.exposed(&rollout.version, rollout.since);
+        if !usable(new) || !usable(old) {
+            return;
+        }
+        let open = exposed < rollout.stages[rollout.stage].exposure;
+        let place = plan.steps.iter().position(|v| *v == rollout.baseline);
+        // Sessions outlive the conditions of one request, so they get the version
+        // by share only and take no part in the comparison.
+        let good = case.ask.session.is_none()
+            && option::single(self, case, old).quality.mean >= case.ask.quality;
+        match (part, place) {
+            (Part::Trial, _) if good && open => {
+                *plan = option::single(self, case, new).plan(case);
+                plan.arm = Arm::Candidate(rollout.since);
+            }
+            // The control goes on after the exposure is used up, and sharpens the comparison.
+            (Part::Control, _) if good => {
+                *plan = option::single(self, case, old).plan(case);
+                plan.arm = Arm::Control(rollout.since);
+            }
+            (Part::Share, Some(step)) if open => {
                 plan.steps[step] = rollout.version.clone();
+                plan.arm = Arm::Share(rollout.since);
             }
+            _ => {}
         }
     }
 
@@ -307,6 +366,12 @@
     }
 }
 
+impl Default for Adaptive {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Planner for Adaptive {
     fn plan(
         &mut self,
--- a/crates/node/src/entry/job.rs
+++ b/crates/node/src/entry/job.rs
@@ -1,11 +1,14 @@
 //! Admission: credential, headers and body of a request.
 
-use masticlock_core::{attempt, claim, config::Config, error, name, request, session, time::Time};
+use masticlock_core::{
+    attempt, claim, config::Config, error, name, request, session, slot, time::Time,
+};
 use poem::http::{HeaderMap, Method, Uri, header};
 use serde_json::{Map, Value};
 use sha2::{Digest, Sha256};
 
 use super::{Shared, wire::HOP_BY_HOP};
+use crate::port::Admission;
 
 /// A request that was admitted.
 pub(super) struct Job {
@@ -13,6 +16,8 @@
     pub(super) kind: Kind,
     pub(super) key: Option<claim::Key>,
     pub(super) fingerprint: request::Fingerprint,
+    /// Its place within the limits of the client account.
+    pub(super) admission: Admission,
 }
 
 impl Job {
@@ -263,6 +268,7 @@
             },
             key,
             fingerprint,
+            admission: Admission::unlimited(),
         })
     }
 
@@ -317,7 +323,8 @@
                     safety,
                     lookup: lookup.is_some(),
                 },
-                deadline: self.deadline(None)?,
+                // A slot that can't be taken back is lent for so long at most.
+                deadline: self.deadline(None)?.min(self.arrived + slot::HOLD_MAX),
                 outlives_caller: false,
                 prompt_tokens: 0,
                 seed: self.shared.next_seed(),
@@ -332,6 +339,7 @@
             },
             key,
             fingerprint,
+            admission: Admission::unlimited(),
         })
     }
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -2,9 +2,12 @@
 //! slots, restrictions, crash evidence and open records of bills.
 
 mod bills;
+mod limits;
 mod methods;
 mod run;
+mod runs;
 mod slots;
+mod spill;
 mod state;
 
 pub mod wire;
@@ -16,9 +19,10 @@
 };
 
 use arc_swap::ArcSwap;
+use jsonrpsee::Methods;
 use masticlock_core::{
     config, error,
-    gossip::{Body, Key, Status},
+    gossip::{self, Body, Key, Status},
     name,
     request::Fingerprint,
     suspect,
@@ -27,7 +31,14 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::{Notify, watch};
 
-use crate::{client::Pool, clock::Clock, control, port::Snapshot, rpc::Failure};
+use crate::{
+    client::{Control, Pool},
+    clock::Clock,
+    control,
+    port::Snapshot,
+    rpc::Failure,
+};
+pub use run::TICK;
 use state::State;
 
 /// Time limit of a call to an instance of the own failure domain.
@@ -57,6 +68,12 @@
     clock: Clock,
     pool: Pool,
     state: Mutex<State>,
+    /// The other failure domains. Never locked together with `state`.
+    far: Mutex<spill::Far>,
+    /// Never locked together with `state`.
+    runs: Mutex<runs::Runs>,
+    /// Without control replicas no suspect request runs.
+    control: Option<Control>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     /// Signals that a slot may have become free.
     freed: Notify,
@@ -66,7 +83,7 @@
     itself: Weak<Self>,
 }
 
-/// Starts the part on a bound listener.
+/// Starts the part on a bound listener, which also answers the methods `more`.
 ///
 /// # Errors
 ///
@@ -79,10 +96,17 @@
     settings: Settings,
     listener: TcpListener,
     snapshot: Arc<ArcSwap<Snapshot>>,
+    more: Methods,
 ) -> io::Result<Arc<Peer>> {
     let address = listener.local_addr()?;
     let clock = Clock::start();
     let pool = Pool::new(&settings.secret).map_err(io::Error::other)?;
+    let control = match settings.replicas.as_slice() {
+        [] => None,
+        replicas => {
+            Some(Control::new(replicas.to_vec(), &settings.secret).map_err(io::Error::other)?)
+        }
+    };
     let state = State::new(&settings, &address.to_string(), clock.now());
     let (stop, mut stopped) = watch::channel(false);
     let peer = Arc::new_cyclic(|itself| Peer {
@@ -91,13 +115,17 @@
         clock,
         pool,
         state: Mutex::new(state),
+        far: Mutex::default(),
+        runs: Mutex::default(),
+        control,
         snapshot,
         freed: Notify::new(),
         outbox: Notify::new(),
         stop,
         settings,
     });
-    let methods = methods::methods(&peer).map_err(io::Error::other)?;
+    let mut methods = methods::methods(&peer).map_err(io::Error::other)?;
+    methods.merge(more).map_err(io::Error::other)?;
     let secret = peer.settings.secret.clone();
     let server = async move {
         let end = async move {
@@ -133,6 +161,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn runs(&self) -> MutexGuard<'_, runs::Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn far(&self) -> MutexGuard<'_, spill::Far> {
+        self.far.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn call<P, R>(
         &self,
         address: &str,
@@ -186,6 +222,57 @@
         self.outbox.notify_one();
     }
 
+    /// Returns the restrictions that were made without the majority.
+    #[must_use]
+    pub fn restrictions(&self) -> Vec<(name::Restriction, config::Limit)> {
+        let state = self.state();
+        let records = state.gossip.store().records();
+        records
+            .filter_map(|record| match (&record.key, &record.body) {
+                (Key::Restriction(id), Body::Restriction(limit)) => {
+                    Some((id.clone(), limit.clone()))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Returns the records that concern all failure domains: restrictions and crash evidence.
+    #[must_use]
+    pub fn global_records(&self) -> Vec<gossip::Record> {
+        let state = self.state();
+        let is_global = |key: &Key| matches!(key, Key::Restriction(_) | Key::Evidence(_));
+        let records = state.gossip.store().records();
+        records.filter(|r| is_global(&r.key)).cloned().collect()
+    }
+
+    /// Takes records of other failure domains.
+    pub fn take_records(&self, records: Vec<gossip::Record>) {
+        if records.is_empty() {
+            return;
+        }
+        let now = self.now();
+        // The answer is for a sender that may lack records, and this one has them all.
+        let _answer = self
+            .state()
+            .gossip
+            .receive(gossip::Message::Push(records), now);
+        self.refresh();
+        self.outbox.notify_one();
+    }
+
+    /// Waits until two disks have all bills, at most for `limit`.
+    pub async fn drain(&self, limit: Span) {
+        let end = self.now() + limit;
+        while self.bills().open > 0 && self.now() < end {
+            tokio::time::sleep(run::TICK).await;
+        }
+        let open = self.bills().open;
+        if open > 0 {
+            log::warn!("{open} bills are left to their witnesses");
+        }
+    }
+
     /// Returns what may be done with a request.
     #[must_use]
     pub fn verdict(&self, fingerprint: Fingerprint) -> suspect::Verdict {
--- a/scenario/src/world/job.rs
+++ b/scenario/src/world/job.rs
@@ -238,6 +238,8 @@
                 self.finish_claim(id, request, claim::End::Answered(answer));
             }
             Action::Finish(end) => self.finish_claim(id, request, end),
+            // Predictions are not part of this world.
+            Action::Observe { .. } => {}
             Action::Settle(bill) => {
                 if let Some(process) = self.entry(id) {
                     let actions = process.book.settle(bill);
