--- a/crates/node/examples/quickstart/deployment.rs
+++ b/crates/node/examples/quickstart/deployment.rs
@@ -12,15 +12,13 @@
     client::Control,
     control::{self, Begin},
     entry,
-    fake::{Announcer, Conduct, Engine, Profile, Service},
+    fake::Upstream,
     instance::{self, Handle},
 };
 use masticlock_core::{
     command::{Command, Outcome},
     config::Change,
-    directory::{Announcement, State},
-    inventory::{self, Offer},
-    name, settings,
+    inventory, name, settings,
     time::Span,
 };
 use tokio::time::{Instant, sleep};
@@ -40,29 +38,12 @@
 /// Failure domains that have a control replica.
 const CONTROL: [&str; 3] = ["carnarvon", "gascoyne-jn", "onslow"];
 
-/// Concurrency of a fake engine when warm and when cold.
-const WARM: u32 = 16;
-const COLD: u32 = 2;
-
-/// Concurrency of a fake service.
-const SERVICE_SLOTS: u32 = 64;
-
 /// Longest wait for the deployment to be complete.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
 /// An error of any part.
 pub type Failure = Box<dyn std::error::Error + Send + Sync>;
 
-/// An upstream that runs in this process.
-pub struct Upstream {
-    pub name: String,
-    pub domain: String,
-    pub engine: Option<Engine>,
-    pub service: Option<Service>,
-    offers: Option<name::Service>,
-    _announcer: Announcer,
-}
-
 /// All processes of the deployment.
 pub struct Deployment {
     pub control: Control,
@@ -152,76 +133,6 @@
     Ok(entries)
 }
 
-/// Returns the versions and the behaviour of a fake engine of the inventory.
-fn profile(upstream: &str) -> Result<Profile, Failure> {
-    let (versions, first_ms, tokens): (&[&str], u64, u64) = match upstream.rsplit_once('-') {
-        Some((kind, _)) if kind.starts_with("roster") => (&["roster-8b@2"], 18, 24),
-        Some((_, "1" | "2")) => (&["advisor-3b@4"], 12, 24),
-        Some((_, "3" | "4")) => (&["advisor-14b@2", "advisor-14b@3"], 22, 24),
-        _ => (&["advisor-70b@1"], 42, 24),
-    };
-    let versions = versions.iter().map(|v| name::Version::try_from(*v));
-    Ok(Profile {
-        versions: versions.collect::<Result<_, _>>()?,
-        warm: WARM,
-        cold: COLD,
-        first: Duration::from_millis(first_ms),
-        between: Duration::from_millis(1),
-        tokens,
-        ..Profile::default()
-    })
-}
-
-async fn start_upstream(
-    entry: &inventory::Upstream,
-    urls: Vec<String>,
-    running: &[Upstream],
-) -> Result<Upstream, Failure> {
-    let mut said = Announcement {
-        upstream: entry.name.clone(),
-        incarnation: 1,
-        address: String::new(),
-        domain: entry.domain.clone(),
-        offer: entry.offer,
-        service: entry.service.clone(),
-        versions: Vec::new(),
-        warm: SERVICE_SLOTS,
-        cold: SERVICE_SLOTS,
-        fences: false,
-        state: State::Ready,
-        token: None,
-    };
-    let (mut engine, mut service) = (None, None);
-    match entry.offer {
-        Offer::Engine => {
-            let profile = profile(entry.name.as_str())?;
-            said.versions.clone_from(&profile.versions);
-            (said.warm, said.cold) = (profile.warm, profile.cold);
-            let started = Engine::start(profile).await?;
-            said.address = started.line().url();
-            engine = Some(started);
-        }
-        Offer::Service => {
-            let same = running.iter().find(|u| u.offers == entry.service);
-            let started = match same.and_then(|u| u.service.as_ref()) {
-                Some(first) => first.replica().await?,
-                None => Service::start(Conduct::default()).await?,
-            };
-            said.address = started.line().url();
-            service = Some(started);
-        }
-    }
-    let credential = format!("example-key-{}", entry.name);
-    Ok(Upstream {
-        name: entry.name.to_string(),
-        domain: entry.domain.to_string(),
-        engine,
-        service,
-        offers: entry.service.clone(),
-        _announcer: Announcer::start(said, credential, urls),
-    })
-}
-
 impl Deployment {
     /// Starts three control replicas, imports inventory and rules, and starts nine entry
     /// instances and all upstreams of the inventory.
@@ -250,7 +161,7 @@
         deployment.entries = start_entries(&deployment.addresses).await?;
         for entry in &inventory.upstreams {
             let urls = deployment.urls(Some(entry.domain.as_str()));
-            let started = start_upstream(entry, urls, &deployment.upstreams).await?;
+            let started = Upstream::start(entry, urls, &deployment.upstreams).await?;
             deployment.upstreams.push(started);
         }
         deployment.wait_for_upstreams().await?;
@@ -295,7 +206,7 @@
     async fn wait_for_upstreams(&self) -> Result<(), Failure> {
         let end = Instant::now() + START_LIMIT;
         for upstream in &self.upstreams {
-            let name = name::Upstream::try_from(upstream.name.as_str())?;
+            let name = upstream.name.clone();
             loop {
                 let mut handles = self.entries.iter().flatten();
                 if handles.any(|(_, h)| h.peer().load(&name).is_some()) {
@@ -312,7 +223,10 @@
 
     /// Returns how much work was begun on engines of a failure domain so far.
     pub fn runs(&self, domain: &str) -> u64 {
-        let own = self.upstreams.iter().filter(|u| u.domain == domain);
+        let own = self
+            .upstreams
+            .iter()
+            .filter(|u| u.domain.as_str() == domain);
         own.filter_map(|u| u.engine.as_ref())
             .map(|engine| engine.record().runs)
             .sum()
--- a/crates/node/src/fake.rs
+++ b/crates/node/src/fake.rs
@@ -9,6 +9,7 @@
 mod rating;
 mod service;
 mod town;
+mod upstream;
 
 pub use announcer::Announcer;
 pub use engine::{Engine, Mode, Profile, Record, text_of};
@@ -16,3 +17,4 @@
 pub use rating::Rating;
 pub use service::{Conduct, Service};
 pub use town::{KEY, Plan, Town, rules, settings};
+pub use upstream::Upstream;
