Start a client account's share with a full bucket

Cause: the second request of an idle account was refused with 429, because a new share began with one request whatever its rate. Conclusion: an idle account may send one second of its rate at once.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -21,7 +21,7 @@
 pub const BORROW: Span = Span::from_secs(1);
 /// Shortest time between two questions of a borrower that refuses requests.
 const HURRY: Span = Span::from_millis(100);
-/// Requests of one second that a rate lets through at once.
+/// Milliseconds of its rate that an idle client account may send at once.
 const BURST_MS: u64 = 1_000;
 /// Thousandths of a request: unit of the token bucket.
 const REQUEST: u64 = 1_000;
@@ -143,8 +143,16 @@
     }
 }
 
+/// Returns the tokens that a full bucket has, at least one request.
+const fn most(rate: u64) -> u64 {
+    let burst = rate * BURST_MS / 1_000;
+    if burst > REQUEST { burst } else { REQUEST }
+}
+
 impl Share {
     /// Returns the share of an instance that has asked for nothing yet.
+    ///
+    /// Its bucket is full, because the client account was idle here.
     #[must_use]
     pub const fn new(base: Amount, now: Time) -> Self {
         Self {
@@ -157,7 +165,7 @@
             answer: 0,
             confirmed: 0,
             open: 0,
-            tokens: REQUEST,
+            tokens: most(base.rate),
             filled: now,
             asked: 0,
             ask_at: now,
@@ -194,13 +202,12 @@
 
     fn fill(&mut self, now: Time) {
         let rate = self.amount(now).rate;
-        let most = (rate * BURST_MS / 1_000).max(REQUEST);
         let new = rate * now.since(self.filled).as_millis() / 1_000;
         // Time that is too short for a whole unit stays on the account.
         if new > 0 || rate == 0 {
             self.filled = now;
         }
-        self.tokens = (self.tokens + new).min(most);
+        self.tokens = (self.tokens + new).min(most(rate));
     }
 
     /// Admits a request, or says when to come back.
