--- a/bench/src/policy/exposure.rs
+++ b/bench/src/policy/exposure.rs
@@ -229,7 +229,7 @@
         ),
     ];
     println!(
-        "\n| version | seeds | stopped | finished | still held | reasons |\n|---|---|---|---|---|---|"
+        "\n| version | seeds | stopped | finished | undecided | reasons |\n|---|---|---|---|---|---|"
     );
     let mut wrong = Vec::new();
     for (case, seeds) in cases {
