--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    name,
+    name, request,
     time::{Span, Time},
 };
 
@@ -62,6 +62,9 @@
         pub request: name::Request,
         /// The client account, for fair shares.
         pub account: name::Account,
+        /// Digest of the work, for crash evidence; `None` for calls of plain services.
+        #[serde(default)]
+        pub fingerprint: Option<request::Fingerprint>,
         /// What the upstream must serve.
         pub target: Target,
         /// Upstreams that failed this request before.
@@ -94,8 +97,8 @@
         pub incarnation: u64,
         /// Base URL of the upstream.
         pub address: String,
-        /// Whether the upstream is in another failure domain.
-        pub far: bool,
+        /// Address of the owner, if the upstream is in another failure domain.
+        pub far: Option<String>,
     }
 
     /// The answer to an announcement.
--- a/crates/node/src/control/replicas.rs
+++ b/crates/node/src/control/replicas.rs
@@ -37,17 +37,19 @@
     /// Makes a learner that has caught up a voter, after the removal of the
     /// identity that its instance had before.
     pub fn promote(&mut self, status: &Status) {
-        let Some(learner) = status
+        let former = |learner: &Member| {
+            let mut voters = status.voters.iter();
+            voters.find(|v| v.instance == learner.instance)
+        };
+        let ready = status
             .learners
             .iter()
-            .find(|l| status.caught_up.contains(&l.id))
-        else {
+            .filter(|l| status.caught_up.contains(&l.id));
+        // No learner is promoted while a lost voter remains, so removals go first.
+        let Some(learner) = ready.min_by_key(|l| former(l).is_none()) else {
             return;
         };
-        let old = status
-            .voters
-            .iter()
-            .find(|v| v.instance == learner.instance);
+        let old = former(learner);
         let ticket = self.ticket(Waiting::Nothing);
         self.step(match old {
             Some(old) => Event::Remove { ticket, id: old.id },
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -6,6 +6,7 @@
 
 mod bridge;
 mod methods;
+mod run;
 mod settings;
 
 use std::{
@@ -32,6 +33,7 @@
 
 use bridge::Bridge;
 
+pub use run::{Checked, File, run};
 pub use settings::{RawSettings, Settings, SettingsError};
 
 use crate::{
@@ -81,7 +83,9 @@
     peer: Arc<Peer>,
     feed: Feed,
     snapshot: Arc<ArcSwap<Snapshot>>,
+    evidence: Evidence,
     journal: Journal,
+    clock: Clock,
     control: Arc<Control>,
     planner: Arc<Mutex<planner::Adaptive>>,
 }
@@ -107,7 +111,7 @@
     let parts = settings.clone();
     thread::Builder::new()
         .name("shared".into())
-        .spawn(move || run(&parts, listener, started, ended))?;
+        .spawn(move || share(&parts, listener, started, ended))?;
     let shared = shared
         .await
         .map_err(|_| io::Error::other("the thread of the shared parts ended"))??;
@@ -121,12 +125,14 @@
     }
     let entry = entry::start(Parts {
         settings: settings.entry,
+        clock: shared.clock,
         snapshot: shared.snapshot,
         slots: shared.peer.clone(),
         announcements: shared.peer.clone(),
         claims: Arc::new(Claims::new(shared.control)),
         bills: shared.peer.clone(),
         answers: Arc::new(Shelf::default()),
+        outcomes: Arc::new(shared.evidence),
         supply: shared.peer.clone(),
         planner: shared.planner,
     })
@@ -142,7 +148,7 @@
 }
 
 /// Runs the shared parts until the handle is dropped.
-fn run(
+fn share(
     settings: &Settings,
     listener: TcpListener,
     started: oneshot::Sender<io::Result<Started>>,
@@ -169,7 +175,9 @@
             peer: shared.peer.clone(),
             feed: shared.feed.clone(),
             snapshot: shared.snapshot.clone(),
+            evidence: shared.evidence.clone(),
             journal: shared.journal.clone(),
+            clock: shared.clock,
             control: shared.control.clone(),
             planner: shared.planner.clone(),
         };
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -2,9 +2,12 @@
 //! slots, restrictions, crash evidence and open records of bills.
 
 mod bills;
+mod limits;
 mod methods;
 mod run;
+mod runs;
 mod slots;
+mod spill;
 mod state;
 
 pub mod wire;
@@ -28,7 +31,13 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::{Notify, watch};
 
-use crate::{client::Pool, clock::Clock, control, port::Snapshot, rpc::Failure};
+use crate::{
+    client::{Control, Pool},
+    clock::Clock,
+    control,
+    port::Snapshot,
+    rpc::Failure,
+};
 pub use run::TICK;
 use state::State;
 
@@ -59,6 +68,12 @@
     clock: Clock,
     pool: Pool,
     state: Mutex<State>,
+    /// The other failure domains. Never locked together with `state`.
+    far: Mutex<spill::Far>,
+    /// Never locked together with `state`.
+    runs: Mutex<runs::Runs>,
+    /// Without control replicas no suspect request runs.
+    control: Option<Control>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     /// Signals that a slot may have become free.
     freed: Notify,
@@ -86,6 +101,12 @@
     let address = listener.local_addr()?;
     let clock = Clock::start();
     let pool = Pool::new(&settings.secret).map_err(io::Error::other)?;
+    let control = match settings.replicas.as_slice() {
+        [] => None,
+        replicas => {
+            Some(Control::new(replicas.to_vec(), &settings.secret).map_err(io::Error::other)?)
+        }
+    };
     let state = State::new(&settings, &address.to_string(), clock.now());
     let (stop, mut stopped) = watch::channel(false);
     let peer = Arc::new_cyclic(|itself| Peer {
@@ -94,6 +115,9 @@
         clock,
         pool,
         state: Mutex::new(state),
+        far: Mutex::default(),
+        runs: Mutex::default(),
+        control,
         snapshot,
         freed: Notify::new(),
         outbox: Notify::new(),
@@ -137,6 +161,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn runs(&self) -> MutexGuard<'_, runs::Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn far(&self) -> MutexGuard<'_, spill::Far> {
+        self.far.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn call<P, R>(
         &self,
         address: &str,
--- a/crates/node/src/peer/wire.rs
+++ b/crates/node/src/peer/wire.rs
@@ -1,7 +1,7 @@
 //! Names and parameters of the JSON-RPC methods between entry instances.
 
 use masticlock_core::{
-    config, directory, gossip, ledger, name, plain,
+    config, directory, gossip, ledger, limit, name, plain,
     slot::{self, Report},
 };
 
@@ -11,6 +11,10 @@
 pub const ANNOUNCE: &str = "peer.announce";
 /// Asks the owner for a slot.
 pub const ACQUIRE: &str = "slot.acquire";
+/// Asks a contact instance of another failure domain for a slot there.
+pub const PLACE: &str = "slot.place";
+/// Asks what is free in the failure domain.
+pub const SUMMARY: &str = "peer.summary";
 /// Renews slots.
 pub const RENEW: &str = "slot.renew";
 /// Gives a slot back.
@@ -21,6 +25,8 @@
 pub const WITNESS_OPEN: &str = "witness.open";
 /// Closes records of bills.
 pub const WITNESS_CLOSE: &str = "witness.close";
+/// Asks the lender of a client account's limits for a share.
+pub const BORROW: &str = "limit.borrow";
 /// Applies a restriction without the majority.
 pub const RESTRICT: &str = "operator.restrict";
 
@@ -57,6 +63,21 @@
         Refused(slot::Refusal),
     }
 
+    /// Parameters of methods without parameters.
+    #[derive(Eq)]
+    pub struct Nothing {}
+
+    /// What is free for a version, as [`SUMMARY`] lists it.
+    #[derive(Eq)]
+    pub struct Free {
+        /// The version.
+        pub version: name::Version,
+        /// Free slots.
+        pub free: u32,
+        /// All slots.
+        pub total: u32,
+    }
+
     /// A slot as [`RENEW`] and [`RELEASE`] name it.
     #[derive(Eq)]
     pub struct Slot {
@@ -107,6 +128,17 @@
         pub keys: Vec<ledger::Key>,
     }
 
+    /// Parameters of [`BORROW`].
+    #[derive(Eq)]
+    pub struct Borrow {
+        /// The client account.
+        pub account: name::Account,
+        /// The instance that asks.
+        pub holder: name::Instance,
+        /// What it asks for.
+        pub ask: limit::Ask,
+    }
+
     /// Parameters of [`RESTRICT`].
     #[derive(Eq)]
     pub struct Restrict {
--- a/scenario/src/world/job.rs
+++ b/scenario/src/world/job.rs
@@ -57,6 +57,7 @@
     pub(super) service: Option<name::Service>,
     pub(super) repeatable: bool,
     pub(super) crashes: bool,
+    pub(super) takes: Option<Span>,
     pub(super) machine: Machine,
     pub(super) first: Vec<Action>,
     pub(super) gate: Gate,
@@ -79,6 +80,7 @@
     pub(super) service: Option<name::Service>,
     pub(super) repeatable: bool,
     pub(super) crashes: bool,
+    pub(super) takes: Option<Span>,
 }
 
 impl Job {
@@ -93,6 +95,7 @@
             service: opening.service,
             repeatable: opening.repeatable,
             crashes: opening.crashes,
+            takes: opening.takes,
             machine,
             first,
             gate: Gate::Evidence,
@@ -235,6 +238,8 @@
                 self.finish_claim(id, request, claim::End::Answered(answer));
             }
             Action::Finish(end) => self.finish_claim(id, request, end),
+            // Predictions are not part of this world.
+            Action::Observe { .. } => {}
             Action::Settle(bill) => {
                 if let Some(process) = self.entry(id) {
                     let actions = process.book.settle(bill);
