--- a/bench/src/control/world.rs
+++ b/bench/src/control/world.rs
@@ -130,7 +130,6 @@
             folder: self.folder.join(format!("control-{at}")),
             secret: SECRET.into(),
             replicas: self.replicas.clone(),
-            weight_store: None,
             json_log: false,
             statsd: None,
         };
--- a/crates/node/examples/quickstart/deployment.rs
+++ b/crates/node/examples/quickstart/deployment.rs
@@ -107,7 +107,6 @@
             folder: folder.join(replica.instance.as_str()),
             secret: SECRET.into(),
             replicas: replicas.clone(),
-            weight_store: None,
             json_log: false,
             statsd: None,
         };
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,6 +5,7 @@
 mod http;
 mod job;
 mod lead;
+mod metrics;
 mod peer;
 mod recover;
 mod replicas;
--- a/crates/node/src/control/lead.rs
+++ b/crates/node/src/control/lead.rs
@@ -1,5 +1,5 @@
 use masticlock_core::{
-    command, error, feed, machine,
+    command, consensus, error, feed, machine,
     machine::Input,
     time::{Span, Time},
 };
@@ -7,6 +7,7 @@
 use super::{
     disk::Work,
     job::{Job, Reply, send},
+    metrics::Figures,
     state::{EntryReply, Held, InForce, Read, State, Waiting},
 };
 use crate::rpc::{self, Failure};
@@ -288,6 +289,27 @@
             self.promote(&status);
             self.move_rollouts();
         }
+        self.metrics.report(self.figures(&status));
+    }
+
+    fn figures(&self, status: &consensus::Status) -> Figures {
+        let (now, revision) = (self.clock.now(), self.machine.config().revision);
+        let leads = self.may_act();
+        let pending = if leads {
+            self.feed
+                .pending(revision, self.machine.members(), now)
+                .len()
+        } else {
+            0
+        };
+        Figures {
+            leads: u64::from(leads),
+            term: status.term,
+            revision,
+            pending: pending as u64,
+            claims: self.machine.claims().len() as u64,
+            bills: self.bills.requests(),
+        }
     }
 
     fn expire_instances(&mut self) {
--- a/crates/node/src/control/run.rs
+++ b/crates/node/src/control/run.rs
@@ -17,6 +17,7 @@
     disk::{Content, Disk, Done},
     http,
     job::{self, Job, MAX_JOBS},
+    metrics::Metrics,
     peer::Peers,
     settings::Settings,
     state::{Parts, State},
@@ -229,6 +230,8 @@
         let journal = Journal::new(settings.own.instance.clone());
         journal.record(Fact::Started);
         let (returned, answers) = mpsc::channel(MAX_JOBS);
+        let metrics =
+            Metrics::new(settings.statsd, settings.own.instance.as_str()).map_err(|e| start(&e))?;
         let mut state = State::new(Parts {
             clock: Clock::start(),
             seed: rand::random(),
@@ -237,6 +240,7 @@
             disk: self.disk,
             peers: Peers::new(Arc::clone(&pool), own.clone(), returned),
             journal,
+            metrics,
         })
         .map_err(Error::Storage)?;
         state.housekeeping();
--- a/crates/node/src/control/settings.rs
+++ b/crates/node/src/control/settings.rs
@@ -2,19 +2,12 @@
 
 use masticlock_core::{
     consensus::{Identity, Member},
-    name, order, plain,
-    time::Span,
+    name, plain,
 };
 
 /// Shortest cluster secret in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
-/// Loads that the weight store takes each minute when the settings name no rate.
-const DEFAULT_LOADS: order::Rate = order::Rate {
-    loads: 4,
-    per: Span::from_secs(60),
-};
-
 plain! {
     /// A replica of the log.
     #[derive(Eq)]
@@ -40,9 +33,6 @@
         pub secret: String,
         /// All control replicas, with this one.
         pub replicas: Vec<Replica>,
-        /// Rate limit of the weight store.
-        #[serde(default)]
-        pub weight_store: Option<order::Rate>,
         /// Whether log lines are JSON objects.
         #[serde(default)]
         pub json_log: bool,
@@ -63,8 +53,6 @@
     pub secret: String,
     /// All control replicas, sorted by instance.
     pub replicas: Vec<Replica>,
-    /// Rate limit of the weight store.
-    pub weight_store: order::Rate,
     /// Whether log lines are JSON objects.
     pub json_log: bool,
     /// Address of a statsd server for metrics.
@@ -89,9 +77,6 @@
     /// The number of replicas is not one, three, five or seven.
     #[error("replicas: there are {0}; accepted are 1, 3, 5 and 7")]
     Count(usize),
-    /// The weight store would never take a load.
-    #[error("weight_store.loads: must be at least 1")]
-    NoLoads,
 }
 
 impl std::fmt::Debug for Settings {
@@ -118,10 +103,6 @@
         if !matches!(raw.replicas.len(), 1 | 3 | 5 | 7) {
             return Err(Error::Count(raw.replicas.len()));
         }
-        let weight_store = raw.weight_store.unwrap_or(DEFAULT_LOADS);
-        if weight_store.loads == 0 {
-            return Err(Error::NoLoads);
-        }
         let mut replicas = raw.replicas;
         replicas.sort_by(|a, b| a.instance.cmp(&b.instance));
         let (mut names, mut addresses) = (BTreeSet::new(), BTreeSet::new());
@@ -140,7 +121,6 @@
             folder: raw.folder,
             secret: raw.secret,
             replicas,
-            weight_store,
             json_log: raw.json_log,
             statsd: raw.statsd,
         })
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -13,6 +13,7 @@
     bills::Bills,
     disk::{Disk, Done, Work},
     job::{Reply, send},
+    metrics::Metrics,
     peer::Peers,
     rollouts::Rollouts,
 };
@@ -103,6 +104,7 @@
     pub disk: Disk,
     pub peers: Peers,
     pub journal: Journal,
+    pub metrics: Metrics,
     pub rollouts: Rollouts,
     pub held: Vec<Held>,
     pub in_force: Vec<InForce>,
@@ -134,6 +136,7 @@
     pub disk: Disk,
     pub peers: Peers,
     pub journal: Journal,
+    pub metrics: Metrics,
 }
 
 impl State {
@@ -169,6 +172,7 @@
             peers: parts.peers,
             rollouts: Rollouts::new(parts.journal.instance(), parts.seed, now),
             journal: parts.journal,
+            metrics: parts.metrics,
             held: Vec::new(),
             in_force: Vec::new(),
             roster: Vec::new(),
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -11,7 +11,7 @@
     claim,
     command::{Command, Outcome},
     config::{Change, Limit},
-    error, inventory, name, request, settings,
+    error, inventory, ledger, name, request, settings,
     time::Span,
 };
 
@@ -68,7 +68,6 @@
             folder: self.folder.join(at.to_string()),
             secret: SECRET.into(),
             replicas: self.replicas.clone(),
-            weight_store: None,
             json_log: false,
             statsd: None,
         };
@@ -310,3 +309,99 @@
         serde_json::from_str::<serde_json::Value>(line).unwrap();
     }
 }
+
+/// Guards against settings that are accepted and can't work.
+#[test]
+fn bad_settings_are_refused() {
+    let good = r#"{"instance": "a", "folder": "f", "secret": "sixteen-bytes-ok",
+        "replicas": [{"instance": "a", "address": "127.0.0.1:1", "domain": "d"}]}"#;
+    let other = r#"{"instance": "b", "address": "127.0.0.1:2", "domain": "d"}"#;
+    let cases = [
+        ("sixteen-bytes-ok", "short", "needs at least 16"),
+        ("sixteen-bytes-ok", "sixteen bytes ok", "visible ASCII"),
+        (
+            "\"instance\": \"a\", \"folder\"",
+            "\"instance\": \"c\", \"folder\"",
+            "not one of",
+        ),
+        (
+            "\"d\"}]",
+            &format!("\"d\"}}, {other}]"),
+            "accepted are 1, 3, 5 and 7",
+        ),
+        (
+            "\"d\"}]",
+            &format!("\"d\"}}, {other}, {other}]"),
+            "stands twice",
+        ),
+        ("\"folder\"", "\"colour\"", "unknown field `colour`"),
+        ("127.0.0.1:1", "localhost:1", "invalid socket address"),
+    ];
+    for (old, new, problem) in cases {
+        let text = good.replacen(old, new, 1);
+        let result = settings::parse::<Raw>("s.json", &text)
+            .map_err(|e| e.to_string())
+            .and_then(|raw| Settings::try_from(raw).map_err(|e| e.to_string()));
+        let error = result.expect_err(new);
+        assert!(error.contains(problem), "{error}");
+    }
+    let raw: Raw = settings::parse("s.json", good).unwrap();
+    Settings::try_from(raw).unwrap();
+}
+
+/// Guards against a bill that is lost or counted twice when two instances
+/// store it at two replicas, and when a replica restarts.
+#[tokio::test]
+async fn bills_are_a_union() {
+    let mut world = World::start("bills", 3);
+    let client = world.client();
+    let bill = |request: &str, cost| ledger::Bill {
+        account: name::Account::try_from("mill").unwrap(),
+        request: name::Request::try_from(request).unwrap(),
+        parts: vec![ledger::Part {
+            version: None,
+            prompt_tokens: 0,
+            answer_tokens: 0,
+            cost,
+        }],
+    };
+    let address = |at: usize| world.replicas[at].address.to_string();
+    for (at, bills, fresh) in [
+        (0, vec![bill("r1", 5), bill("r2", 5)], 2),
+        (0, vec![bill("r1", 5), bill("r2", 4)], 0),
+        (1, vec![bill("r2", 7)], 1),
+    ] {
+        let put = rpc::Bills { bills };
+        let stored: usize = client
+            .pool()
+            .call(&address(at), rpc::BILL_PUT, &put, LIMIT)
+            .await
+            .unwrap();
+        assert_eq!(stored, fresh);
+    }
+    world.stop(0);
+    world.restart(0);
+    let mut costs = Vec::new();
+    for _ in 0..200 {
+        costs.clear();
+        for replica in &world.replicas {
+            let from = rpc::BillsFrom { from: 0 };
+            // The first call after a restart may use a connection of the earlier process.
+            let page: Result<rpc::BillPage, _> = client
+                .pool()
+                .call(&replica.address.to_string(), rpc::BILL_LIST, &from, LIMIT)
+                .await;
+            let Ok(page) = page else { continue };
+            let last = |r: &str| page.bills.iter().rfind(|b| b.request.as_str() == r);
+            costs.push([
+                last("r1").map(ledger::Bill::cost),
+                last("r2").map(ledger::Bill::cost),
+            ]);
+        }
+        if costs == [[Some(5), Some(7)]; 3] {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the replicas keep {costs:?}");
+}
