--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -5,7 +5,7 @@
     future::{Future, poll_fn},
     pin::Pin,
     sync::{Arc, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use futures_util::future::BoxFuture;
@@ -16,10 +16,14 @@
     error, evidence, name, policy, slot,
     time::{Span, Time},
 };
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::{
+    sync::futures::OwnedNotified,
+    time::{Sleep, sleep_until},
+};
 
 use super::{
     Active, Shared,
+    deliver::stored,
     job::{Job, Kind},
     send, sse,
     wire::{Answer, Signal, Wire},
@@ -49,29 +53,28 @@
     Answer(Answer),
 }
 
-/// Longest time until a request sees that the instance must end.
-pub(super) const CUT_CHECK: Span = Span::from_millis(500);
-
 /// One request with its connections.
 pub(super) struct Driver {
     pub(super) shared: Arc<Shared>,
     pub(super) job: Job,
-    machine: Machine,
+    pub(super) machine: Machine,
     wires: Vec<Option<Wire>>,
     /// Slots of the live attempts, for cancelling.
     leases: Vec<Option<slot::Lease>>,
     operations: Vec<BoxFuture<'static, Outcome>>,
     queue: VecDeque<Event>,
-    out: VecDeque<Part>,
+    pub(super) out: VecDeque<Part>,
     payload: Payload,
-    kept: Vec<u8>,
-    answer: Option<Answer>,
+    pub(super) kept: Vec<u8>,
+    pub(super) answer: Option<Answer>,
     /// The plan's steps and arm, which the evidence is counted for.
     plan: (Vec<name::Version>, evidence::Arm),
-    has_head: bool,
-    sleep: Pin<Box<Sleep>>,
-    sleeps_until: Time,
-    started: Time,
+    pub(super) has_head: bool,
+    /// Set when the request first waits, and due at a time limit or earlier.
+    timer: Option<(Pin<Box<Sleep>>, Time)>,
+    /// Resolves when the instance ends its requests.
+    cut: Pin<Box<OwnedNotified>>,
+    pub(super) started: Time,
     _active: Active,
 }
 
@@ -81,8 +84,8 @@
         let started = shared.now();
         let mut driver = Self {
             _active: Active::new(&shared),
-            sleep: Box::pin(sleep_until(shared.instant(started + CUT_CHECK))),
-            sleeps_until: started + CUT_CHECK,
+            timer: None,
+            cut: Box::pin(shared.cut.clone().notified_owned()),
             shared,
             job,
             machine,
@@ -146,6 +149,9 @@
     }
 
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Event> {
+        if self.shared.is_cut() || self.cut.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Event::Stop);
+        }
         for at in 0..self.wires.len() {
             if let Some(wire) = &mut self.wires[at]
                 && let Poll::Ready(signal) = wire.poll(context)
@@ -172,36 +178,32 @@
         Poll::Pending
     }
 
-    /// Waits for the next time limit, or for the end of the instance.
+    /// Waits for the next time limit.
     ///
     /// A timer that is due too early only costs a look at the clock, so it is
     /// reset when a limit moves closer, and not at each piece of a stream.
     fn poll_time(&mut self, context: &mut Context<'_>) -> Poll<Event> {
         let wake = self.machine.wake();
+        let shared = &self.shared;
+        let (sleep, due) = self
+            .timer
+            .get_or_insert_with(|| (Box::pin(sleep_until(shared.instant(wake))), wake));
+        if wake < *due {
+            *due = wake;
+            sleep.as_mut().reset(shared.instant(wake));
+        }
         loop {
-            if wake < self.sleeps_until {
-                self.set_timer(wake);
-            }
-            if self.sleep.as_mut().poll(context).is_pending() {
-                return Poll::Pending;
-            }
-            let now = self.shared.now();
-            self.set_timer(now + CUT_CHECK);
-            if self.shared.is_cut() {
-                return Poll::Ready(Event::Stop);
-            }
-            if now >= wake {
+            ready!(sleep.as_mut().poll(context));
+            if shared.now() >= wake {
+                // A timer that has fired must not be polled again.
+                self.timer = None;
                 return Poll::Ready(Event::Tick);
             }
+            *due = wake;
+            sleep.as_mut().reset(shared.instant(wake));
         }
     }
 
-    fn set_timer(&mut self, at: Time) {
-        self.sleeps_until = at;
-        let instant: Instant = self.shared.instant(at);
-        self.sleep.as_mut().reset(instant);
-    }
-
     fn event_of(&mut self, at: usize, signal: Signal) -> Event {
         let attempt = u32::try_from(at).unwrap_or(u32::MAX);
         match signal {
@@ -368,14 +370,16 @@
         attempt: u32,
         target: slot::Target,
         avoid: Vec<name::Upstream>,
-        (wait, hold): (
-            masticlock_core::time::Span,
-            Option<masticlock_core::time::Span>,
-        ),
+        (wait, hold): (Span, Option<Span>),
     ) {
+        let fingerprint = match &self.job.kind {
+            Kind::Model { ask, .. } => Some(ask.fingerprint),
+            Kind::Call { .. } => None,
+        };
         let ask = slot::Ask {
             request: self.job.ask.id.clone(),
             account: self.job.ask.account.clone(),
+            fingerprint,
             target,
             avoid,
             wait,
@@ -459,94 +463,9 @@
         }
     }
 
-    fn flush(&mut self) {
-        if self.kept.is_empty() {
-            return;
-        }
-        if !self.has_head {
-            let headers = self.headers(self.machine.version().as_ref(), None);
-            self.push_head(200, headers);
-        }
-        let kept = std::mem::take(&mut self.kept);
-        match self.out.back_mut() {
-            Some(Part::Data(data)) => data.extend_from_slice(&kept),
-            _ => self.out.push_back(Part::Data(kept)),
-        }
-    }
-
-    fn push_head(&mut self, status: u16, headers: Vec<(String, String)>) {
-        self.has_head = true;
-        self.out.push_back(Part::Head { status, headers });
-    }
-
-    fn complete(&mut self, version: Option<&name::Version>, cost: u64) {
-        let millis = self.shared.now().since(self.started);
-        self.shared.metrics.completed(version, millis);
-        if self.has_head {
-            self.out.push_back(Part::Data(b"data: [DONE]\n\n".to_vec()));
-        } else if let Some(answer) = self.answer.take() {
-            let mut headers = self.headers(version, Some(cost));
-            headers.extend(answer.headers);
-            self.push_head(answer.status, headers);
-            self.out.push_back(Part::Data(answer.body));
-        }
-        self.out.push_back(Part::End);
-    }
-
-    fn replay(&mut self, answer: claim::Answer) {
-        let mut headers = self.headers(None, Some(0));
-        headers.push(("content-type".to_owned(), answer.content_type));
-        self.push_head(answer.status, headers);
-        self.out.push_back(Part::Data(answer.body));
-        self.out.push_back(Part::End);
-    }
-
-    /// Returns the answer headers of the router.
-    fn headers(&self, version: Option<&name::Version>, cost: Option<u64>) -> Vec<(String, String)> {
-        let mut headers = Vec::with_capacity(8);
-        let mut add = |name: &str, value: String| headers.push((name.to_owned(), value));
-        add("masticlock-request-id", self.job.ask.id.to_string());
-        if let Some(cost) = cost {
-            add("masticlock-cost", cost.to_string());
-        }
-        let (Some(version), Kind::Model { ask, streamed, .. }) = (version, &self.job.kind) else {
-            return headers;
-        };
-        add("masticlock-version", version.to_string());
-        let snapshot = self.shared.snapshot.load();
-        if let Some(entry) = snapshot.config.inventory.version(version) {
-            add("masticlock-model", entry.model.to_string());
-        }
-        if *streamed {
-            add("content-type", "text/event-stream".to_owned());
-            add("cache-control", "no-store".to_owned());
-        }
-        if let Some(session) = &ask.session {
-            let token = self.shared.signer.sign(&ask.account, &session.id, version);
-            add("masticlock-session", token);
-            if let Some(old) = session.version.as_ref().filter(|old| *old != version) {
-                add("masticlock-session-moved", format!("{old} to {version}"));
-            }
-        }
-        headers
-    }
-
     fn finish_claim(&self, end: claim::End) {
         if let Some(key) = self.job.key.clone() {
             send::finish_claim(&self.shared, key, end);
         }
     }
 }
-
-fn stored(answer: &Answer) -> claim::Answer {
-    let content_type = answer
-        .headers
-        .iter()
-        .find(|(name, _)| name == "content-type")
-        .map(|(_, value)| value.clone());
-    claim::Answer {
-        status: answer.status,
-        content_type: content_type.unwrap_or_default(),
-        body: answer.body.clone(),
-    }
-}
--- a/crates/node/src/entry/job.rs
+++ b/crates/node/src/entry/job.rs
@@ -8,6 +8,7 @@
 use sha2::{Digest, Sha256};
 
 use super::{Shared, wire::HOP_BY_HOP};
+use crate::port::Admission;
 
 /// A request that was admitted.
 pub(super) struct Job {
@@ -15,6 +16,8 @@
     pub(super) kind: Kind,
     pub(super) key: Option<claim::Key>,
     pub(super) fingerprint: request::Fingerprint,
+    /// Its place within the limits of the client account.
+    pub(super) admission: Admission,
 }
 
 impl Job {
@@ -265,6 +268,7 @@
             },
             key,
             fingerprint,
+            admission: Admission::unlimited(),
         })
     }
 
@@ -335,6 +339,7 @@
             },
             key,
             fingerprint,
+            admission: Admission::unlimited(),
         })
     }
 }
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -109,6 +109,7 @@
             self.give_back(lease, Report::Cancelled);
         }
         self.renew(renewals, now);
+        self.borrow(now);
         let peer = self.clone();
         tokio::spawn(async move { peer.ask_summary().await });
         self.outbox.notify_one();
