--- a/scenario/src/bin/fault-matrix.rs
+++ b/scenario/src/bin/fault-matrix.rs
@@ -1,7 +1,7 @@
 //! Prints the fault matrix.
 
-use masticlock_scenario::matrix;
+use masticlock_scenario::matrix::{self, Matrix};
 
 fn main() {
-    print!("{}", matrix::page(&matrix::all()));
+    print!("{}", matrix::page(&Matrix::run()));
 }
--- a/scenario/src/world/control.rs
+++ b/scenario/src/world/control.rs
@@ -475,6 +475,16 @@
                 let waiting = Waiting::Permit(to, ask.request.clone());
                 self.propose(id, Input::Acquire(ask), waiting);
             }
+            Body::PermitEnd {
+                fingerprint,
+                request,
+            } => {
+                let input = Input::Release {
+                    fingerprint,
+                    request,
+                };
+                self.propose(id, input, Waiting::Nothing);
+            }
             Body::Poll { call, poll } => self.polled(id, call, *poll, to),
             Body::Put(bills) => self.put(id, to, bills),
             _ => {}
--- a/scenario/src/world/front.rs
+++ b/scenario/src/world/front.rs
@@ -185,7 +185,7 @@
         let boot = self.parts[id].boot;
         self.reach(Step::Admitted, id, Some(request));
         if self.runs(id, boot) {
-            self.pass_gate(id, request);
+            self.begin(id, request);
         }
     }
 }
--- a/scenario/src/world/job.rs
+++ b/scenario/src/world/job.rs
@@ -19,9 +19,12 @@
 /// What a suspect request waits for before it begins.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Gate {
-    Evidence,
-    Permit { next: Time, target: usize },
+    /// Nothing.
     Open,
+    /// The exclusive right, which is asked for.
+    Permit { next: Time, target: usize },
+    /// It has the exclusive right.
+    Held,
 }
 
 /// Whether a claim of the request may be held by it.
@@ -98,7 +101,7 @@
             takes: opening.takes,
             machine,
             first,
-            gate: Gate::Evidence,
+            gate: Gate::Open,
             kept: Vec::new(),
             payload: None,
             leases: Vec::new(),
@@ -249,6 +252,13 @@
         }
     }
 
+    pub(super) fn begin(&mut self, id: Id, request: &name::Request) {
+        if let Some(job) = self.job(id, request) {
+            let first = std::mem::take(&mut job.first);
+            self.carry_out(id, request, first);
+        }
+    }
+
     fn plan(&mut self, id: Id, request: &name::Request) {
         let (now, stock) = (self.now, self.stock(id));
         let Some(process) = self.entry(id) else {
@@ -359,10 +369,12 @@
         let Some(process) = self.entry(id) else {
             return;
         };
-        process.jobs.retain(|j| !j.is_idle());
+        let ended: Vec<_> = process.jobs.extract_if(.., |j| j.is_idle()).collect();
         let open: Vec<_> = process.jobs.iter().map(|j| j.id.clone()).collect();
+        for job in ended.iter().filter(|j| j.gate == Gate::Held) {
+            self.return_permit(id, job);
+        }
         for request in open {
-            self.pass_gate(id, &request);
             self.acquire_due(id, &request);
             self.claim_due(id, &request);
             self.finish_due(id, &request);
--- a/scenario/src/world/message.rs
+++ b/scenario/src/world/message.rs
@@ -2,7 +2,7 @@
 
 use masticlock_core::{
     attempt::Usage,
-    claim, command, consensus, directory, feed, gossip, ledger, machine, name, slot,
+    claim, command, consensus, directory, feed, gossip, ledger, machine, name, request, slot,
     time::{Span, Time},
 };
 
@@ -51,6 +51,11 @@
         request: name::Request,
         reply: Result<bool, Redirect>,
     },
+    /// Returns that right.
+    PermitEnd {
+        fingerprint: request::Fingerprint,
+        request: name::Request,
+    },
     /// `bill.put`.
     Put(Vec<ledger::Bill>),
     /// Its answer: the bills are on the replica's disk.
