Lower an upstream's limit when it takes no connection

Holders report an upstream that takes no connection, and the owner lowers the limit to the cold one at once.

--- a/crates/core/src/attempt/retry.rs
+++ b/crates/core/src/attempt/retry.rs
@@ -145,7 +145,7 @@
             }
             Fault::NotSent => {
                 self.avoid_upstream(at);
-                self.finish_attempt(at, slot::Report::NotSent, out);
+                self.finish_attempt(at, slot::Report::Unreachable, out);
             }
             Fault::Closed | Fault::Withdrawn => {
                 self.avoid_upstream(at);
--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -135,6 +135,8 @@
     Refused,
     /// No byte was sent.
     NotSent,
+    /// The upstream took no connection, so that its process may have ended.
+    Unreachable,
     /// The connection broke or went silent while the work ran.
     Failed,
     /// The work was cancelled by its caller.
--- a/crates/core/src/slot/table.rs
+++ b/crates/core/src/slot/table.rs
@@ -324,6 +324,13 @@
             Report::Refused if used.epoch == entry.warmth.epoch() => entry.warmth.chill(),
             Report::Failed => entry.failed(BROKEN, used.epoch),
             Report::NotSent => entry.failed(UNSENT, used.epoch),
+            Report::Unreachable => {
+                entry.failed(UNSENT, used.epoch);
+                // A restarted process is cold before its first announcement tells so.
+                if used.epoch == entry.warmth.epoch() {
+                    entry.warmth.chill();
+                }
+            }
             Report::Refused | Report::Cancelled => {}
         }
     }
--- a/crates/node/src/local/fleet.rs
+++ b/crates/node/src/local/fleet.rs
@@ -210,7 +210,10 @@
             match report {
                 port::Report::Completed { .. } => entry.completed(),
                 port::Report::Refused => entry.chill(),
-                port::Report::NotSent | port::Report::Failed | port::Report::Cancelled => {}
+                port::Report::NotSent
+                | port::Report::Unreachable
+                | port::Report::Failed
+                | port::Report::Cancelled => {}
             }
         }
         drop(table);
--- a/crates/node/src/peer/runs.rs
+++ b/crates/node/src/peer/runs.rs
@@ -170,7 +170,11 @@
             Report::Failed => {
                 tokio::spawn(async move { peer.probe(run).await });
             }
-            Report::Completed { .. } | Report::Refused | Report::NotSent | Report::Cancelled => {
+            Report::Completed { .. }
+            | Report::Refused
+            | Report::NotSent
+            | Report::Unreachable
+            | Report::Cancelled => {
                 let completed = matches!(report, Report::Completed { .. });
                 peer.end_run(run, completed);
             }
