--- a/crates/core/src/limit/queue.rs
+++ b/crates/core/src/limit/queue.rs
@@ -218,6 +218,7 @@
             lane.items.retain(|item| item.id != id);
         }
         self.len = self.lanes.iter().map(|lane| lane.items.len()).sum();
+        self.forget_departure();
         self.len < before
     }
 
@@ -235,8 +236,16 @@
             });
         }
         self.len -= refusals.len();
+        self.forget_departure();
         refusals
     }
+
+    /// The time without waiting requests is no service time.
+    const fn forget_departure(&mut self) {
+        if self.len == 0 {
+            self.departed = None;
+        }
+    }
 }
 
 fn refusal(id: u64, message: &str, after: Span) -> Refusal {
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -215,3 +215,25 @@
     assert!(late * 100 < 1_000, "{late} of 1,000 departures were late");
     assert!(queue.is_empty() && returns.is_empty());
 }
+
+/// Guards against a time to come back that counts the time in which nothing
+/// waited: a run of the protect bench told a caller to come back after 101 s.
+#[test]
+fn idle_time_is_no_service_time() {
+    let mut queue = Queue::new(100);
+    for step in 0..20 {
+        let now = Time::from_millis(step * 10);
+        for id in [2 * step, 2 * step + 1] {
+            queue.push(item(id, "a", 1, Priority::Normal, step * 10 + 5_000), now);
+        }
+        queue.pop(now);
+    }
+    assert_eq!(queue.expired(Time::from_millis(30_000)).len(), 20);
+    let late = Time::from_millis(100_000);
+    for id in 100..103 {
+        queue.push(item(id, "a", 1, Priority::Normal, 101_000), late);
+    }
+    queue.pop(late);
+    let wait = queue.wait(&account("a"), 1, Priority::Normal);
+    assert!(wait <= Span::from_millis(40), "{wait}");
+}
