--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -42,6 +42,7 @@
 
 use crate::{
     clock::Clock,
+    explain::Explanations,
     port::{Announcements, Answers, Bills, Claims, Outcomes, Slots, Snapshot},
 };
 
@@ -65,6 +66,8 @@
     pub answers: Arc<dyn Answers>,
     /// Evidence of what versions did.
     pub outcomes: Arc<dyn Outcomes>,
+    /// Why requests got their plans.
+    pub explanations: Arc<Explanations>,
     /// Free slots, as the planner sees them.
     pub supply: Arc<dyn policy::Supply + Send + Sync>,
     /// Chooses plans.
@@ -94,6 +97,7 @@
     bills: Arc<dyn Bills>,
     answers: Arc<dyn Answers>,
     outcomes: Arc<dyn Outcomes>,
+    explanations: Arc<Explanations>,
     supply: Arc<dyn policy::Supply + Send + Sync>,
     planner: Arc<Mutex<dyn policy::Planner>>,
     signer: Signer,
@@ -216,6 +220,7 @@
         bills: parts.bills,
         answers: parts.answers,
         outcomes: parts.outcomes,
+        explanations: parts.explanations,
         supply: parts.supply,
         planner: parts.planner,
         budget: Budget::default(),
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -336,8 +336,9 @@
             .planner
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let (plan, _) = planner.plan(ask, &view)?;
+        let (plan, considered) = planner.plan(ask, &view)?;
         drop(planner);
+        self.shared.explanations.keep(ask, considered, view.now);
         self.plan = (plan.steps.clone(), plan.arm);
         let steps = plan.steps.into_iter().map(|version| {
             let entry = snapshot.config.inventory.version(&version);
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -41,6 +41,7 @@
     clock::Clock,
     entry::{self, Parts},
     evidence::Evidence,
+    explain::Explanations,
     feed::{self, Feed},
     journal::{self, Journal},
     local::Shelf,
@@ -72,6 +73,7 @@
     records: mpsc::UnboundedReceiver<Vec<Record>>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     evidence: Evidence,
+    explanations: Arc<Explanations>,
     journal: Journal,
     clock: Clock,
     control: Arc<Control>,
@@ -84,6 +86,7 @@
     feed: Feed,
     snapshot: Arc<ArcSwap<Snapshot>>,
     evidence: Evidence,
+    explanations: Arc<Explanations>,
     journal: Journal,
     clock: Clock,
     control: Arc<Control>,
@@ -133,6 +136,7 @@
         bills: shared.peer.clone(),
         answers: Arc::new(Shelf::default()),
         outcomes: Arc::new(shared.evidence),
+        explanations: shared.explanations,
         supply: shared.peer.clone(),
         planner: shared.planner,
     })
@@ -176,6 +180,7 @@
             feed: shared.feed.clone(),
             snapshot: shared.snapshot.clone(),
             evidence: shared.evidence.clone(),
+            explanations: shared.explanations.clone(),
             journal: shared.journal.clone(),
             clock: shared.clock,
             control: shared.control.clone(),
@@ -240,7 +245,8 @@
         replicas: settings.control.clone(),
         secret: settings.secret.clone(),
     };
-    let more = methods::methods(&feed, &journal).map_err(io::Error::other)?;
+    let explanations = Arc::new(Explanations::default());
+    let more = methods::methods(&feed, &journal, &explanations).map_err(io::Error::other)?;
     let peer = peer::start(parts, listener, snapshot.clone(), more)?;
     Ok(Shared {
         peer,
@@ -248,6 +254,7 @@
         records,
         snapshot,
         clock,
+        explanations,
         evidence: Evidence::new(&settings.entry.instance, boot, clock),
         journal,
         control: Arc::new(control.map_err(io::Error::other)?),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod disk;
 pub mod entry;
 pub mod evidence;
+pub mod explain;
 pub mod fake;
 pub mod feed;
 pub mod instance;
--- a/crates/node/src/local/site.rs
+++ b/crates/node/src/local/site.rs
@@ -61,6 +61,7 @@
             bills: ledger.clone(),
             answers: Arc::new(Shelf::default()),
             outcomes: evidence.clone(),
+            explanations: Arc::default(),
             supply: fleet.clone(),
             planner: Arc::new(Mutex::new(planner::Adaptive::new())),
         })
