--- a/crates/node/src/fake/engine.rs
+++ b/crates/node/src/fake/engine.rs
@@ -53,6 +53,8 @@
     pub no_offsets: bool,
     /// What it does with new work.
     pub mode: Mode,
+    /// Crashes at the first token of work whose messages contain this text.
+    pub crash_on: Option<String>,
 }
 
 impl Default for Profile {
@@ -69,6 +71,7 @@
             break_after: None,
             no_offsets: false,
             mode: Mode::Answers,
+            crash_on: None,
         }
     }
 }
@@ -96,6 +99,8 @@
     pub resumed: u64,
     /// Requests that were refused.
     pub refused: u64,
+    /// Whether a request crashed it.
+    pub crashed: bool,
 }
 
 #[derive(Debug, Default)]
@@ -285,6 +290,11 @@
         if profile.mode == Mode::Silent {
             pending::<()>().await;
         }
+        let crashes = |text: &String| body["messages"].to_string().contains(text);
+        if profile.crash_on.as_ref().is_some_and(crashes) {
+            sleep(profile.first).await;
+            self.crash(&running).await;
+        }
         if body["stream"] == Value::Bool(true) {
             let mut inner = lock(&self.0);
             if inner.streams.len() >= MAX_STREAMS {
@@ -302,6 +312,14 @@
         Ok(whole(&profile, &work))
     }
 
+    async fn crash(&self, running: &Running) {
+        lock(&self.0).record.crashed = true;
+        if let Some(cutter) = &running.cutter {
+            cutter.crash();
+        }
+        pending::<()>().await;
+    }
+
     fn running(&self, request: &Request) -> Running {
         Running {
             shared: self.0.clone(),
--- a/crates/node/src/fake/line.rs
+++ b/crates/node/src/fake/line.rs
@@ -18,7 +18,6 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::watch,
-    task::JoinHandle,
 };
 
 /// Faults of connections. Connections are numbered from 1 as they come.
@@ -31,6 +30,9 @@
     /// Single connections that are reset.
     cut: BTreeSet<u64>,
     opened: u64,
+    /// Whether the server ends. The port is closed before connections are reset, so that whoever
+    /// sees a reset finds the port closed.
+    crashed: bool,
 }
 
 /// Resets the connection that a request came on.
@@ -47,6 +49,11 @@
             f.cut.insert(self.number);
         });
     }
+
+    /// Closes the port and resets all connections, as after a crash.
+    pub fn crash(&self) {
+        self.faults.send_modify(|f| f.crashed = true);
+    }
 }
 
 /// Gives the endpoint of a line the [`Cutter`] of each request.
@@ -80,7 +87,6 @@
 pub struct Line {
     address: SocketAddr,
     faults: Arc<watch::Sender<Faults>>,
-    server: JoinHandle<()>,
 }
 
 impl Line {
@@ -105,17 +111,20 @@
             endpoint,
             faults: faults.clone(),
         };
-        let server = tokio::spawn(async move {
-            let result = Server::new_with_acceptor(acceptor).run(endpoint).await;
-            if let Err(error) = result {
-                log::error!("fake server on {address}: {error}");
+        let ended = faults.clone();
+        let mut crash = faults.subscribe();
+        tokio::spawn(async move {
+            tokio::select! {
+                result = Server::new_with_acceptor(acceptor).run(endpoint) => {
+                    if let Err(error) = result {
+                        log::error!("fake server on {address}: {error}");
+                    }
+                }
+                _ = crash.wait_for(|f| f.crashed) => {}
             }
+            ended.send_modify(|f| f.reset = u64::MAX);
         });
-        Ok(Self {
-            address,
-            faults,
-            server,
-        })
+        Ok(Self { address, faults })
     }
 
     /// Returns the base URL.
@@ -142,8 +151,7 @@
 
     /// Closes the port and resets all connections, as after a crash.
     pub fn crash(&self) {
-        self.server.abort();
-        self.faults.send_modify(|f| f.reset = u64::MAX);
+        self.faults.send_modify(|f| f.crashed = true);
     }
 }
 
