Run suspect requests one at a time over the whole system

The exclusive right was one per fingerprint, so two suspects could share an engine and its crash; a probe of one connection of 250 ms could miss a crash. All suspects share one right, and a probe tries three connections.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -13,6 +13,18 @@
 pub struct Fingerprint([u8; 16]);
 
 impl Fingerprint {
+    /// Returns the fingerprint of bytes that belong to no client account.
+    #[must_use]
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        Self::finish(blake3::Hasher::new().update(bytes))
+    }
+
+    fn finish(hasher: &blake3::Hasher) -> Self {
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(bytes)
+    }
+
     /// Returns the fingerprint of a body sent by a client account.
     #[must_use]
     pub fn of(account: &name::Account, body: &[u8]) -> Self {
@@ -21,9 +33,7 @@
         // A name can't contain a NUL byte, so the two parts can't run together.
         hasher.update(&[0]);
         hasher.update(body);
-        let mut bytes = [0; 16];
-        hasher.finalize_xof().fill(&mut bytes);
-        Self(bytes)
+        Self::finish(&hasher)
     }
 }
 
--- a/crates/node/src/peer/runs.rs
+++ b/crates/node/src/peer/runs.rs
@@ -16,10 +16,19 @@
 use crate::{client::ATTEMPT, rpc};
 
 /// Longest wait for a connection that tells whether an upstream is still there.
-const PROBE: Duration = Duration::from_millis(250);
+const PROBE: Duration = Duration::from_millis(500);
+
+/// Connections that are tried before the answer counts as unknown.
+const PROBES: u32 = 3;
+
+/// Pause between two connections. A process that ends closes its port some time after the first
+/// connection breaks.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
 
 /// How long the exclusive right to run a suspect request lasts.
-const PERMIT: Span = Span::from_secs(120);
+///
+/// Longer than the longest request of the default settings.
+const PERMIT: Span = Span::from_secs(65);
 
 /// How long the control replicas are asked for it.
 const PERMIT_LIMIT: Span = Span::from_secs(4);
@@ -40,6 +49,26 @@
     probed: Vec<Fingerprint>,
 }
 
+/// Returns what the exclusive right is asked for.
+///
+/// All suspects share one right: of two that run on one upstream, an innocent one would be found
+/// guilty of the other's crash.
+fn any_suspect() -> Fingerprint {
+    Fingerprint::of_bytes(b"suspect requests")
+}
+
+/// Returns whether the process at a base URL refuses connections.
+async fn is_gone(address: &str) -> bool {
+    let host = address.split("://").last().unwrap_or_default();
+    for _ in 0..PROBES {
+        if let Ok(Err(_)) = timeout(PROBE, TcpStream::connect(host)).await {
+            return true;
+        }
+        sleep(PROBE_PAUSE).await;
+    }
+    false
+}
+
 impl Peer {
     /// Waits for a slot as the crash evidence about the request allows.
     pub(super) async fn acquire_known(&self, ask: &Ask) -> Result<Lease, error::Error> {
@@ -56,7 +85,7 @@
             let lease = match self.acquire_any(&left).await {
                 Ok(lease) => lease,
                 Err(error) => {
-                    self.return_permit(fingerprint, permit);
+                    self.return_permit(permit);
                     return Err(error);
                 }
             };
@@ -100,7 +129,7 @@
                     let message = "a suspect request needs contact to the control replicas";
                     return Err(error::Error::new(error::Kind::CutOff, message));
                 }
-                Verdict::Alone if self.ask_permit(ask, fingerprint).await => {
+                Verdict::Alone if self.ask_permit(ask).await => {
                     return Ok(Some(ask.request.clone()));
                 }
                 Verdict::Alone | Verdict::Pending => {}
@@ -114,9 +143,9 @@
         }
     }
 
-    async fn ask_permit(&self, ask: &Ask, fingerprint: Fingerprint) -> bool {
+    async fn ask_permit(&self, ask: &Ask) -> bool {
         let permit = machine::PermitAsk {
-            fingerprint,
+            fingerprint: any_suspect(),
             request: ask.request.clone(),
             instance: self.settings.instance.clone(),
             term: PERMIT,
@@ -133,13 +162,13 @@
         })
     }
 
-    fn return_permit(&self, fingerprint: Fingerprint, holder: Option<name::Request>) {
+    fn return_permit(&self, holder: Option<name::Request>) {
         let (Some(request), Some(peer)) = (holder, self.itself()) else {
             return;
         };
         tokio::spawn(async move {
             let release = rpc::Release {
-                fingerprint,
+                fingerprint: any_suspect(),
                 request,
             };
             let Some(control) = &peer.control else { return };
@@ -184,20 +213,18 @@
     fn end_run(&self, run: Run, completed: bool) {
         let (upstream, incarnation) = (&run.lease.upstream, run.lease.incarnation);
         self.run_ended(run.fingerprint, upstream, incarnation, completed);
-        self.return_permit(run.fingerprint, run.permit);
+        self.return_permit(run.permit);
     }
 
     /// Finds out whether an upstream crashed: a process that is gone refuses connections.
     async fn probe(self: &Arc<Self>, run: Run) {
-        let host = run.lease.address.split("://").last().unwrap_or_default();
-        let connected = timeout(PROBE, TcpStream::connect(host)).await;
-        let crashed = matches!(connected, Ok(Err(_)));
+        let crashed = is_gone(&run.lease.address).await;
         let fingerprint = run.fingerprint;
         if crashed {
             log::warn!("upstream {} crashed", run.lease.upstream);
             self.run_crashed(&run.lease.upstream, run.lease.incarnation)
                 .await;
-            self.return_permit(fingerprint, run.permit);
+            self.return_permit(run.permit);
         } else {
             self.end_run(run, false);
         }
