Keep a suspect's exclusive right until its crash is known everywhere

Cause: a trace showed that the third engine was crashed through an instance of another failure domain that had the evidence of one crash only: the right was returned at once, and the next holder did not look at the evidence again. Ruled out: unrecorded crashes (all three were recorded), a late probe. A broken stream whose resumption found no connection is now reported as failed work. Resends through three failure domains within the time in which the first evidence spreads are not covered.

--- a/crates/core/src/attempt/machine.rs
+++ b/crates/core/src/attempt/machine.rs
@@ -29,6 +29,8 @@
     pub(super) phase: Phase,
     pub(super) lease: Option<slot::Lease>,
     pub(super) hedge: bool,
+    /// Whether the upstream worked on it before its connection broke.
+    pub(super) resumed: bool,
     pub(super) sent: Time,
     pub(super) progress: Time,
     pub(super) first: Option<Time>,
@@ -243,6 +245,7 @@
             phase: Phase::Slot,
             lease: None,
             hedge,
+            resumed: false,
             sent: now,
             progress: now,
             first: None,
--- a/crates/core/src/attempt/retry.rs
+++ b/crates/core/src/attempt/retry.rs
@@ -145,7 +145,13 @@
             }
             Fault::NotSent => {
                 self.avoid_upstream(at);
-                self.finish_attempt(at, slot::Report::Unreachable, out);
+                // A stream that broke and can't be resumed is a failure of the work that ran.
+                let report = if self.attempts[at].resumed {
+                    slot::Report::Failed
+                } else {
+                    slot::Report::Unreachable
+                };
+                self.finish_attempt(at, report, out);
             }
             Fault::Closed | Fault::Withdrawn => {
                 self.avoid_upstream(at);
@@ -191,6 +197,7 @@
         self.attempts[at].phase = Phase::Over;
         self.attempts[at].lease = None;
         next.first = None;
+        next.resumed = true;
         self.tries += 1;
         self.attempts.push(next);
         self.send(self.attempts.len() - 1, true, now, out);
--- a/crates/node/src/peer/runs.rs
+++ b/crates/node/src/peer/runs.rs
@@ -130,7 +130,12 @@
                     return Err(error::Error::new(error::Kind::CutOff, message));
                 }
                 Verdict::Alone if self.ask_permit(ask).await => {
-                    return Ok(Some(ask.request.clone()));
+                    let permit = Some(ask.request.clone());
+                    // The former holder's evidence may have come in the meantime.
+                    if self.current_verdict(fingerprint) == Verdict::Alone {
+                        return Ok(permit);
+                    }
+                    self.return_permit(permit);
                 }
                 Verdict::Alone | Verdict::Pending => {}
             }
@@ -182,6 +187,17 @@
         });
     }
 
+    /// Returns the exclusive right once all failure domains have the evidence of the crash.
+    ///
+    /// An instance that lacks it would run the request once more.
+    fn return_permit_late(&self, holder: Option<name::Request>) {
+        let Some(peer) = self.itself() else { return };
+        tokio::spawn(async move {
+            sleep(SPREAD.times(2).to_std()).await;
+            peer.return_permit(holder);
+        });
+    }
+
     /// Records how the work on a slot ended.
     pub(super) fn run_released(&self, lease: &Lease, report: Report) {
         let run = {
@@ -224,7 +240,7 @@
             log::warn!("upstream {} crashed", run.lease.upstream);
             self.run_crashed(&run.lease.upstream, run.lease.incarnation)
                 .await;
-            self.return_permit(run.permit);
+            self.return_permit_late(run.permit);
         } else {
             self.end_run(run, false);
         }
