--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 
+mod capacity;
 mod control;
 mod log;
 mod path;
@@ -42,6 +43,13 @@
         #[bpaf(fallback(20), display_fallback)]
         idle: u64,
     },
+    /// Computes load per role at the design size from slopes measured here.
+    #[bpaf(command)]
+    Capacity {
+        /// Seed of the gossip, the evidence and the election timeouts
+        #[bpaf(fallback(1), display_fallback)]
+        seed: u64,
+    },
     /// Measures the request path of one entry instance.
     #[bpaf(command)]
     Path {
@@ -83,6 +91,7 @@
             changes,
             idle,
         } => control::run(seed, changes, idle),
+        Subject::Capacity { seed } => capacity::run(seed),
         Subject::Path { seconds, seed } => path::run(seconds, seed),
         Subject::Protect { seed } => protect::run(seed),
         Subject::Policy {
