--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -22,7 +22,9 @@
 /// Measures the slopes, computes each role and compares it with its budget.
 pub fn run(seed: u64) -> ExitCode {
     let mut report = Report::begin("capacity", seed);
+    let memory = role::Memory::measure(seed);
     let slopes = role::Slopes {
+        memory,
         membership: membership::measure(seed),
         feed: feed::measure(),
         evidence: evidence::measure(seed),
--- a/bench/src/capacity/evidence.rs
+++ b/bench/src/capacity/evidence.rs
@@ -21,6 +21,9 @@
 /// Instances at which the leader is measured.
 const ORIGINS: [u32; 2] = [20, 60];
 
+/// Instances at which the memory of the leader is measured.
+const HELD_ORIGINS: [u32; 2] = [40, 160];
+
 /// Slopes of the evidence.
 #[derive(Clone, Copy, Debug)]
 pub struct Slopes {
@@ -36,8 +39,6 @@
     pub merge_micros: Line,
     /// Processor microseconds at the leader to sum and write totals, by stored cells.
     pub sum_micros: Line,
-    /// Memory, by stored cells.
-    pub memory: Line,
 }
 
 fn pool(origin: u32) -> Pool {
@@ -131,7 +132,6 @@
             },
         ),
         sum_micros: sum_micros(&pools[1]),
-        memory: memory(&pools[1]),
     }
 }
 
@@ -161,17 +161,16 @@
     )
 }
 
-fn memory(pool: &Pool) -> Line {
+/// Measures the memory of a stored cell in bytes.
+pub fn memory(seed: u64) -> f64 {
+    let pool = filled(&mut ChaCha8Rng::seed_from_u64(seed), 0, world::VERSIONS);
     let per_origin = f64::from(cells(VERSIONS)[1]);
     let line = meter::memory(
         "evidence by instances",
-        ORIGINS,
+        HELD_ORIGINS,
         self::pool(9_999),
-        |leader, origin| leader.merge(&renamed(pool, origin), Time::ZERO),
+        |leader, origin| leader.merge(&renamed(&pool, origin), Time::ZERO),
     );
     println!("memory per evidence cell: {:.0} B", line.slope / per_origin);
-    Line {
-        base: line.base,
-        slope: line.slope / per_origin,
-    }
+    line.slope / per_origin
 }
--- a/bench/src/capacity/feed.rs
+++ b/bench/src/capacity/feed.rs
@@ -14,7 +14,7 @@
 };
 
 /// Instances below a relay at which its polls are measured.
-const BELOW: [u32; 2] = [8, 17];
+const BELOW: [u32; 2] = [0, 17];
 /// Engines of the inventories whose import is measured.
 const ENGINES: [u32; 2] = [430, world::ENGINES];
 /// Time between a poll and its answer; only the order of the times counts.
@@ -115,13 +115,22 @@
     ]
 }
 
+fn publish(server: &mut Server, change: &Change) {
+    let next = server.config().changed(change).expect("a valid change");
+    let digest = next.digest();
+    server.publish(change, Arc::new(next), digest);
+}
+
 /// Returns the bytes of an answer with a change, and the microseconds to take it.
 fn change(engines: u32, change: &Change) -> (f64, f64) {
     let mut control = server(world::config(engines, world::VERSIONS));
+    // A server answers with deltas only from a revision that it published itself.
+    publish(
+        &mut control,
+        &Change::Restrict(Limit::Withdraw(world::version(2))),
+    );
     let before = relay(0, &mut control);
-    let next = control.config().changed(change).expect("a valid change");
-    let digest = next.digest();
-    control.publish(change, Arc::new(next), digest);
+    publish(&mut control, change);
     let now = Time::ZERO + STEP.times(4);
     let outgoing = before.poll(false, now);
     let (reply, bytes) = answer(&mut control, &outgoing, now);
--- a/bench/src/capacity/log.rs
+++ b/bench/src/capacity/log.rs
@@ -24,8 +24,8 @@
 const ENTRIES: u32 = 20_000;
 /// Entries that are proposed together, as a group commit does under load.
 const GROUP: u32 = 16;
-/// Virtual time without proposals.
-const IDLE: Span = Span::from_secs(60);
+/// Virtual time without proposals. Shorter runs take less processor time than the kernel counts.
+const IDLE: Span = Span::from_secs(3_600);
 /// Claims in the state machine at which it is measured.
 const CLAIMS: [u32; 2] = [20_000, 60_000];
 /// Answer of a claimed call.
@@ -46,8 +46,10 @@
     pub apply_micros: f64,
     /// Processor microseconds to apply a withdrawal with the inventory of the design size.
     pub change_micros: f64,
-    /// Memory, by claims.
-    pub memory: Line,
+    /// Messages per second at the leader without entries, by voters.
+    pub idle_messages: Line,
+    /// Messages at the leader per claimed call, by voters.
+    pub claim_messages: Line,
 }
 
 struct Cluster {
@@ -55,8 +57,9 @@
     replicas: Vec<Replica>,
     messages: VecDeque<Vec<u8>>,
     now: Time,
-    /// Bytes of messages from and to the replica at the front.
+    /// Bytes of messages. Each is from or to the leader.
     bytes: f64,
+    messages_sent: f64,
     answered: u32,
 }
 
@@ -88,6 +91,7 @@
             messages: VecDeque::new(),
             now: Time::ZERO,
             bytes: 0.0,
+            messages_sent: 0.0,
             answered: 0,
         }
     }
@@ -114,6 +118,7 @@
     fn send(&mut self, message: &Message) {
         let json = serde_json::to_vec(message).expect("messages serialize");
         self.bytes += meter::figure(json.len() as u64) + ENVELOPE;
+        self.messages_sent += 1.0;
         self.messages.push_back(json);
     }
 
@@ -198,14 +203,14 @@
 }
 
 /// Returns bytes and microseconds per idle second and per claimed call.
-fn cluster(seed: u64, voters: u32) -> [f64; 4] {
+fn cluster(seed: u64, voters: u32) -> [f64; 6] {
     let mut cluster = Cluster::new(seed, voters);
     cluster.run(ELECTION_MAX.times(3));
-    cluster.bytes = 0.0;
+    (cluster.bytes, cluster.messages_sent) = (0.0, 0.0);
     let seconds = meter::figure(IDLE.as_millis()) / 1_000.0;
     let idle = meter::cpu_once(|| cluster.run(IDLE));
-    let idle_bytes = cluster.bytes;
-    cluster.bytes = 0.0;
+    let (idle_bytes, idle_messages) = (cluster.bytes, cluster.messages_sent);
+    (cluster.bytes, cluster.messages_sent) = (0.0, 0.0);
     let calls = f64::from(ENTRIES / 2);
     let micros = meter::cpu_once(|| cluster.propose());
     [
@@ -213,6 +218,8 @@
         idle / seconds,
         cluster.bytes / calls,
         micros / calls,
+        idle_messages / seconds,
+        cluster.messages_sent / calls,
     ]
 }
 
@@ -237,11 +244,8 @@
         claim_micros: line("log of all replicas per claimed call, by voters", "us", 3),
         apply_micros: apply[1],
         change_micros: change_micros(),
-        memory: meter::memory("claims", CLAIMS, Machine::new(), |machine, at| {
-            for entry in call(at) {
-                machine.apply(&entry);
-            }
-        }),
+        idle_messages: line("idle log per second, by voters", "messages", 4),
+        claim_messages: line("log per claimed call, by voters", "messages", 5),
     }
 }
 
@@ -290,3 +294,12 @@
     )
     .at(f64::from(world::ENGINES))
 }
+
+/// Measures the memory of claims.
+pub fn memory() -> Line {
+    meter::memory("claims", CLAIMS, Machine::new(), |machine, at| {
+        for entry in call(at) {
+            machine.apply(&entry);
+        }
+    })
+}
--- a/bench/src/capacity/membership.rs
+++ b/bench/src/capacity/membership.rs
@@ -33,8 +33,6 @@
     pub change_bytes: f64,
     /// Processor microseconds at each node per changed record.
     pub change_micros: f64,
-    /// Memory of the records, by engines.
-    pub engine_memory: Line,
     /// Bytes of one summary and its answer, by versions.
     pub summary_bytes: Line,
 }
@@ -169,14 +167,14 @@
         idle_micros,
         change_bytes: change("B", 0),
         change_micros: change("us", 2),
-        engine_memory: engine_memory(seed),
         summary_bytes: Line::measure("summary, by versions", "B", [11, 33], |versions| {
             meter::json(&wire::Nothing {}) + meter::json(&summary(versions)) + 2.0 * ENVELOPE
         }),
     }
 }
 
-fn engine_memory(seed: u64) -> Line {
+/// Measures the memory of the records, by engines.
+pub fn memory(seed: u64) -> Line {
     let domain = Domain::new(seed, 1);
     let sizes = [2_000, 6_000];
     meter::memory("records by engines", sizes, domain, |domain, at| {
--- a/bench/src/capacity/plan.rs
+++ b/bench/src/capacity/plan.rs
@@ -24,13 +24,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Slopes {
     /// Processor microseconds of a plan choice, by versions.
-    pub plan_micros: Line,
+    pub plan: Line,
     /// Processor microseconds to take in evidence, by versions. Done every second.
-    pub learn_micros: Line,
+    pub learn: Line,
     /// Processor microseconds to apply a withdrawal and digest the result, by engines.
-    pub change_micros: Line,
-    /// Memory of a configuration, by engines.
-    pub memory: Line,
+    pub change: Line,
 }
 
 /// Room on all versions.
@@ -113,19 +111,19 @@
     };
     let config = |engines| world::config(engines, world::VERSIONS);
     Slopes {
-        plan_micros: line("plan choice, by versions", 0),
-        learn_micros: line("estimates from evidence, by versions", 1),
-        change_micros: Line::measure("change applied, by engines", "us", ENGINES, |engines| {
+        plan: line("plan choice, by versions", 0),
+        learn: line("estimates from evidence, by versions", 1),
+        change: Line::measure("change applied, by engines", "us", ENGINES, |engines| {
             change(&config(engines))
         }),
-        memory: memory(),
     }
 }
 
 /// Copies of the configuration that are held at once to measure one.
-const COPIES: [u32; 2] = [20, 60];
+const COPIES: [u32; 2] = [50, 200];
 
-fn memory() -> Line {
+/// Measures the memory of a configuration, by engines.
+pub fn memory() -> Line {
     let [small, large] = ENGINES.map(|engines| {
         let config = world::config(engines, world::VERSIONS);
         let copies = meter::memory(
--- a/bench/src/capacity/request.rs
+++ b/bench/src/capacity/request.rs
@@ -50,14 +50,6 @@
     pub bill_micros: Line,
     /// Bytes between entry instance and control per claimed call.
     pub claim_bytes: f64,
-    /// Memory of the slot table, by engines.
-    pub table_memory: Line,
-    /// Memory of an open request: bill, record at the witness and held slot.
-    pub open_memory: Line,
-    /// Memory of a stored answer.
-    pub answer_memory: Line,
-    /// Memory of an account's share of its limits.
-    pub account_memory: Line,
 }
 
 fn request(at: u32) -> name::Request {
@@ -274,7 +266,8 @@
     call(&begin, &claim::Verdict::Granted) + call(&finish, &wire::Nothing {})
 }
 
-fn open_memory() -> Line {
+/// Measures the memory of open requests: bill, record at the witness and held slot.
+pub fn open_memory() -> Line {
     let state = (Book::new(Vec::new()), Witness::default(), Holder::default());
     let granted = lease();
     meter::memory(
@@ -293,7 +286,8 @@
     )
 }
 
-fn answer_memory() -> Line {
+/// Measures the memory of stored answers.
+pub fn answer_memory() -> Line {
     let store = answer::Store::new(me(), usize::MAX);
     meter::memory("stored answers", HELD, store, |store, at| {
         let key = claim::Key {
@@ -305,7 +299,8 @@
     })
 }
 
-fn account_memory() -> Line {
+/// Measures the memory of accounts' shares of their limits.
+pub fn account_memory() -> Line {
     let amount = Amount {
         rate: 1_000,
         concurrency: 10,
@@ -316,7 +311,8 @@
     })
 }
 
-fn table_memory() -> Line {
+/// Measures the memory of the slot table.
+pub fn table_memory() -> Line {
     let table = Table::new(me(), 1);
     meter::memory(
         "slot table, by engines",
@@ -365,10 +361,6 @@
         bill_messages: line("bill, by replicas", "messages", &|m| m.0.messages),
         bill_micros: line("bill at the entry instance, by replicas", "us", &|m| m.1),
         claim_bytes: claim_bytes(),
-        table_memory: table_memory(),
-        open_memory: open_memory(),
-        answer_memory: answer_memory(),
-        account_memory: account_memory(),
     };
     println!(
         "per announcement: {announce_bytes:.0} B, {announce_micros:.2} us; per remote slot: {:.0} B, {:.2} us",
--- a/bench/src/capacity/role.rs
+++ b/bench/src/capacity/role.rs
@@ -2,7 +2,11 @@
 
 use masticlock_core::evidence::EPOCHS_KEPT;
 
-use super::{evidence, feed, log, membership, meter::ENVELOPE, plan, request, world};
+use super::{
+    evidence, feed, log, membership,
+    meter::{ENVELOPE, Line},
+    plan, request, world,
+};
 use crate::report::Report;
 
 /// Budget of a node for control in bytes per second.
@@ -46,6 +50,46 @@
     pub log: log::Slopes,
     /// Decisions.
     pub plan: plan::Slopes,
+    /// Memory.
+    pub memory: Memory,
+}
+
+/// Slopes of memory, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct Memory {
+    /// Gossiped records, by engines.
+    pub records: Line,
+    /// Slot table, by engines.
+    pub table: Line,
+    /// Open requests.
+    pub open: Line,
+    /// Stored answers.
+    pub answer: Line,
+    /// Accounts.
+    pub account: Line,
+    /// Claims.
+    pub claim: Line,
+    /// Configuration, by engines.
+    pub config: Line,
+    /// One stored cell of evidence.
+    pub cell: f64,
+}
+
+impl Memory {
+    /// Measures memory. This must run in a new process: pages that earlier
+    /// measurements freed would be used again and not be counted.
+    pub fn measure(seed: u64) -> Self {
+        Self {
+            records: membership::memory(seed),
+            table: request::table_memory(),
+            open: request::open_memory(),
+            answer: request::answer_memory(),
+            account: request::account_memory(),
+            claim: log::memory(),
+            config: plan::memory(),
+            cell: evidence::memory(seed),
+        }
+    }
 }
 
 /// Load of one role.
@@ -110,8 +154,8 @@
             messages: slopes.idle_messages.at(nodes),
             bytes: slopes.idle_bytes.at(nodes) + RECORD_CHANGES * slopes.change_bytes,
             micros: slopes.idle_micros.at(nodes) + RECORD_CHANGES * slopes.change_micros,
-            memory: slopes.engine_memory.slope * f64::from(world::DOMAIN_ENGINES)
-                + self.request.table_memory.slope * f64::from(world::DOMAIN_ENGINES),
+            memory: self.memory.records.slope * f64::from(world::DOMAIN_ENGINES)
+                + self.memory.table.slope * f64::from(world::DOMAIN_ENGINES),
         }
     }
 
@@ -135,7 +179,7 @@
                 + world::CHANGES * self.feed.import_bytes.at(engines),
             micros: self.feed.poll_micros.at(below) / POLL_SECONDS
                 + world::CHANGES * self.feed.import_micros.at(engines),
-            memory: 2.0 * self.plan.memory.at(engines),
+            memory: 2.0 * self.memory.config.at(engines),
         }
     }
 
@@ -169,8 +213,8 @@
                 + slopes.totals_bytes.at(cells()) / TOTALS_SECONDS,
             micros: slopes.report_micros.at(changed_cells())
                 + slopes.read_micros.at(cells()) / TOTALS_SECONDS
-                + self.plan.learn_micros.at(f64::from(world::VERSIONS)),
-            memory: slopes.memory.slope * cells() * f64::from(EPOCHS_KEPT) * 2.0,
+                + self.plan.learn.at(f64::from(world::VERSIONS)),
+            memory: self.memory.cell * cells() * f64::from(EPOCHS_KEPT) * 2.0,
         }
     }
 
@@ -184,7 +228,7 @@
             micros: nodes()
                 * (slopes.merge_micros.at(changed_cells())
                     + slopes.sum_micros.at(stored) / TOTALS_SECONDS),
-            memory: slopes.memory.slope * stored,
+            memory: self.memory.cell * stored,
         }
     }
 
@@ -210,12 +254,12 @@
             messages: rate * request.bill_messages.at(REPLICAS),
             bytes: rate * (2.0 * request.witness_bytes + request.bill_bytes.at(REPLICAS)),
             micros: rate * request.bill_micros.at(REPLICAS),
-            memory: rate * OPEN_SECONDS * request.open_memory.slope,
+            memory: rate * OPEN_SECONDS * self.memory.open.slope,
         }
     }
 
     fn plans(&self) -> Load {
-        let micros = self.plan.plan_micros.at(f64::from(world::VERSIONS));
+        let micros = self.plan.plan.at(f64::from(world::VERSIONS));
         Load {
             micros: requests_per_node() * micros,
             ..Load::default()
@@ -225,8 +269,7 @@
     fn answers(&self) -> Load {
         let kept = 2.0 * requests_per_node() * KEPT_SECONDS;
         Load {
-            memory: kept * self.request.answer_memory.slope
-                + 10.0 * self.request.account_memory.slope,
+            memory: kept * self.memory.answer.slope + 10.0 * self.memory.account.slope,
             ..Load::default()
         }
     }
@@ -235,13 +278,14 @@
         let log = &self.log;
         let per_claim = log.claim_micros.at(REPLICAS) + log.apply_micros;
         Load {
-            messages: 0.0,
+            messages: log.idle_messages.at(REPLICAS)
+                + CLAIMS_PER_SECOND * (log.claim_messages.at(REPLICAS) + 4.0),
             bytes: log.idle_bytes.at(REPLICAS)
                 + CLAIMS_PER_SECOND * (log.claim_bytes.at(REPLICAS) + self.request.claim_bytes),
             micros: log.idle_micros.at(REPLICAS)
                 + CLAIMS_PER_SECOND * per_claim
                 + world::CHANGES * log.change_micros,
-            memory: log.memory.slope * f64::from(CLAIMS_HELD),
+            memory: self.memory.claim.slope * f64::from(CLAIMS_HELD),
         }
     }
 }
@@ -345,7 +389,7 @@
     println!(
         "an answer with a withdrawal has {:.0} B and is applied in {:.0} us",
         slopes.feed.restrict_bytes + ENVELOPE,
-        slopes.plan.change_micros.at(engines)
+        slopes.plan.change.at(engines)
     );
     report.at_most(
         "processor time of an import from acceptance to the last instance, ms",
--- a/bench/src/capacity/world.rs
+++ b/bench/src/capacity/world.rs
@@ -109,7 +109,7 @@
         prior_quality: 0.6 + f64::from(at) / 100.0,
         prior_first_ms: 100,
         prior_token_ms: 5.0,
-        stable: at % VERSIONS_PER_MODEL == 0,
+        stable: at.is_multiple_of(VERSIONS_PER_MODEL),
     };
     let upstream = |at| inventory::Upstream {
         name: name("engine", at),
