Exit with 2 for bad arguments and with 5 when nothing answers a question

Cause: the argument parser ends with 1, which means refused here, and a status of a system that can't be reached ended with 4, outcome unknown. Conclusion: only a change has an outcome that can be unknown.

--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -21,6 +21,9 @@
 /// Longest wait for an answer that is not held, over all replicas.
 const LIMIT: Span = Span::from_secs(8);
 
+/// Columns of help and of messages about arguments.
+const MESSAGE_WIDTH: usize = 100;
+
 /// How a command ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exit {
@@ -76,8 +79,8 @@
 impl From<error::Error> for Failure {
     fn from(error: error::Error) -> Self {
         let exit = match error.kind {
-            error::Kind::CommandUnknown => Exit::Unknown,
-            error::Kind::NoLeader => Exit::Unreachable,
+            // Only a change has an outcome that can be unknown.
+            error::Kind::CommandUnknown | error::Kind::NoLeader => Exit::Unreachable,
             _ => Exit::Refused,
         };
         Self {
@@ -96,7 +99,17 @@
 /// Runs the command line of this process.
 #[must_use]
 pub fn run() -> ExitCode {
-    let args = args::args().run();
+    let args = match args::args().run_inner(bpaf::Args::current_args()) {
+        Ok(args) => args,
+        Err(failure) => {
+            failure.print_message(MESSAGE_WIDTH);
+            // Help and version are not errors.
+            return match failure.exit_code() {
+                0 => Exit::Done.into(),
+                _ => Exit::Usage.into(),
+            };
+        }
+    };
     let exit = match dispatch(args) {
         Ok(exit) => exit,
         Err(failure) => {
--- a/crates/node/src/cli/change.rs
+++ b/crates/node/src/cli/change.rs
@@ -3,7 +3,7 @@
 use masticlock_core::{
     command::{Command, Outcome},
     config::{Change, Limit, Stage},
-    name,
+    error, name,
     time::Span,
 };
 
@@ -173,12 +173,12 @@
     let submitted = control
         .submit(&submit, LIMIT.plus(wait))
         .await
-        .map_err(|error| {
-            let mut failure = Failure::from(error);
-            if failure.exit == Exit::Unknown {
-                failure.message = format!("{}; send it again with --id {id}", failure.message);
-            }
-            failure
+        .map_err(|error| match error.kind {
+            error::Kind::CommandUnknown => Failure {
+                exit: Exit::Unknown,
+                message: format!("{error}; send it again with --id {id}"),
+            },
+            _ => Failure::from(error),
         })?;
     print::submitted(&id, &submitted, json)?;
     Ok(exit(&submitted))
