--- a/crates/node/src/fake/line.rs
+++ b/crates/node/src/fake/line.rs
@@ -153,6 +153,13 @@
     pub fn crash(&self) {
         self.faults.send_modify(|f| f.crashed = true);
     }
+
+    /// Waits until a crashed server has closed its port.
+    pub async fn closed(&self) {
+        let mut faults = self.faults.subscribe();
+        // The sender lives as long as the line.
+        let _ = faults.wait_for(|f| f.crashed && f.reset == u64::MAX).await;
+    }
 }
 
 impl Drop for Line {
--- a/crates/node/tests/entry_faults.rs
+++ b/crates/node/tests/entry_faults.rs
@@ -205,6 +205,8 @@
 async fn booking_that_was_not_sent_frees_its_claim() {
     let deployment = start([Profile::default()], quick()).await;
     deployment.service.line().crash();
+    // Before the port is closed a booking could still be sent.
+    deployment.service.line().closed().await;
     for _ in 0..2 {
         let response = book(&deployment, Some("b1")).await;
         assert_eq!(response.status(), 503);
