Close the connection after a body that was not read to its end

By reading: after the answer the guard takes the rest of the body for a head, and the end of a chunked body looks like the end of a head, so no limit applies to the idle connection. Conclusion: the answer to such a request says that the connection closes.

--- a/crates/node/src/entry/reply.rs
+++ b/crates/node/src/entry/reply.rs
@@ -36,6 +36,14 @@
         let seconds = HeaderValue::from(millis.div_ceil(1_000));
         response.headers_mut().insert(header::RETRY_AFTER, seconds);
     }
+    if matches!(
+        error.kind,
+        error::Kind::BodyTooLarge | error::Kind::SlowCaller
+    ) {
+        // What is left of the body would be taken for the head of a next request.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     response
 }
 
