--- /dev/null
+++ b/crates/core/src/canary.rs
@@ -0,0 +1,101 @@
+//! The share of a service's requests that a new version gets, and the verdict on it.
+//!
+//! The share stays small until late in the rollout, so that a version that turns bad late or
+//! only under load has been given little. Requests about one subject keep their version: a subject
+//! belongs to the new version if its draw lies below the share, and the share only grows.
+
+use crate::{
+    agreed::{Phase, Rollout},
+    report::Trial,
+    rollout::{
+        FALSE_ALARM,
+        wealth::{Sample, worse},
+    },
+};
+
+/// Requests of 1,000 that a new version gets while it is tried.
+///
+/// With the last part of the rollout at full share this stays under an exposure of 15 in 100.
+pub const TRIAL_PERMILLE: u16 = 50;
+
+/// Part of the rollout's time, in percent, after which a good version gets all requests.
+const SWITCH_PERCENT: u64 = 82;
+
+/// Part of the rollout's time, in percent, after which the old version is given up.
+const COMPLETE_PERCENT: u64 = 95;
+
+/// Requests that a version must have answered before it gets all of them.
+const LEAST_ANSWERS: u64 = 12;
+
+/// Failed or slow answers by which a version is never stopped for chance alone.
+const LEAST_BAD: u64 = 3;
+
+/// Difference in failures that is no reason to stop a version.
+const ERROR_MARGIN: f64 = 0.03;
+
+/// Difference in slow answers that is no reason to stop a version.
+const SLOW_MARGIN: f64 = 0.15;
+
+/// What becomes of a rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Requests of 1,000 that the new version gets.
+    pub permille: u16,
+    /// Progress.
+    pub phase: Phase,
+}
+
+/// Returns whether the new version does worse than the others beyond chance.
+#[must_use]
+pub fn is_worse(new: &Trial, old: &Trial) -> bool {
+    let threshold = -FALSE_ALARM.ln();
+    let failures = new.failed >= LEAST_BAD
+        && worse(
+            &Sample::binary(new.ended(), new.failed),
+            &Sample::binary(old.ended(), old.failed),
+            ERROR_MARGIN,
+        ) > threshold;
+    let delays = new.slow >= LEAST_BAD
+        && worse(
+            &Sample::binary(new.ended(), new.slow),
+            &Sample::binary(old.ended(), old.slow),
+            SLOW_MARGIN,
+        ) > threshold;
+    failures || delays
+}
+
+/// Returns the next step of a rollout in progress, if it changes anything.
+///
+/// `now_ms` is the leader's wall clock in milliseconds since the Unix epoch.
+#[must_use]
+pub fn step(rollout: &Rollout, new: &Trial, old: &Trial, now_ms: u64) -> Option<Step> {
+    if rollout.phase != Phase::InProgress {
+        return None;
+    }
+    let reverted = Step {
+        permille: 0,
+        phase: Phase::Reverted,
+    };
+    if is_worse(new, old) {
+        return Some(reverted);
+    }
+    let elapsed = now_ms.saturating_sub(rollout.began_ms);
+    let percent = elapsed * 100 / rollout.duration_ms.max(1);
+    if rollout.permille >= 1_000 {
+        let drained = old.running == 0;
+        return (drained || percent >= COMPLETE_PERCENT).then_some(Step {
+            permille: 1_000,
+            phase: Phase::Completed,
+        });
+    }
+    if percent < SWITCH_PERCENT {
+        return None;
+    }
+    if new.ended() < LEAST_ANSWERS {
+        return (percent >= COMPLETE_PERCENT).then_some(reverted);
+    }
+    Some(Step {
+        permille: 1_000,
+        phase: Phase::InProgress,
+    })
+}
--- a/crates/core/src/consensus/payload.rs
+++ b/crates/core/src/consensus/payload.rs
@@ -4,8 +4,8 @@
 
 /// Shared immutable bytes of a proposal or a snapshot.
 ///
-/// UTF-8 is serialized as text and anything else as a list of numbers, which keeps JSON payloads
-/// short inside JSON messages.
+/// In formats for people, UTF-8 is serialized as text and anything else as a list of numbers, which
+/// keeps JSON payloads short inside JSON messages. Binary formats get the bytes.
 #[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Payload(Arc<[u8]>);
 
@@ -40,6 +40,9 @@
     where
         S: Serializer,
     {
+        if !serializer.is_human_readable() {
+            return serializer.serialize_bytes(&self.0);
+        }
         match std::str::from_utf8(&self.0) {
             Ok(text) => serializer.serialize_str(text),
             Err(_) => serializer.collect_seq(self.0.iter()),
@@ -52,6 +55,9 @@
     where
         D: Deserializer<'de>,
     {
+        if !deserializer.is_human_readable() {
+            return deserializer.deserialize_byte_buf(Visitor);
+        }
         deserializer.deserialize_any(Visitor)
     }
 }
@@ -72,6 +78,20 @@
         Ok(Payload::from(text.as_bytes()))
     }
 
+    fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Payload, E>
+    where
+        E: de::Error,
+    {
+        Ok(Payload::from(bytes))
+    }
+
+    fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Payload, E>
+    where
+        E: de::Error,
+    {
+        Ok(Payload::from(bytes))
+    }
+
     fn visit_seq<A>(self, mut list: A) -> Result<Payload, A::Error>
     where
         A: de::SeqAccess<'de>,
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -97,6 +97,18 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the identity of the data folder.
+    #[must_use]
+    pub const fn id(&self) -> Identity {
+        self.id
+    }
+
+    /// Returns the leader of the term, if it is known.
+    #[must_use]
+    pub const fn leader(&self) -> Option<Identity> {
+        self.leader
+    }
+
     /// Returns the current term.
     #[must_use]
     pub const fn term(&self) -> u64 {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,9 +16,11 @@
 #[macro_use]
 mod plain;
 
+pub mod agreed;
 pub mod answer;
 pub mod attempt;
 pub mod budget;
+pub mod canary;
 pub mod claim;
 pub mod command;
 pub mod config;
@@ -28,6 +30,7 @@
 pub mod estimate;
 pub mod evidence;
 pub mod feed;
+pub mod fleet;
 pub mod gossip;
 pub mod inventory;
 pub mod ledger;
@@ -36,12 +39,16 @@
 pub mod name;
 pub mod order;
 pub mod pick;
+pub mod place;
 pub mod planner;
 pub mod policy;
 pub mod request;
 pub mod rollout;
+pub mod route;
+pub mod report;
 pub mod session;
 pub mod settings;
+pub mod share;
 pub mod slot;
 pub mod storage;
 pub mod suspect;
--- /dev/null
+++ b/crates/core/src/place.rs
@@ -0,0 +1,478 @@
+//! Placement of requests on upstreams, as one entry instance sees them.
+//!
+//! Requests about one subject go to the same upstream from every instance, by rendezvous hashing
+//! with bounded loads, so that its prefix cache holds what they share. The loads of other
+//! instances are known with a delay; the upstream's own queue absorbs what that delay hides.
+
+use std::sync::Arc;
+
+use crate::{
+    agreed::{Permit, State},
+    fleet::{Entry, Phase},
+    report::{Load, Totals},
+    time::{Span, Time},
+};
+
+/// Load above the mean that a preferred upstream may have before the next one is taken.
+const LOAD_FACTOR: f64 = 1.25;
+
+/// Load above the mean that is always allowed, in requests.
+const LOAD_SLACK: f64 = 3.0;
+
+/// Tokens that count as one more request in a comparison of loads.
+const TOKENS_PER_LOAD: f64 = 8_000.0;
+
+/// Part of an engine's memory that running requests may use.
+const MEMORY_PART: f64 = 0.9;
+
+/// Cost of another failure domain for plain services, in requests.
+const FAR_LOAD: f64 = 0.5;
+
+/// Time between two requests of one instance to an upstream in its cold start.
+///
+/// Longer than a second, so that no second has two.
+const COLD_INTERVAL: Span = Span::from_millis(1_100);
+
+/// Failures after which an upstream may count as ill.
+const ILL_FAILURES: u32 = 3;
+
+/// Rate of failures above that of all upstreams of the service that counts as ill.
+const ILL_EXCESS: f64 = 0.2;
+
+/// Time constant of the recent outcomes.
+const RECENT: Span = Span::from_secs(4);
+
+/// How long an upstream may be silent before it gets no new requests, in announcement intervals.
+const SILENT_INTERVALS: u64 = 3;
+
+/// What a request asks of a placement.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Digest of the model and the shared part of the prompt, or none for plain services.
+    pub subject: Option<u64>,
+    /// Number from 0 to 999 that decides whether a canary takes the request.
+    pub draw: u16,
+    /// Prompt and output tokens.
+    pub tokens: u64,
+    /// Tokens that fit an upstream's memory; 0 without a limit.
+    pub memory: u64,
+    /// Cold starts that an upstream bears in a second; 0 without a limit.
+    pub cold_rate: f64,
+    /// Upstreams that must not be chosen again.
+    pub tried: &'a [Arc<str>],
+}
+
+/// A placement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// An upstream that takes the request.
+    Upstream(Target),
+    /// All usable upstreams are full.
+    Full,
+    /// No upstream may be used.
+    Nothing,
+}
+
+/// A chosen upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Identity.
+    pub upstream: Arc<str>,
+    /// IP address and port.
+    pub address: Arc<str>,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Version of its software.
+    pub version: Arc<str>,
+    /// Start of the upstream.
+    pub incarnation: u64,
+}
+
+/// How a request at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Good,
+    /// The upstream failed it.
+    Failed,
+    /// It says nothing about the upstream.
+    Neutral,
+}
+
+/// An upstream with this instance's work on it.
+#[derive(Clone, Debug)]
+struct Upstream {
+    entry: Entry,
+    running: u32,
+    tokens: u64,
+    others: Load,
+    ok: f64,
+    failed: f64,
+    decayed: Time,
+    /// Incarnation and sequence at which it could not be reached.
+    down: Option<(u64, u64)>,
+    next_cold: Time,
+}
+
+/// All upstreams that an entry instance knows, sorted by identity.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    domain: Arc<str>,
+    instance: u64,
+    /// Interval of announcements.
+    interval: Span,
+    instances: Vec<u64>,
+    upstreams: Vec<Upstream>,
+}
+
+impl Pool {
+    /// Returns an empty pool for an instance.
+    #[must_use]
+    pub const fn new(domain: Arc<str>, instance: u64, interval: Span) -> Self {
+        Self {
+            domain,
+            instance,
+            interval,
+            instances: Vec::new(),
+            upstreams: Vec::new(),
+        }
+    }
+
+    /// Takes over the directory's records, which are sorted by identity.
+    pub fn update(&mut self, entries: &[Entry], now: Time) {
+        let old = std::mem::take(&mut self.upstreams);
+        let mut old = old.into_iter().peekable();
+        for entry in entries {
+            while old
+                .next_if(|o| o.entry.announcement.upstream < entry.announcement.upstream)
+                .is_some()
+            {}
+            let same = old.next_if(|o| o.entry.announcement.upstream == entry.announcement.upstream);
+            let mut upstream = match same {
+                Some(mut known) => {
+                    let reborn =
+                        known.entry.announcement.incarnation != entry.announcement.incarnation;
+                    if reborn {
+                        (known.ok, known.failed) = (0.0, 0.0);
+                    }
+                    known.entry = entry.clone();
+                    known
+                }
+                None => Upstream::new(entry.clone(), now),
+            };
+            let said = &upstream.entry.announcement;
+            if upstream.down.is_some_and(|d| d < (said.incarnation, said.sequence)) {
+                upstream.down = None;
+            }
+            self.upstreams.push(upstream);
+        }
+    }
+
+    /// Takes over what the other instances report.
+    pub fn update_totals(&mut self, totals: &Totals) {
+        self.instances.clone_from(&totals.instances);
+        for upstream in &mut self.upstreams {
+            let id = &upstream.entry.announcement.upstream;
+            let found = totals.loads.binary_search_by(|l| l.upstream.cmp(id));
+            upstream.others = found.map_or_else(|_| Load::default(), |at| totals.loads[at].clone());
+        }
+    }
+
+    /// Returns this instance's work by upstream.
+    #[must_use]
+    pub fn loads(&mut self, now: Time) -> Vec<Load> {
+        let mut loads = Vec::new();
+        for upstream in &mut self.upstreams {
+            upstream.decay(now);
+            let load = upstream.load();
+            if load.running > 0 || load.ok > 0 || load.failed > 0 {
+                loads.push(load);
+            }
+        }
+        loads
+    }
+
+    /// Returns the number of entry instances, this one included.
+    #[must_use]
+    pub fn instances(&self) -> usize {
+        self.instances.len().max(1)
+    }
+
+    fn find(&self, upstream: &str) -> Option<usize> {
+        let found = self
+            .upstreams
+            .binary_search_by(|u| (*u.entry.announcement.upstream).cmp(upstream));
+        found.ok()
+    }
+
+    /// Chooses an upstream.
+    #[must_use]
+    pub fn choose(&self, want: &Want<'_>, state: &State, now: Time) -> Choice {
+        let canary = self.canary(want, state);
+        let usable: Vec<_> = self
+            .upstreams
+            .iter()
+            .filter(|u| self.is_usable(u, want, state, now))
+            .collect();
+        let of = |new: bool| -> Vec<&Upstream> {
+            let version = |u: &&&Upstream| {
+                let said = &u.entry.announcement;
+                let permit = state.permit(want.service, &said.version);
+                new == matches!(permit, Permit::Canary(_))
+            };
+            usable.iter().filter(version).copied().collect()
+        };
+        let mut candidates = of(canary);
+        if candidates.is_empty() && canary {
+            candidates = of(false);
+        }
+        if candidates.is_empty() {
+            return Choice::Nothing;
+        }
+        let healthy = healthy(&candidates);
+        let free: Vec<_> = healthy
+            .into_iter()
+            .filter(|u| self.has_room(u, want, now))
+            .collect();
+        if free.is_empty() {
+            // An ill upstream is better than none.
+            candidates.retain(|u| self.has_room(u, want, now));
+        } else {
+            candidates = free;
+        }
+        let chosen = match want.subject {
+            Some(subject) => preferred(&candidates, subject),
+            None => self.least_loaded(&candidates, want.draw),
+        };
+        chosen.map_or(Choice::Full, |u| Choice::Upstream(u.target()))
+    }
+
+    /// Returns whether the request belongs to the new version of a rollout.
+    fn canary(&self, want: &Want<'_>, state: &State) -> bool {
+        let versions = self.upstreams.iter().map(|u| &u.entry.announcement);
+        let mut of_service = versions.filter(|a| &*a.service == want.service);
+        of_service.any(|a| match state.permit(want.service, &a.version) {
+            Permit::Canary(permille) => want.draw < permille,
+            Permit::Stable | Permit::Never => false,
+        })
+    }
+
+    fn is_usable(&self, upstream: &Upstream, want: &Want<'_>, state: &State, now: Time) -> bool {
+        let said = &upstream.entry.announcement;
+        &*said.service == want.service
+            && said.phase == Phase::Ready
+            && upstream.down.is_none()
+            && now.since(upstream.entry.heard) < self.interval.times(SILENT_INTERVALS)
+            && !state.is_taken_out(&said.domain)
+            && state.permit(want.service, &said.version) != Permit::Never
+            && !want.tried.contains(&said.upstream)
+    }
+
+    fn has_room(&self, upstream: &Upstream, want: &Want<'_>, now: Time) -> bool {
+        let running = upstream.running + upstream.others.running;
+        let said = &upstream.entry.announcement;
+        let limit = if want.memory > 0 {
+            said.slots
+        } else {
+            // A short queue at the upstream keeps it busy between two requests.
+            said.slots + said.slots / 2
+        };
+        if running >= limit.max(1) {
+            return false;
+        }
+        #[expect(clippy::cast_precision_loss)]
+        let fits = |tokens: u64| tokens as f64 <= want.memory as f64 * MEMORY_PART;
+        let tokens = upstream.tokens + upstream.others.tokens;
+        if want.memory > 0 && tokens > 0 && !fits(tokens + want.tokens) {
+            return false;
+        }
+        now >= upstream.entry.cold_until || self.may_start_cold(upstream, want.cold_rate, now)
+    }
+
+    /// Returns whether this instance may send to an upstream in its cold start.
+    ///
+    /// The instances that come first in an order by the upstream's identity have one request an
+    /// interval each, so that all together stay within the upstream's rate.
+    fn may_start_cold(&self, upstream: &Upstream, rate: f64, now: Time) -> bool {
+        if rate <= 0.0 {
+            return true;
+        }
+        if now < upstream.next_cold {
+            return false;
+        }
+        let id = digest(upstream.entry.announcement.upstream.as_bytes());
+        let own = mix(id ^ self.instance);
+        let ahead = self.instances.iter().filter(|i| mix(id ^ **i) < own).count();
+        #[expect(clippy::cast_precision_loss)]
+        let fits = (ahead as f64) < rate.floor();
+        fits && self.instances.contains(&self.instance)
+    }
+
+    fn least_loaded<'a>(&self, candidates: &[&'a Upstream], salt: u16) -> Option<&'a Upstream> {
+        let cost = |u: &Upstream| {
+            let far = u.entry.announcement.domain != self.domain;
+            u.busy() + if far { FAR_LOAD } else { 0.0 }
+        };
+        let order = |u: &Upstream| mix(digest(u.entry.announcement.upstream.as_bytes()) ^ u64::from(salt));
+        let by_cost =
+            |a: &&&Upstream, b: &&&Upstream| cost(a).total_cmp(&cost(b)).then_with(|| order(a).cmp(&order(b)));
+        candidates.iter().min_by(by_cost).copied()
+    }
+
+    /// Counts a request as sent.
+    pub fn begin(&mut self, upstream: &str, tokens: u64, now: Time) {
+        if let Some(at) = self.find(upstream) {
+            let upstream = &mut self.upstreams[at];
+            upstream.running += 1;
+            upstream.tokens += tokens;
+            if now < upstream.entry.cold_until {
+                upstream.next_cold = now + COLD_INTERVAL;
+            }
+        }
+    }
+
+    /// Counts a request as ended.
+    pub fn end(&mut self, upstream: &str, tokens: u64, outcome: Outcome, now: Time) {
+        if let Some(at) = self.find(upstream) {
+            let upstream = &mut self.upstreams[at];
+            upstream.running = upstream.running.saturating_sub(1);
+            upstream.tokens = upstream.tokens.saturating_sub(tokens);
+            upstream.decay(now);
+            match outcome {
+                Outcome::Good => upstream.ok += 1.0,
+                Outcome::Failed => upstream.failed += 1.0,
+                Outcome::Neutral => {}
+            }
+        }
+    }
+
+    /// Counts an upstream as down until it announces itself again.
+    pub fn fail(&mut self, upstream: &str, incarnation: u64) {
+        if let Some(at) = self.find(upstream) {
+            let upstream = &mut self.upstreams[at];
+            let said = &upstream.entry.announcement;
+            if said.incarnation == incarnation {
+                upstream.down = Some((said.incarnation, said.sequence));
+            }
+        }
+    }
+
+    /// Returns whether new requests may still be sent to the incarnation of the upstream.
+    #[must_use]
+    pub fn is_current(&self, upstream: &str, incarnation: u64) -> bool {
+        self.find(upstream).is_some_and(|at| {
+            let said = &self.upstreams[at].entry.announcement;
+            said.incarnation == incarnation && said.phase == Phase::Ready
+        })
+    }
+}
+
+impl Upstream {
+    fn new(entry: Entry, now: Time) -> Self {
+        Self {
+            entry,
+            running: 0,
+            tokens: 0,
+            others: Load::default(),
+            ok: 0.0,
+            failed: 0.0,
+            decayed: now,
+            down: None,
+            next_cold: Time::ZERO,
+        }
+    }
+
+    fn target(&self) -> Target {
+        let said = &self.entry.announcement;
+        Target {
+            upstream: said.upstream.clone(),
+            address: said.address.clone(),
+            domain: said.domain.clone(),
+            version: said.version.clone(),
+            incarnation: said.incarnation,
+        }
+    }
+
+    /// Returns the requests and tokens of all instances as one number.
+    fn busy(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss)]
+        let tokens = (self.tokens + self.others.tokens) as f64;
+        f64::from(self.running + self.others.running) + tokens / TOKENS_PER_LOAD
+    }
+
+    fn decay(&mut self, now: Time) {
+        #[expect(clippy::cast_precision_loss)]
+        let passed = now.since(self.decayed).as_millis() as f64 / RECENT.as_millis() as f64;
+        let factor = (-passed).exp();
+        self.ok *= factor;
+        self.failed *= factor;
+        self.decayed = now;
+    }
+
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn load(&self) -> Load {
+        Load {
+            upstream: self.entry.announcement.upstream.clone(),
+            running: self.running,
+            tokens: self.tokens,
+            ok: self.ok.round() as u32,
+            failed: self.failed.round() as u32,
+        }
+    }
+
+    /// Returns recent good and failed requests of all instances.
+    fn recent(&self) -> (u32, u32) {
+        let own = self.load();
+        (own.ok + self.others.ok, own.failed + self.others.failed)
+    }
+}
+
+/// Returns the candidates whose failures don't stand out, or all if none is left.
+fn healthy<'a>(candidates: &[&'a Upstream]) -> Vec<&'a Upstream> {
+    let ok: u32 = candidates.iter().map(|u| u.recent().0).sum();
+    let failed: u32 = candidates.iter().map(|u| u.recent().1).sum();
+    let usual = f64::from(failed) / f64::from((ok + failed).max(1));
+    let is_healthy = |u: &&&Upstream| {
+        let (ok, failed) = u.recent();
+        let rate = f64::from(failed) / f64::from((ok + failed).max(1));
+        failed < ILL_FAILURES || rate < (usual + ILL_EXCESS).min(0.6)
+    };
+    let healthy: Vec<_> = candidates.iter().filter(is_healthy).copied().collect();
+    if healthy.is_empty() {
+        candidates.to_vec()
+    } else {
+        healthy
+    }
+}
+
+/// Returns the first upstream in the subject's order whose load is not far above the mean.
+fn preferred<'a>(candidates: &[&'a Upstream], subject: u64) -> Option<&'a Upstream> {
+    let mut order: Vec<_> = candidates
+        .iter()
+        .map(|u| (mix(digest(u.entry.announcement.upstream.as_bytes()) ^ subject), *u))
+        .collect();
+    order.sort_unstable_by_key(|(rank, _)| *rank);
+    let total: f64 = candidates.iter().map(|u| u.busy()).sum();
+    #[expect(clippy::cast_precision_loss)]
+    let mean = total / candidates.len().max(1) as f64;
+    let bound = mean * LOAD_FACTOR + LOAD_SLACK;
+    let within = order.iter().find(|(_, u)| u.busy() <= bound);
+    within.or_else(|| order.first()).map(|(_, u)| *u)
+}
+
+/// Returns a 64-bit digest (FNV-1a).
+#[must_use]
+pub fn digest(bytes: &[u8]) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
+/// Mixes the bits of a number (finalizer of `SplitMix64`).
+#[must_use]
+pub const fn mix(number: u64) -> u64 {
+    let z = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,302 @@
+//! Routes from host and path to services, with the accounts that may use them.
+//!
+//! A [`Raw`] table comes from outside. A [`Table`] is checked: every service that a route names
+//! exists, no two routes share a place, and no key belongs to two client accounts.
+
+use std::sync::Arc;
+
+use crate::time::Span;
+
+plain! {
+    /// What a request of a route may do when its first attempt fails.
+    #[derive(Copy, Eq)]
+    pub enum Kind {
+        /// May run more than once.
+        Idempotent,
+        /// Runs at most once.
+        NonRepeatable,
+        /// Answered by a stream of events.
+        Stream,
+    }
+
+    /// A share of a route's requests that goes to a service.
+    #[derive(Eq)]
+    pub struct Share {
+        /// The service.
+        pub service: Arc<str>,
+        /// Weight relative to the route's other shares.
+        pub weight: u64,
+    }
+
+    /// Requests of one host and path prefix.
+    #[derive(Eq)]
+    pub struct Route {
+        /// Name in the configuration.
+        pub name: Arc<str>,
+        /// Host, in lowercase and without port.
+        pub host: Arc<str>,
+        /// Start of the path; begins and ends with a slash.
+        pub prefix: Arc<str>,
+        /// What may be repeated.
+        pub kind: Kind,
+        /// Longest time until the final answer.
+        pub timeout: Span,
+        /// Time within which an answer is worth most; of a stream, until its first event.
+        pub objective: Span,
+        /// Longest pause between two events of a stream that is still on time.
+        pub gap: Option<Span>,
+        /// Rank among routes; 0 is the most urgent.
+        pub priority: u8,
+        /// Services with their weights.
+        pub shares: Vec<Share>,
+        /// Most upstreams that one request may be sent to.
+        pub attempts: u32,
+        /// Whether requests need no key.
+        pub public: bool,
+        /// Whether a stream may be continued by another upstream after its last event.
+        pub resumable: bool,
+        /// Models that may answer, from the smallest to the largest. Empty if the caller names it.
+        pub models: Vec<Arc<str>>,
+    }
+
+    /// A model that the upstreams of a service run.
+    pub struct Model {
+        /// Name.
+        pub name: Arc<str>,
+        /// Cost of 1,000 generated tokens.
+        pub cost: f64,
+    }
+
+    /// Limits of a model engine.
+    pub struct Engine {
+        /// Tokens that fit into the memory for running requests and cached prefixes.
+        pub memory_tokens: u64,
+        /// Models with their costs.
+        pub models: Vec<Model>,
+    }
+
+    /// A group of upstreams that run the same program.
+    pub struct Service {
+        /// Name.
+        pub name: Arc<str>,
+        /// Connections that an upstream accepts from all instances together.
+        pub connections: u32,
+        /// Requests a second that an upstream bears during its cold start; 0 without a limit.
+        pub cold_rate: f64,
+        /// Limits of its model engines; none for plain services.
+        pub engine: Option<Engine>,
+    }
+
+    /// A client account.
+    #[derive(Eq)]
+    pub struct Account {
+        /// Name.
+        pub name: Arc<str>,
+        /// Keys that its requests may carry.
+        pub keys: Vec<Arc<str>>,
+        /// Rank that takes precedence over the route's.
+        pub priority: Option<u8>,
+    }
+
+    /// Limits on what callers may send.
+    #[derive(Copy, Eq)]
+    pub struct Limits {
+        /// Largest head of a request in bytes.
+        pub head_bytes: usize,
+        /// Largest body of a request in bytes.
+        pub body_bytes: usize,
+        /// Longest time until a request has been read.
+        pub read_timeout: Span,
+        /// Longest time that a connection stays open without a request.
+        pub idle_timeout: Span,
+    }
+
+    /// A table before it is checked.
+    pub struct Raw {
+        /// Number that the operator gave it.
+        pub revision: u64,
+        /// Routes.
+        pub routes: Vec<Route>,
+        /// Services.
+        pub services: Vec<Service>,
+        /// Client accounts. Without any, no request needs a key.
+        pub accounts: Vec<Account>,
+        /// Limits on what callers may send.
+        pub limits: Limits,
+    }
+}
+
+/// Why a table can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A route names a service that is not in the table.
+    #[error("route {route} names the unknown service {service}")]
+    UnknownService {
+        /// The route.
+        route: Arc<str>,
+        /// The service.
+        service: Arc<str>,
+    },
+    /// Two routes have the same host and prefix.
+    #[error("routes {0} and {1} have the same host and path prefix")]
+    SamePlace(Arc<str>, Arc<str>),
+    /// The weights of a route add up to zero.
+    #[error("the weights of route {0} add up to zero")]
+    NoWeight(Arc<str>),
+    /// The timeout of a route is zero.
+    #[error("the timeout of route {0} is zero")]
+    NoTimeout(Arc<str>),
+    /// Two client accounts share a key.
+    #[error("client accounts {0} and {1} share a key")]
+    SharedKey(Arc<str>, Arc<str>),
+    /// Two services have the same name.
+    #[error("service {0} is defined twice")]
+    SameService(Arc<str>),
+}
+
+/// A checked table.
+#[derive(Clone, Debug)]
+pub struct Table {
+    revision: u64,
+    limits: Limits,
+    /// Sorted by host, then from the longest prefix to the shortest.
+    routes: Vec<Arc<Route>>,
+    /// Sorted by name.
+    services: Vec<Arc<Service>>,
+    /// Sorted by key.
+    keys: Vec<(Arc<str>, Arc<Account>)>,
+    has_accounts: bool,
+}
+
+impl TryFrom<Raw> for Table {
+    type Error = Error;
+
+    fn try_from(raw: Raw) -> Result<Self, Error> {
+        let mut services: Vec<_> = raw.services.into_iter().map(Arc::new).collect();
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        if let Some(pair) = services.windows(2).find(|p| p[0].name == p[1].name) {
+            return Err(Error::SameService(pair[0].name.clone()));
+        }
+        let mut routes: Vec<_> = raw.routes.into_iter().map(Arc::new).collect();
+        routes.sort_by(|a, b| {
+            let longest_first = b.prefix.len().cmp(&a.prefix.len());
+            a.host.cmp(&b.host).then(longest_first).then(a.prefix.cmp(&b.prefix))
+        });
+        let same = |p: &&[Arc<Route>]| p[0].host == p[1].host && p[0].prefix == p[1].prefix;
+        if let Some(pair) = routes.windows(2).find(same) {
+            return Err(Error::SamePlace(pair[0].name.clone(), pair[1].name.clone()));
+        }
+        for route in &routes {
+            check(route, &services)?;
+        }
+        let accounts: Vec<_> = raw.accounts.into_iter().map(Arc::new).collect();
+        let mut keys: Vec<_> = accounts
+            .iter()
+            .flat_map(|a| a.keys.iter().map(|k| (k.clone(), a.clone())))
+            .collect();
+        keys.sort_by(|a, b| a.0.cmp(&b.0));
+        let shared = |p: &&[(Arc<str>, Arc<Account>)]| p[0].0 == p[1].0 && p[0].1 != p[1].1;
+        if let Some(pair) = keys.windows(2).find(shared) {
+            return Err(Error::SharedKey(pair[0].1.name.clone(), pair[1].1.name.clone()));
+        }
+        Ok(Self {
+            revision: raw.revision,
+            limits: raw.limits,
+            routes,
+            services,
+            has_accounts: !accounts.is_empty(),
+            keys,
+        })
+    }
+}
+
+fn check(route: &Route, services: &[Arc<Service>]) -> Result<(), Error> {
+    if route.timeout == Span::ZERO {
+        return Err(Error::NoTimeout(route.name.clone()));
+    }
+    if route.shares.iter().map(|s| s.weight).sum::<u64>() == 0 {
+        return Err(Error::NoWeight(route.name.clone()));
+    }
+    let known = |s: &Share| services.binary_search_by(|o| o.name.cmp(&s.service)).is_ok();
+    match route.shares.iter().find(|s| !known(s)) {
+        Some(share) => Err(Error::UnknownService {
+            route: route.name.clone(),
+            service: share.service.clone(),
+        }),
+        None => Ok(()),
+    }
+}
+
+impl Table {
+    /// Returns the operator's number of the table.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the limits on what callers may send.
+    #[must_use]
+    pub const fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns the route with the longest prefix of the path.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let start = self.routes.partition_point(|r| &*r.host < host);
+        let of_host = self.routes[start..].iter().take_while(|r| &*r.host == host);
+        of_host.into_iter().find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// Returns the service with that name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        let found = self.services.binary_search_by(|s| (*s.name).cmp(name));
+        found.ok().map(|at| &self.services[at])
+    }
+
+    /// Returns the services, sorted by name.
+    #[must_use]
+    pub fn services(&self) -> &[Arc<Service>] {
+        &self.services
+    }
+
+    /// Returns whether requests need a key, unless their route is public.
+    #[must_use]
+    pub const fn has_accounts(&self) -> bool {
+        self.has_accounts
+    }
+
+    /// Returns the client account that holds the key.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
+        let found = self.keys.binary_search_by(|k| (*k.0).cmp(key));
+        found.ok().map(|at| &self.keys[at].1)
+    }
+}
+
+impl Route {
+    /// Returns the service for a request with that number, evenly spread by weight.
+    #[must_use]
+    pub fn share(&self, number: u64) -> Option<&Arc<str>> {
+        let total: u64 = self.shares.iter().map(|s| s.weight).sum();
+        let mut at = number.checked_rem(total)?;
+        for share in &self.shares {
+            if at < share.weight {
+                return Some(&share.service);
+            }
+            at -= share.weight;
+        }
+        None
+    }
+
+    /// Returns whether a request that may have run may be sent again.
+    #[must_use]
+    pub const fn is_repeatable(&self) -> bool {
+        match self.kind {
+            Kind::Idempotent => true,
+            Kind::NonRepeatable => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,7 +1,7 @@
 //! The control replica: log, state machine, feed and bills behind JSON-RPC.
 
 mod bills;
-mod disk;
+pub(crate) mod disk;
 mod http;
 mod job;
 mod lead;
--- /dev/null
+++ b/crates/node/src/gateway.rs
@@ -0,0 +1,24 @@
+//! Entry and control processes for platforms where upstreams announce themselves to control
+//! instances and requests are routed by host and path.
+//!
+//! An entry process has two threads. The control thread polls a control instance and publishes a
+//! [`view::View`]; the traffic thread forwards requests by that view. A control process keeps the
+//! replicated log, the directory of upstreams and the reports of the entry instances on one thread
+//! and waits for its disk on another. What a platform's requests and headers look like is behind
+//! [`dialect::Dialect`].
+
+pub mod caller;
+pub mod control;
+pub mod dialect;
+pub mod entry;
+mod forward;
+pub mod frame;
+mod front;
+pub mod http;
+mod link;
+pub mod message;
+mod peers;
+pub mod socket;
+mod stream;
+mod sync;
+pub mod view;
--- /dev/null
+++ b/crates/node/src/gateway/caller.rs
@@ -0,0 +1,62 @@
+//! Calls to a control instance over one connection.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use tokio::{net::TcpStream, time::timeout};
+
+use super::{
+    frame,
+    message::{Reply, Request},
+    socket,
+};
+
+/// A connection to a control instance, opened when it is needed.
+#[derive(Debug)]
+pub struct Caller {
+    address: SocketAddr,
+    stream: Option<TcpStream>,
+}
+
+impl Caller {
+    /// Returns a caller of the address.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            stream: None,
+        }
+    }
+
+    /// Returns the address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and returns the answer to it.
+    ///
+    /// After an error the connection is closed, so that a late answer is never taken for another.
+    ///
+    /// # Errors
+    ///
+    /// Returns the connection's error, or [`io::ErrorKind::TimedOut`] after `limit`.
+    pub async fn call(&mut self, request: &Request, limit: Duration) -> io::Result<Reply> {
+        // Dropping the future halfway drops the connection as well.
+        let stream = self.stream.take();
+        let work = async {
+            let mut stream = match stream {
+                Some(stream) => stream,
+                None => socket::connect(self.address, limit).await?,
+            };
+            frame::write(&mut stream, request).await?;
+            let reply = frame::read(&mut stream).await?;
+            let reply = reply.ok_or(io::ErrorKind::ConnectionAborted)?;
+            Ok::<_, io::Error>((stream, reply))
+        };
+        let (stream, reply) = timeout(limit, work)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        self.stream = Some(stream);
+        Ok(reply)
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/control.rs
@@ -0,0 +1,581 @@
+//! A control process: the replicated log, the directory of upstreams and the reports.
+//!
+//! One thread owns all state. Every task borrows it between two awaits and never across one.
+
+mod lead;
+mod serve;
+mod state;
+
+use std::{
+    cell::RefCell,
+    fs, io,
+    net::SocketAddr,
+    path::PathBuf,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use masticlock_core::{
+    agreed::{self, Command},
+    consensus::{Event, Identity, Image, Member, Members, TICK},
+    fleet::{self, Announcement},
+    name, place,
+    time::Span,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, mpsc, oneshot},
+    task::JoinSet,
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
+};
+
+use self::state::{State, Waiting};
+use super::{
+    caller::Caller,
+    message::{Poll, Refusal, Reply, Request, Seen},
+    socket,
+};
+use crate::{
+    clock::Clock,
+    control::disk::{Disk, Done, LOG},
+};
+
+/// Interval at which control instances poll each other.
+const POLL_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Longest time that a poll may take.
+const POLL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest time that a command, read or confirmation may take. Callers give up after a second.
+const CALL_LIMIT: Duration = Duration::from_millis(850);
+
+/// Pause between two tries to reach a leader within [`CALL_LIMIT`].
+const CALL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Interval at which a replica outside of the set asks to join.
+const JOIN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval of the leader's decisions and of housekeeping.
+const DUTY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time since the last contact after which a control instance counts as out of reach.
+const CONTACT: Span = Span::from_millis(900);
+
+/// Settings of a control process, checked.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: name::Instance,
+    /// Address for other processes of the system.
+    pub address: SocketAddr,
+    /// Data folder.
+    pub data: PathBuf,
+    /// Internal addresses of control instances to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub founds: bool,
+}
+
+/// Why a control process ended.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The internal address can't be bound.
+    #[error("can't listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system says.
+        source: io::Error,
+    },
+    /// The data folder can't be used.
+    #[error("data folder: {0}")]
+    Disk(String),
+    /// The log is damaged.
+    #[error("the log has been stopped: {0}")]
+    Halted(String),
+}
+
+/// Access to a control process from its own thread.
+#[derive(Clone, Debug)]
+pub struct Handle(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    settings: Settings,
+    clock: Clock,
+    state: RefCell<State>,
+    /// Something was applied, polled or elected.
+    changed: Notify,
+    /// The replica can't go on.
+    ended: Notify,
+}
+
+/// Why [`Shared::run`] ended.
+enum End {
+    /// The identity was removed from the replica set.
+    Removed,
+    /// The log or the disk failed.
+    Failed(Error),
+}
+
+/// Starts a control process and hands its handle to `ready` whenever the replica begins anew.
+///
+/// # Errors
+///
+/// Returns why it ended.
+pub async fn run<R>(settings: Settings, mut ready: R) -> Result<(), Error>
+where
+    R: FnMut(Handle),
+{
+    let listener = Rc::new(socket::listen(settings.address).map_err(|source| Error::Listen {
+        address: settings.address,
+        source,
+    })?);
+    let mut founds = settings.founds;
+    loop {
+        let (handle, done) = Handle::open(&settings, founds)?;
+        ready(handle.clone());
+        match handle.0.clone().run(listener.clone(), done).await {
+            End::Failed(error) => return Err(error),
+            End::Removed => {
+                log::warn!(event = "replica_removed"; "the identity was removed: begins anew");
+                // The data folder is locked until the disk's thread has ended.
+                handle.0.state.borrow_mut().disk = None;
+                let folder = settings.data.join(LOG);
+                fs::remove_dir_all(&folder).map_err(|e| Error::Disk(e.to_string()))?;
+                founds = false;
+            }
+        }
+    }
+}
+
+fn random() -> u64 {
+    rand::random()
+}
+
+/// Returns the wall clock in milliseconds since the Unix epoch.
+#[must_use]
+pub fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Returns the identity of a founding replica, which all founders know from its address.
+fn founder(address: SocketAddr) -> Identity {
+    Identity::from_random(place::mix(place::digest(address.to_string().as_bytes())))
+}
+
+fn founding(settings: &Settings) -> Option<Image> {
+    if !settings.seeds.contains(&settings.address) {
+        return None;
+    }
+    let mut voters: Vec<_> = settings
+        .seeds
+        .iter()
+        .filter_map(|address| {
+            let text = address.to_string();
+            let instance = name::Instance::try_from(text.as_str()).ok()?;
+            Some(Member {
+                id: founder(*address),
+                instance,
+                address: text,
+            })
+        })
+        .collect();
+    voters.sort_by_key(|m| m.id);
+    voters.dedup_by_key(|m| m.id);
+    let members = Members {
+        voters,
+        ..Members::default()
+    };
+    Some(Image::founding(founder(settings.address), members))
+}
+
+impl Handle {
+    fn open(
+        settings: &Settings,
+        founds: bool,
+    ) -> Result<(Self, mpsc::UnboundedReceiver<Done>), Error> {
+        let fresh = if founds { founding(settings) } else { None };
+        let fresh = fresh.unwrap_or_else(|| Image::empty(Identity::from_random(random())));
+        let (sender, done) = mpsc::unbounded_channel();
+        let known = Disk::is_founded(&settings.data);
+        let (disk, content) = Disk::open(&settings.data, fresh, sender).map_err(Error::Disk)?;
+        log::info!(
+            event = "replica_start", identity = content.image.id.to_string(), known,
+            last = content.image.entries.last().map_or(content.image.snapshot.index, |e| e.index);
+            "replica starts"
+        );
+        let clock = Clock::start();
+        let state = State::new(content.image, disk, clock.now()).map_err(Error::Disk)?;
+        let shared = Shared {
+            settings: settings.clone(),
+            clock,
+            state: RefCell::new(state),
+            changed: Notify::new(),
+            ended: Notify::new(),
+        };
+        Ok((Self(Rc::new(shared)), done))
+    }
+
+    /// Merges an announcement and returns whether it may be confirmed.
+    ///
+    /// An instance out of reach of the majority confirms nothing, so that the upstream goes on to
+    /// another one. That an upstream leaves is confirmed once a majority of the control instances
+    /// knows it, because this one may end right after.
+    pub async fn announce(&self, announcement: Announcement) -> bool {
+        let leaving = announcement.phase == fleet::Phase::Leaving;
+        let upstream = announcement.upstream.clone();
+        let now = self.0.clock.now();
+        let news = {
+            let mut state = self.0.state.borrow_mut();
+            let old = state.fleet.get(&upstream).map(|e| e.announcement.clone());
+            let changed = old.is_none_or(|old| {
+                old.phase != announcement.phase
+                    || old.incarnation != announcement.incarnation
+                    || old.cold.as_millis().min(1) != announcement.cold.as_millis().min(1)
+            });
+            let record = fleet::Record {
+                announcement,
+                age: Span::ZERO,
+            };
+            let merged = state.fleet.merge(record, now);
+            changed && merged
+        };
+        if news {
+            self.0.log_upstream(&upstream);
+        }
+        if leaving {
+            self.0.is_known_by_majority(&upstream).await
+        } else {
+            self.0.reaches_majority()
+        }
+    }
+
+    /// Marks an upstream as leaving and returns whether that may be confirmed.
+    pub async fn leave(&self, upstream: &str, incarnation: Option<u64>) -> bool {
+        if self.0.state.borrow_mut().fleet.leave(upstream, incarnation) {
+            self.0.log_upstream(upstream);
+        }
+        self.0.is_known_by_majority(upstream).await
+    }
+
+    /// Appends a command to the log.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it was not appended, or that this is not known.
+    pub async fn submit(&self, command: Command) -> Result<(), Refusal> {
+        if let Command::Configure { revision, .. } = &command
+            && *revision <= self.0.state.borrow().agreed.revision
+        {
+            return Ok(());
+        }
+        self.0.ask_leader(&Request::Submit(command)).await.map(drop)
+    }
+
+    /// Returns the newest agreed state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this instance can't be sure which one is the newest.
+    pub async fn read(&self) -> Result<Arc<agreed::State>, Refusal> {
+        let index = self.0.ask_leader(&Request::Read).await?;
+        self.0.applied(index).await.map_err(|_| Refusal::NoLeader)?;
+        Ok(self.0.state.borrow().agreed.clone())
+    }
+
+    /// Returns whether this instance leads with a valid lease.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.0.leads()
+    }
+}
+
+impl Shared {
+    /// Runs the replica until it can't go on.
+    async fn run(
+        self: Rc<Self>,
+        listener: Rc<TcpListener>,
+        mut done: mpsc::UnboundedReceiver<Done>,
+    ) -> End {
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(serve::accept(self.clone(), listener));
+        tasks.spawn_local(self.clone().poll_peers());
+        tasks.spawn_local(self.clone().join());
+        tasks.spawn_local(self.clone().duties());
+        let mut ticks = interval(TICK.to_std());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.step(Event::Tick),
+                Some(done) = done.recv() => match done {
+                    Done::Records(sequence) => self.step(Event::Synced(sequence)),
+                    Done::Bills(_) => {}
+                    Done::Failed(reason) => return End::Failed(Error::Disk(reason)),
+                },
+                () = self.ended.notified() => {
+                    let halted = self.state.borrow_mut().halted.take();
+                    return match halted {
+                        Some(reason) => End::Failed(Error::Halted(reason)),
+                        None => End::Removed,
+                    };
+                }
+            }
+        }
+    }
+
+    /// Steps the replica and carries out its actions.
+    fn step(&self, event: Event) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let halted = state.step(event, now);
+        drop(state);
+        if halted {
+            self.ended.notify_one();
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn leads(&self) -> bool {
+        self.state.borrow().leads(self.clock.now())
+    }
+
+    fn log_upstream(&self, upstream: &str) {
+        let state = self.state.borrow();
+        if let Some(entry) = state.fleet.get(upstream) {
+            let said = &entry.announcement;
+            log::info!(
+                event = "upstream", upstream, service = &*said.service, address = &*said.address,
+                domain = &*said.domain, version = &*said.version, phase:? = said.phase,
+                cold_ms = said.cold.as_millis(), incarnation = said.incarnation,
+                sequence = said.sequence;
+                "an upstream has changed"
+            );
+        }
+    }
+
+    /// Returns whether more than half of the control instances were in contact of late.
+    fn reaches_majority(&self) -> bool {
+        let state = self.state.borrow();
+        let now = self.clock.now();
+        let others = state.addresses(self.settings.address);
+        let reached = |a: &&SocketAddr| state.contact(**a).is_some_and(|at| now.since(at) < CONTACT);
+        let count = others.iter().filter(reached).count();
+        2 * (count + 1) > others.len() + 1
+    }
+
+    /// Waits until a majority of the control instances has taken over the upstream's record.
+    async fn is_known_by_majority(&self, upstream: &str) -> bool {
+        let mark = self.state.borrow().fleet.mark();
+        let until = Instant::now() + CALL_LIMIT;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state.borrow();
+                let others = state.addresses(self.settings.address);
+                let knows = |a: &&SocketAddr| state.fleet_seen(**a) >= mark;
+                let count = others.iter().filter(knows).count();
+                if 2 * (count + 1) > others.len() + 1 {
+                    return true;
+                }
+            }
+            if timeout_at(until, changed).await.is_err() {
+                log::info!(
+                    event = "leave_unconfirmed", upstream;
+                    "too few control instances know that the upstream leaves"
+                );
+                return false;
+            }
+        }
+    }
+
+    /// Waits until the log is applied up to the index.
+    async fn applied(&self, index: u64) -> Result<(), ()> {
+        let until = Instant::now() + CALL_LIMIT;
+        loop {
+            let changed = self.changed.notified();
+            if self.state.borrow().applied >= index {
+                return Ok(());
+            }
+            timeout_at(until, changed).await.map_err(drop)?;
+        }
+    }
+
+    /// Asks the leader, which may be this instance, and tries again while there is none.
+    async fn ask_leader(&self, request: &Request) -> Result<u64, Refusal> {
+        let until = Instant::now() + CALL_LIMIT;
+        loop {
+            let answer = timeout_at(until, self.ask_once(request)).await;
+            match answer {
+                Ok(Err(Refusal::NoLeader)) => {}
+                Ok(answer) => return answer,
+                Err(_) => return Err(Refusal::Unknown),
+            }
+            if Instant::now() + CALL_PAUSE >= until {
+                return Err(Refusal::NoLeader);
+            }
+            sleep(CALL_PAUSE).await;
+        }
+    }
+
+    async fn ask_once(&self, request: &Request) -> Result<u64, Refusal> {
+        if self.leads() {
+            return self.handle(request.clone()).await;
+        }
+        let leader = self.state.borrow().leader();
+        let Some(address) = leader.filter(|a| *a != self.settings.address) else {
+            return Err(Refusal::NoLeader);
+        };
+        match Caller::new(address).call(request, CALL_LIMIT).await {
+            Ok(Reply::Done(index)) => Ok(index),
+            Ok(Reply::Refused(refusal)) => Err(refusal),
+            Ok(Reply::News(_)) => Err(Refusal::Unknown),
+            Err(error) => {
+                log::debug!("the leader {address} gave no answer: {error}");
+                Err(Refusal::Unknown)
+            }
+        }
+    }
+
+    /// Carries out a request for the leader.
+    async fn handle(&self, request: Request) -> Result<u64, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        let waiting = Waiting(reply);
+        let event = {
+            let mut state = self.state.borrow_mut();
+            let ticket = state.ticket(waiting);
+            match request {
+                Request::Submit(command) => Event::Propose {
+                    ticket,
+                    payload: state::encode(&command),
+                },
+                Request::Read => Event::Read { ticket },
+                Request::Join(member) => {
+                    if state.replica.members().is_removed(member.id) {
+                        return Err(Refusal::Removed);
+                    }
+                    if state.replica.members().member(member.id).is_some() {
+                        return Ok(0);
+                    }
+                    Event::AddLearner { ticket, member }
+                }
+                Request::Replica(_) | Request::Poll(_) => return Err(Refusal::Unknown),
+            }
+        };
+        self.step(event);
+        answer.await.unwrap_or(Err(Refusal::Unknown))
+    }
+
+    /// Polls all other control instances, each by a task of its own.
+    async fn poll_peers(self: Rc<Self>) {
+        let mut pollers: Vec<(SocketAddr, JoinSet<()>)> = Vec::new();
+        loop {
+            let addresses = {
+                let mut state = self.state.borrow_mut();
+                let mut known = state.addresses(self.settings.address);
+                state.peers.keep(&known);
+                if !state.is_member() {
+                    let seeds = self.settings.seeds.iter();
+                    known.extend(seeds.filter(|a| **a != self.settings.address));
+                    known.sort_unstable();
+                    known.dedup();
+                }
+                known
+            };
+            pollers.retain(|(address, _)| addresses.contains(address));
+            for address in addresses {
+                if pollers.iter().all(|(a, _)| *a != address) {
+                    let mut tasks = JoinSet::new();
+                    tasks.spawn_local(self.clone().poll(address));
+                    pollers.push((address, tasks));
+                }
+            }
+            sleep(DUTY_INTERVAL).await;
+        }
+    }
+
+    async fn poll(self: Rc<Self>, address: SocketAddr) {
+        let mut caller = Caller::new(address);
+        let mut seen = Seen::default();
+        let own = self.settings.address.to_string();
+        loop {
+            let request = Request::Poll(Poll {
+                seen,
+                revision: None,
+                report: None,
+                control: Some(own.clone()),
+            });
+            let sent = self.clock.now();
+            match caller.call(&request, POLL_LIMIT).await {
+                Ok(Reply::News(news)) => {
+                    seen = news.seen;
+                    let now = self.clock.now();
+                    self.state.borrow_mut().take_news(address, *news, sent, now);
+                    self.changed.notify_waiters();
+                }
+                Ok(_) => log::warn!("{address} answers a poll with something else"),
+                Err(error) => log::debug!("{address} is not reached: {error}"),
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Asks to take part while this replica is not a member.
+    async fn join(self: Rc<Self>) {
+        loop {
+            sleep(JOIN_INTERVAL).await;
+            let (id, is_member, known) = {
+                let state = self.state.borrow();
+                let known = state.known_leader.map(|(address, _)| address);
+                (state.id(), state.is_member(), known)
+            };
+            let removed = self.state.borrow().replica.members().is_removed(id);
+            if removed {
+                self.ended.notify_one();
+                return;
+            }
+            let silent = self.state.borrow().is_silent(self.clock.now());
+            if is_member && !silent {
+                continue;
+            }
+            let text = self.settings.address.to_string();
+            let member = Member {
+                id,
+                instance: self.settings.instance.clone(),
+                address: text,
+            };
+            let asked = known.into_iter().chain(self.settings.seeds.iter().copied());
+            for address in asked.filter(|a| *a != self.settings.address) {
+                let request = Request::Join(member.clone());
+                let answer = Caller::new(address).call(&request, POLL_LIMIT).await;
+                match answer {
+                    Ok(Reply::Refused(Refusal::Removed)) => {
+                        self.ended.notify_one();
+                        return;
+                    }
+                    Ok(Reply::Done(_)) => break,
+                    Ok(_) => {}
+                    Err(error) => log::debug!("{address} takes no replica: {error}"),
+                }
+            }
+        }
+    }
+
+    /// Carries out the leader's decisions and forgets what is old.
+    async fn duties(self: Rc<Self>) {
+        loop {
+            sleep(DUTY_INTERVAL).await;
+            let now = self.clock.now();
+            self.state.borrow_mut().expire(now);
+            if !self.leads() {
+                continue;
+            }
+            let events = lead::decide(&mut self.state.borrow_mut(), now, wall_millis());
+            for event in events {
+                self.step(event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/control/state.rs
@@ -0,0 +1,422 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use masticlock_core::{
+    agreed::{self, Command},
+    consensus::{
+        self, Action, Event, Identity, Image, Member, Payload, Replica, Settings, Snapshot,
+    },
+    fleet, report,
+    time::{Span, Time},
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    control::disk::{Disk, Work},
+    gateway::{
+        message::{Agreed, News, Poll, Refusal, Seen},
+        peers::Peers,
+    },
+};
+
+/// Bytes of entries after which a snapshot is taken, unless the last snapshot is larger.
+const SNAPSHOT_BYTES: usize = 1_024 * 1_024;
+
+/// Largest configuration in bytes.
+pub const MAX_CONTENT: usize = 4 * 1_024 * 1_024;
+
+/// Time without word from a leader after which a member asks whether it was removed.
+const SILENT: Span = Span::from_secs(2);
+
+/// Silence of a member that never comes back.
+const FOREVER: Span = Span::from_millis(u64::MAX);
+
+/// Who waits for a ticket of the log.
+#[derive(Debug)]
+pub struct Waiting(pub oneshot::Sender<Result<u64, Refusal>>);
+
+/// What is known about another control instance.
+#[derive(Debug)]
+struct Contact {
+    address: SocketAddr,
+    /// When it last answered a poll, and the identity of its data folder.
+    heard: Option<(Time, Identity)>,
+    /// Mark of this instance's directory that it has taken over.
+    fleet_seen: u64,
+}
+
+/// Everything that the control thread owns.
+#[derive(Debug)]
+pub struct State {
+    pub replica: Replica,
+    pub agreed: Arc<agreed::State>,
+    /// Index of the last applied entry.
+    pub applied: u64,
+    pub fleet: fleet::Directory,
+    pub reports: report::Board,
+    pub peers: Peers,
+    /// None while the data folder is being replaced.
+    pub disk: Option<Disk>,
+    /// Why the log was stopped.
+    pub halted: Option<String>,
+    /// The leader by its own word, with its identity's address, and when it said so.
+    pub known_leader: Option<(SocketAddr, Time)>,
+    /// Random number of this process.
+    process: u64,
+    started: Time,
+    contacts: Vec<Contact>,
+    /// When the agreed state was known to be the newest.
+    fresh: Option<Time>,
+    /// A poll's send time that counts once the log is applied up to the index.
+    pending: Option<(Time, u64)>,
+    tickets: Vec<(u64, Waiting)>,
+    next_ticket: u64,
+    bytes: usize,
+    snapshot_bytes: usize,
+}
+
+/// Encodes a command for the log.
+pub fn encode(command: &Command) -> Payload {
+    // Commands have no maps or unsized parts that the codec could refuse.
+    Payload::from(postcard::to_stdvec(command).expect("a command can be encoded"))
+}
+
+impl State {
+    /// Starts from what the disk held.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the snapshot.
+    pub fn new(image: Image, disk: Disk, now: Time) -> Result<Self, String> {
+        let agreed = decode(&image.snapshot)?;
+        let applied = image.snapshot.index;
+        let snapshot_bytes = image.snapshot.data.as_bytes().len();
+        let limits = consensus::Limits {
+            payload_bytes: MAX_CONTENT + 1_024,
+            ..consensus::Limits::default()
+        };
+        let settings = Settings {
+            seed: super::random(),
+            limits,
+            fault: None,
+        };
+        Ok(Self {
+            replica: Replica::new(&settings, image, now),
+            agreed: Arc::new(agreed),
+            applied,
+            fleet: fleet::Directory::default(),
+            reports: report::Board::default(),
+            peers: Peers::default(),
+            disk: Some(disk),
+            halted: None,
+            known_leader: None,
+            process: super::random(),
+            started: now,
+            contacts: Vec::new(),
+            fresh: None,
+            pending: None,
+            tickets: Vec::new(),
+            next_ticket: 1,
+            bytes: 0,
+            snapshot_bytes,
+        })
+    }
+
+    pub fn id(&self) -> Identity {
+        self.replica.id()
+    }
+
+    pub fn is_member(&self) -> bool {
+        self.replica.members().member(self.id()).is_some()
+    }
+
+    pub fn leads(&self, now: Time) -> bool {
+        self.replica.may_act(now)
+    }
+
+    /// Returns whether no leader has been heard for a long time.
+    pub fn is_silent(&self, now: Time) -> bool {
+        !self.leads(now) && self.fresh.is_none_or(|at| now.since(at) > SILENT)
+    }
+
+    /// Returns the internal address of the leader.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        let id = self.replica.leader()?;
+        let member = self.replica.members().member(id)?;
+        member.address.parse().ok()
+    }
+
+    /// Returns the internal addresses of the other members.
+    pub fn addresses(&self, own: SocketAddr) -> Vec<SocketAddr> {
+        let members = self.replica.members();
+        let all = members.voters.iter().chain(&members.learners);
+        let mut addresses: Vec<SocketAddr> = all
+            .filter_map(|m| m.address.parse().ok())
+            .filter(|a| *a != own)
+            .collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Registers who waits for the outcome and returns its ticket.
+    pub fn ticket(&mut self, waiting: Waiting) -> u64 {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.tickets.push((ticket, waiting));
+        ticket
+    }
+
+    /// Steps the replica, carries out its actions and returns whether it has been stopped.
+    pub fn step(&mut self, event: Event, now: Time) -> bool {
+        let mut events = vec![event];
+        let mut halted = false;
+        while let Some(event) = events.pop() {
+            for action in self.replica.step(event, now) {
+                halted |= self.carry_out(action, &mut events);
+            }
+        }
+        if let Some((sent, index)) = self.pending
+            && self.applied >= index
+        {
+            self.fresh = self.fresh.max(Some(sent));
+            self.pending = None;
+        }
+        halted
+    }
+
+    fn carry_out(&mut self, action: Action, events: &mut Vec<Event>) -> bool {
+        match action {
+            Action::Send(message) => {
+                let member = self.replica.members().member(message.to);
+                // A new replica answers a leader that is not in its own empty set.
+                let address = member.and_then(|m| m.address.parse().ok());
+                let known = self.known_leader.map(|(address, _)| address);
+                if let Some(address) = address.or(known) {
+                    self.peers.send(address, message);
+                }
+            }
+            Action::Write { sequence, records } => {
+                if let Some(disk) = &self.disk {
+                    disk.send(Work::Records(sequence, records));
+                }
+            }
+            Action::Apply { index, payload, .. } => {
+                self.apply(index, &payload);
+                events.extend(self.snapshot(payload.as_bytes().len()));
+            }
+            Action::Install(snapshot) => match decode(&snapshot) {
+                Ok(agreed) => {
+                    self.agreed = Arc::new(agreed);
+                    self.applied = snapshot.index;
+                }
+                Err(reason) => {
+                    self.halted = Some(reason);
+                    return true;
+                }
+            },
+            Action::Answer { ticket, outcome } | Action::Read { ticket, outcome } => {
+                self.answer(ticket, outcome);
+            }
+            Action::Elected { term } => log::info!(event = "leader", term; "leads the log"),
+            Action::StepDown { term } => log::info!(event = "follower", term; "leads no more"),
+            Action::Halt { reason } => {
+                self.halted = Some(reason);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn apply(&mut self, index: u64, payload: &Payload) {
+        self.applied = index;
+        match postcard::from_bytes::<Command>(payload.as_bytes()) {
+            Ok(command) => {
+                let kind = describe(&command);
+                let changed = Arc::make_mut(&mut self.agreed).apply(command);
+                log::info!(event = "applied", index, command = kind, changed; "a command is applied");
+            }
+            Err(error) => log::error!("entry {index} can't be read and changes nothing: {error}"),
+        }
+    }
+
+    fn snapshot(&mut self, bytes: usize) -> Option<Event> {
+        self.bytes += bytes;
+        if self.bytes < SNAPSHOT_BYTES.max(4 * self.snapshot_bytes) {
+            return None;
+        }
+        self.bytes = 0;
+        match postcard::to_stdvec(&*self.agreed) {
+            Ok(data) => {
+                self.snapshot_bytes = data.len();
+                Some(Event::Snapshotted {
+                    index: self.applied,
+                    data: Payload::from(data),
+                })
+            }
+            Err(error) => {
+                log::error!("no snapshot of the agreed state: {error}");
+                None
+            }
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, outcome: Result<u64, consensus::Refusal>) {
+        let Some(at) = self.tickets.iter().position(|(t, _)| *t == ticket) else {
+            return;
+        };
+        let (_, Waiting(reply)) = self.tickets.swap_remove(at);
+        let outcome = outcome.map_err(|refusal| {
+            log::info!(event = "not_appended", reason = refusal.to_string(); "the log refuses");
+            if refusal.may_commit() {
+                Refusal::Unknown
+            } else {
+                Refusal::NoLeader
+            }
+        });
+        // The caller may have given up.
+        let _gone = reply.send(outcome);
+    }
+
+    /// Returns when the control instance last answered.
+    pub fn contact(&self, address: SocketAddr) -> Option<Time> {
+        let found = self.contacts.iter().find(|c| c.address == address);
+        found.and_then(|c| c.heard).map(|(at, _)| at)
+    }
+
+    /// Returns for how long the member has been out of contact.
+    ///
+    /// A member whose address has another data folder has been lost for ever.
+    pub fn silence(&self, member: &Member, now: Time) -> Span {
+        let address: Option<SocketAddr> = member.address.parse().ok();
+        let found = address.and_then(|a| self.contacts.iter().find(|c| c.address == a));
+        match found.and_then(|c| c.heard) {
+            Some((_, identity)) if identity != member.id => FOREVER,
+            Some((at, _)) => now.since(at),
+            None => now.since(self.started),
+        }
+    }
+
+    /// Returns the mark of this instance's directory that the control instance has taken over.
+    pub fn fleet_seen(&self, address: SocketAddr) -> u64 {
+        let found = self.contacts.iter().find(|c| c.address == address);
+        found.map_or(0, |c| c.fleet_seen)
+    }
+
+    fn contact_mut(&mut self, address: SocketAddr) -> &mut Contact {
+        let at = self.contacts.iter().position(|c| c.address == address);
+        let at = at.unwrap_or_else(|| {
+            self.contacts.push(Contact {
+                address,
+                heard: None,
+                fleet_seen: 0,
+            });
+            self.contacts.len() - 1
+        });
+        &mut self.contacts[at]
+    }
+
+    /// Takes over the news of another control instance that were asked for at `sent`.
+    pub fn take_news(&mut self, address: SocketAddr, news: News, sent: Time, now: Time) {
+        self.contact_mut(address).heard = Some((now, news.identity));
+        for record in news.fleet {
+            self.fleet.merge(record, now);
+        }
+        for record in news.reports {
+            self.reports.merge(record, now, false);
+        }
+        if news.leads {
+            self.known_leader = Some((address, now));
+            if self.applied >= news.index {
+                self.fresh = self.fresh.max(Some(sent));
+            } else {
+                self.pending = Some((sent, news.index));
+            }
+        }
+    }
+
+    /// Answers a poll.
+    pub fn poll(&mut self, poll: Poll, now: Time) -> News {
+        let mut seen = poll.seen;
+        if seen.process != self.process {
+            seen = Seen::default();
+        }
+        let mut news = News {
+            seen: Seen {
+                process: self.process,
+                fleet: self.fleet.mark(),
+                reports: self.reports.mark(),
+            },
+            identity: self.id(),
+            leads: self.leads(now),
+            age: self.age(now),
+            index: self.applied,
+            fleet: self.fleet.since(seen.fleet, now),
+            reports: Vec::new(),
+            totals: None,
+            agreed: None,
+            control: Vec::new(),
+        };
+        if let Some(address) = poll.control.and_then(|a| a.parse().ok()) {
+            self.contact_mut(address).fleet_seen = seen.fleet;
+            news.reports = self.reports.since(seen.reports, now);
+            return news;
+        }
+        if let Some(report) = poll.report {
+            let instance = report.instance;
+            let record = report::Record {
+                report,
+                age: Span::ZERO,
+            };
+            self.reports.merge(record, now, true);
+            news.totals = Some(self.reports.totals(instance, now));
+        }
+        let has = poll.revision == Some(self.agreed.revision);
+        news.agreed = Some(Agreed {
+            revision: self.agreed.revision,
+            content: (!has && self.agreed.revision > 0).then(|| self.agreed.content.clone()),
+            taken_out: self.agreed.taken_out.clone(),
+            rollouts: self.agreed.rollouts.clone(),
+        });
+        let members = self.replica.members();
+        let all = members.voters.iter().chain(&members.learners);
+        news.control = all.map(|m: &Member| m.address.clone()).collect();
+        news
+    }
+
+    /// Returns the time since the agreed state was known to be the newest.
+    fn age(&self, now: Time) -> Option<Span> {
+        if self.leads(now) {
+            return Some(Span::ZERO);
+        }
+        self.fresh.map(|at| now.since(at))
+    }
+
+    /// Forgets what is old.
+    pub fn expire(&mut self, now: Time) {
+        self.fleet.expire(now);
+        self.reports.expire(now);
+    }
+}
+
+fn decode(snapshot: &Snapshot) -> Result<agreed::State, String> {
+    if snapshot.data.as_bytes().is_empty() {
+        return Ok(agreed::State::default());
+    }
+    postcard::from_bytes(snapshot.data.as_bytes())
+        .map_err(|e| format!("the snapshot can't be read: {e}"))
+}
+
+fn describe(command: &Command) -> String {
+    match command {
+        Command::Configure { revision, .. } => format!("configure {revision}"),
+        Command::TakeOut(domain) => format!("take out {domain}"),
+        Command::Restore(domain) => format!("restore {domain}"),
+        Command::Begin(rollout) => format!("begin {} {}", rollout.service, rollout.target),
+        Command::Advance {
+            service,
+            target,
+            permille,
+            phase,
+        } => format!("advance {service} {target} {permille} {phase:?}"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/forward.rs
@@ -0,0 +1,565 @@
+//! The way of a request: resolved, placed, sent and answered, again where that is allowed.
+
+mod attempt;
+mod relay;
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use hyper::{HeaderMap, Method, Response, StatusCode, body::Bytes};
+use masticlock_core::{
+    place::{self, Choice, Outcome, Pool, Target, Want},
+    report::{Suspect, Trial},
+    route::{Kind, Route},
+    share::Budget,
+    time::{Span, Time},
+};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
+
+use self::attempt::End;
+use super::{
+    dialect::{Call, Dialect},
+    entry::{Payload, Settings},
+    front::{Resolved, refuse},
+    http::Limits,
+    link::Links,
+    view::{Board, View},
+};
+use crate::clock::Clock;
+
+/// Part of the time until a key's revocation must be in force for which a key is believed.
+const LEASE_PERCENT: u64 = 80;
+
+/// Part of that time after which the instance no longer says that it is ready.
+const READY_PERCENT: u64 = 60;
+
+/// Age of the agreed state up to which an unknown route or key is refused for good.
+const SURE: Span = Span::from_millis(1_500);
+
+/// Longest time that a request waits while no upstream may be used.
+const NOTHING_PATIENCE: Span = Span::from_millis(250);
+
+/// Longest pause until a waiting request looks for an upstream again.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
+/// Time after which a caller may come back when no upstream was free.
+const BUSY_RETRY: Span = Span::from_millis(300);
+
+/// Time after which a caller may come back when no upstream may be used.
+const NOTHING_RETRY: Span = Span::from_millis(600);
+
+/// Upstreams that a request may have crashed before it is not sent any more.
+const MAX_CRASHES: u32 = 3;
+
+/// How long evidence of a crash is kept.
+const SUSPECT_KEPT: Span = Span::from_secs(60);
+
+/// Most requests with evidence of a crash that are kept.
+const MAX_SUSPECTS: usize = 128;
+
+/// Requests that may be refused by upstreams before the router gives up.
+const MAX_REFUSALS: usize = 6;
+
+/// Head limits before the first configuration.
+const FIRST_LIMITS: Limits = Limits {
+    head_bytes: 16_384,
+    head_timeout: Duration::from_secs(15),
+};
+
+/// Body limits before the first configuration.
+const FIRST_BODY: (usize, Duration) = (4 * 1_024 * 1_024, Duration::from_secs(3));
+
+/// A caller's request with what has become of it.
+#[derive(Debug, Default)]
+pub struct Job {
+    /// Host in lowercase, without port.
+    pub host: String,
+    /// Path.
+    pub path: String,
+    /// Path and query as the caller sent them.
+    pub target: String,
+    /// Method.
+    pub method: Method,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// What the headers say.
+    pub call: Call,
+    /// When its head had been read.
+    pub arrived: Time,
+    /// Digest of account, path and body.
+    pub fingerprint: u64,
+    /// Attempts that may have run.
+    pub runs: Cell<u32>,
+    /// Attempts after the first, counted against the retry budget.
+    pub repeats: Cell<u32>,
+    /// Position of the model among those of the route.
+    pub level: Cell<usize>,
+    /// Upstreams that were tried.
+    pub tried: RefCell<Vec<Arc<str>>>,
+}
+
+/// Everything that the traffic thread owns.
+pub struct Traffic {
+    settings: Settings,
+    clock: Clock,
+    board: Arc<Board>,
+    dialect: Box<dyn Dialect>,
+    links: Rc<Links>,
+    pool: RefCell<Pool>,
+    /// Stamp of the view that the pool was updated from.
+    stamp: Cell<u64>,
+    budgets: RefCell<Vec<(Arc<str>, Budget)>>,
+    trials: RefCell<Vec<Trial>>,
+    suspects: RefCell<Vec<(Suspect, Time)>>,
+    /// Usual time until the head of an answer, by route.
+    usual: RefCell<Vec<(Arc<str>, f64)>>,
+    /// A request has ended.
+    room: Notify,
+}
+
+impl Traffic {
+    /// Returns the state of a new process.
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        board: Arc<Board>,
+        dialect: Box<dyn Dialect>,
+        instance: u64,
+    ) -> Self {
+        let pool = Pool::new(settings.domain.clone(), instance, settings.announcements);
+        Self {
+            settings,
+            clock,
+            board,
+            dialect,
+            links: Rc::default(),
+            pool: RefCell::new(pool),
+            stamp: Cell::new(0),
+            budgets: RefCell::default(),
+            trials: RefCell::default(),
+            suspects: RefCell::default(),
+            usual: RefCell::default(),
+            room: Notify::new(),
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns the platform's dialect.
+    pub fn dialect(&self) -> &dyn Dialect {
+        &*self.dialect
+    }
+
+    /// Returns the latest view, with the pool brought up to it.
+    fn view(&self) -> Arc<View> {
+        let view = self.board.view.load_full();
+        if view.stamp != self.stamp.get() {
+            self.stamp.set(view.stamp);
+            let mut pool = self.pool.borrow_mut();
+            pool.update(view.fleet.entries(), self.now());
+            pool.update_totals(&view.totals);
+        }
+        view
+    }
+
+    /// Returns the time since the agreed state was known to be the newest.
+    fn age(&self, view: &View) -> Option<Span> {
+        view.fresh.map(|at| self.now().since(at))
+    }
+
+    fn is_younger(&self, view: &View, percent: u64) -> bool {
+        let limit = Span::from_millis(self.settings.revocation.as_millis() * percent / 100);
+        self.age(view).is_some_and(|age| age < limit)
+    }
+
+    /// Returns whether the instance takes new connections.
+    pub fn is_ready(&self) -> bool {
+        let view = self.view();
+        view.table.is_some() && self.is_younger(&view, READY_PERCENT)
+    }
+
+    /// Returns the limits of a caller's connection.
+    pub fn limits(&self) -> Limits {
+        self.board.view.load().table.as_ref().map_or(FIRST_LIMITS, |table| {
+            let limits = table.limits();
+            Limits {
+                head_bytes: limits.head_bytes,
+                head_timeout: limits.idle_timeout.max(limits.read_timeout).to_std(),
+            }
+        })
+    }
+
+    /// Returns the limits of a request's body in bytes and time.
+    pub fn body_limits(&self) -> (usize, Duration) {
+        self.board.view.load().table.as_ref().map_or(FIRST_BODY, |table| {
+            let limits = table.limits();
+            (limits.body_bytes, limits.read_timeout.to_std())
+        })
+    }
+
+    /// Writes this instance's report.
+    pub fn report(&self) {
+        let now = self.now();
+        // Brings the pool up to date even without requests.
+        self.view();
+        let loads = self.pool.borrow_mut().loads(now);
+        let mut suspects = self.suspects.borrow_mut();
+        suspects.retain(|(_, seen)| now.since(*seen) < SUSPECT_KEPT);
+        let suspects = suspects.iter().map(|(s, _)| *s).collect();
+        let outbox = self.board.outbox.lock();
+        // The control thread never panics while it holds the lock.
+        let mut outbox = outbox.unwrap_or_else(std::sync::PoisonError::into_inner);
+        outbox.loads = loads;
+        outbox.trials.clone_from(&self.trials.borrow());
+        outbox.suspects = suspects;
+    }
+
+    /// Looks the request up in the newest tables.
+    ///
+    /// A request that has waited is looked up again before it is sent, so that it is never sent by
+    /// tables that are out of date.
+    fn resolve(&self, job: &Job, view: &View) -> Result<Resolved, Response<Payload>> {
+        let unsure = || refuse(StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY));
+        let Some(table) = &view.table else {
+            return Err(unsure());
+        };
+        let sure = self.age(view).is_some_and(|age| age < SURE);
+        let answer = |status| if sure { refuse(status, None) } else { unsure() };
+        let Some(route) = table.find(&job.host, &job.path) else {
+            return Err(answer(StatusCode::NOT_FOUND));
+        };
+        let mut account = None;
+        if table.has_accounts() && !route.public {
+            let key = job.call.key.as_deref();
+            account = key.and_then(|k| table.account(k)).cloned();
+            if account.is_none() {
+                return Err(answer(StatusCode::UNAUTHORIZED));
+            }
+            if !self.is_younger(view, LEASE_PERCENT) {
+                return Err(unsure());
+            }
+        }
+        let service = route.share(job.fingerprint).and_then(|s| table.service(s));
+        // A checked table has the services of all its routes.
+        let service = service.ok_or_else(unsure)?;
+        Ok(Resolved {
+            route: route.clone(),
+            service: service.clone(),
+            account,
+        })
+    }
+
+    /// Answers a request.
+    pub async fn serve(self: Rc<Self>, job: Job) -> Response<Payload> {
+        let job = Rc::new(job);
+        let view = self.view();
+        let resolved = match self.resolve(&job, &view) {
+            Ok(resolved) => resolved,
+            Err(response) => {
+                self.log_refusal(&job, &response, "not allowed", &view);
+                return response;
+            }
+        };
+        self.with_budget(&resolved.service.name, Budget::deposit);
+        let left = job.deadline(&resolved.route).since(self.now());
+        match timeout(left.to_std(), self.clone().attempts(job.clone())).await {
+            Ok(response) => response,
+            Err(_) if job.runs.get() > 0 => {
+                log::info!(
+                    event = "timed_out", request = job.id(), runs = job.runs.get();
+                    "no answer in time from an upstream"
+                );
+                refuse(StatusCode::GATEWAY_TIMEOUT, None)
+            }
+            Err(_) => {
+                let response = refuse(StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY));
+                self.log_refusal(&job, &response, "no upstream in time", &view);
+                response
+            }
+        }
+    }
+
+    fn log_refusal(&self, job: &Job, response: &Response<Payload>, reason: &str, view: &View) {
+        log::info!(
+            event = "refused", request = job.id(), status = response.status().as_u16(), reason,
+            runs = job.runs.get(), tried = job.tried.borrow().len(),
+            waited_ms = self.now().since(job.arrived).as_millis(),
+            revision = view.table.as_ref().map_or(0, |t| t.revision()),
+            age_ms = self.age(view).map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(-1));
+            "a request is refused"
+        );
+    }
+
+    /// Sends the request to one upstream after the other until it is answered.
+    async fn attempts(self: Rc<Self>, job: Rc<Job>) -> Response<Payload> {
+        loop {
+            let view = self.view();
+            let resolved = match self.resolve(&job, &view) {
+                Ok(resolved) => resolved,
+                Err(response) if job.runs.get() == 0 => {
+                    self.log_refusal(&job, &response, "not allowed", &view);
+                    return response;
+                }
+                Err(_) => return refuse(StatusCode::BAD_GATEWAY, None),
+            };
+            let target = match self.place(&job, &resolved).await {
+                Ok(Some(target)) => target,
+                Ok(None) => continue,
+                Err(response) => {
+                    self.log_refusal(&job, &response, "no upstream", &view);
+                    return response;
+                }
+            };
+            let end = self.clone().attempt(&job, &resolved, &target).await;
+            match end {
+                End::Answer(response) => return response,
+                End::NotRun => {
+                    job.tried.borrow_mut().push(target.upstream.clone());
+                    if job.tried.borrow().len() >= MAX_REFUSALS {
+                        let response = job.give_up();
+                        self.log_refusal(&job, &response, "refused by upstreams", &view);
+                        return response;
+                    }
+                }
+                End::Again => job.tried.borrow_mut().push(target.upstream.clone()),
+                End::Larger => {}
+            }
+        }
+    }
+
+    /// Chooses an upstream, waits for one, or returns why the request is given up.
+    ///
+    /// After a wait the request is resolved anew, for which none is returned.
+    async fn place(
+        &self,
+        job: &Job,
+        resolved: &Resolved,
+    ) -> Result<Option<Target>, Response<Payload>> {
+        if self.crashes(job.fingerprint) >= MAX_CRASHES {
+            return Err(job.give_up());
+        }
+        let waited = self.now().since(job.arrived);
+        let (patience, retry) = match self.choose(job, resolved) {
+            Choice::Upstream(target) => return Ok(Some(target)),
+            Choice::Full => (patience(&resolved.route), BUSY_RETRY),
+            Choice::Nothing => (NOTHING_PATIENCE, NOTHING_RETRY),
+        };
+        if waited >= patience {
+            if job.runs.get() > 0 {
+                return Err(refuse(StatusCode::BAD_GATEWAY, None));
+            }
+            return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, Some(retry)));
+        }
+        tokio::select! {
+            () = self.room.notified() => {}
+            () = sleep(LOOK_AGAIN) => {}
+        }
+        Ok(None)
+    }
+
+    fn choose(&self, job: &Job, resolved: &Resolved) -> Choice {
+        let view = self.view();
+        let service = &resolved.service;
+        let subject = service.engine.is_some().then(|| job.subject(&resolved.route));
+        let draw = place::mix(subject.unwrap_or(job.fingerprint) ^ place::digest(service.name.as_bytes()));
+        let tried = job.tried.borrow();
+        let want = Want {
+            service: &service.name,
+            subject,
+            // A remainder below 1,000 fits.
+            draw: u16::try_from(draw % 1_000).unwrap_or_default(),
+            tokens: job.tokens(),
+            memory: service.engine.as_ref().map_or(0, |e| e.memory_tokens),
+            cold_rate: service.cold_rate,
+            tried: &tried,
+        };
+        self.pool.borrow().choose(&want, &view.agreed, self.now())
+    }
+
+    fn with_budget<F, T>(&self, service: &Arc<str>, act: F) -> T
+    where
+        F: FnOnce(&mut Budget) -> T,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        let at = match budgets.binary_search_by(|(s, _)| s.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let (ratio, extra) = (self.settings.retry_ratio, self.settings.retry_extra);
+                budgets.insert(at, (service.clone(), Budget::new(ratio, extra)));
+                at
+            }
+        };
+        budgets[at].1.set_instances(self.pool.borrow().instances());
+        act(&mut budgets[at].1)
+    }
+
+    /// Returns how many upstreams the request has crashed, as far as all instances know.
+    fn crashes(&self, fingerprint: u64) -> u32 {
+        let suspects = self.suspects.borrow();
+        let own = suspects.iter().find(|(s, _)| s.fingerprint == fingerprint);
+        let view = self.board.view.load();
+        let others = &view.totals.suspects;
+        let others = others.binary_search_by_key(&fingerprint, |s| s.fingerprint);
+        let others = others.map_or(0, |at| view.totals.suspects[at].crashes);
+        own.map_or(0, |(s, _)| s.crashes) + others
+    }
+
+    /// Records that an upstream ended while it ran the request.
+    fn suspect(&self, fingerprint: u64) {
+        let now = self.now();
+        let mut suspects = self.suspects.borrow_mut();
+        if let Some((suspect, seen)) = suspects.iter_mut().find(|(s, _)| s.fingerprint == fingerprint)
+        {
+            suspect.crashes += 1;
+            *seen = now;
+            return;
+        }
+        if suspects.len() >= MAX_SUSPECTS {
+            suspects.remove(0);
+        }
+        let suspect = Suspect {
+            fingerprint,
+            crashes: 1,
+        };
+        suspects.push((suspect, now));
+    }
+
+    /// Records the outcome of a request for the rollout of its version.
+    fn record(&self, service: &Arc<str>, version: &Arc<str>, good: bool, slow: bool) {
+        self.with_trial(service, version, |trial| {
+            if good {
+                trial.ok += 1;
+            } else {
+                trial.failed += 1;
+            }
+            trial.slow += u64::from(slow);
+        });
+    }
+
+    fn with_trial<F>(&self, service: &Arc<str>, version: &Arc<str>, act: F)
+    where
+        F: FnOnce(&mut Trial),
+    {
+        let mut trials = self.trials.borrow_mut();
+        let found = trials.binary_search_by(|t| {
+            t.service.cmp(service).then_with(|| t.version.cmp(version))
+        });
+        let at = found.unwrap_or_else(|at| {
+            let trial = Trial {
+                service: service.clone(),
+                version: version.clone(),
+                ..Trial::default()
+            };
+            trials.insert(at, trial);
+            at
+        });
+        act(&mut trials[at]);
+    }
+}
+
+/// Returns how long a request may wait for a free upstream.
+fn patience(route: &Route) -> Span {
+    match route.kind {
+        // A later answer of a plain service is worth little to its caller.
+        Kind::Idempotent | Kind::NonRepeatable => route.objective.times(2),
+        Kind::Stream => route.objective,
+    }
+}
+
+impl Job {
+    /// Returns the identity of the request, for logs.
+    pub fn id(&self) -> &str {
+        self.call.id.as_deref().unwrap_or("-")
+    }
+
+    /// Returns when the final answer is due.
+    pub fn deadline(&self, route: &Route) -> Time {
+        let limit = self.call.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+        self.arrived + limit
+    }
+
+    /// Returns the answer of a request that is given up.
+    pub fn give_up(&self) -> Response<Payload> {
+        if self.runs.get() > 0 {
+            refuse(StatusCode::BAD_GATEWAY, None)
+        } else {
+            refuse(StatusCode::SERVICE_UNAVAILABLE, Some(NOTHING_RETRY))
+        }
+    }
+
+    /// Returns the tokens of prompt and output.
+    pub const fn tokens(&self) -> u64 {
+        self.call.prompt_tokens + self.call.output_tokens
+    }
+
+    /// Returns the model that the router chose, if the caller leaves the choice.
+    pub fn model<'a>(&self, route: &'a Route) -> Option<&'a Arc<str>> {
+        if !self.call.any_model {
+            return None;
+        }
+        route.models.get(self.level.get()).or(route.models.last())
+    }
+
+    /// Returns a digest of the model and the part of the prompt that requests share.
+    fn subject(&self, route: &Route) -> u64 {
+        let model = self.model(route).map_or(0, |m| place::digest(m.as_bytes()));
+        let parts = &self.call.parts;
+        // The last part is the request's own.
+        let shared = parts.len().checked_sub(2).map(|at| parts[at].0);
+        place::mix(model ^ shared.unwrap_or(self.fingerprint))
+    }
+}
+
+/// Counts a request at an upstream until it is dropped.
+pub struct Running {
+    traffic: Rc<Traffic>,
+    target: Target,
+    service: Arc<str>,
+    tokens: u64,
+    outcome: Cell<Outcome>,
+}
+
+impl Running {
+    fn begin(traffic: &Rc<Traffic>, target: &Target, service: &Arc<str>, tokens: u64) -> Self {
+        let now = traffic.now();
+        traffic.pool.borrow_mut().begin(&target.upstream, tokens, now);
+        traffic.with_trial(service, &target.version, |t| t.running += 1);
+        Self {
+            traffic: traffic.clone(),
+            target: target.clone(),
+            service: service.clone(),
+            tokens,
+            outcome: Cell::new(Outcome::Neutral),
+        }
+    }
+
+    /// Sets how the request ended.
+    fn end(&self, outcome: Outcome) {
+        self.outcome.set(outcome);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let now = self.traffic.now();
+        let mut pool = self.traffic.pool.borrow_mut();
+        pool.end(&self.target.upstream, self.tokens, self.outcome.get(), now);
+        drop(pool);
+        self.traffic.with_trial(&self.service, &self.target.version, |t| {
+            t.running = t.running.saturating_sub(1);
+        });
+        self.traffic.room.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -0,0 +1,353 @@
+//! One request at one upstream.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Version,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
+};
+use masticlock_core::{
+    place::{Outcome, Target},
+    route::Kind,
+    time::Span,
+};
+use tokio::time::timeout;
+
+use super::{Job, Running, Traffic, relay};
+use crate::gateway::{
+    dialect::{Incoming as Said, Outgoing},
+    entry::Payload,
+    front::Resolved,
+    link::{Error, FRESH, Lease},
+};
+
+/// Largest answer of a plain service in bytes.
+const MAX_ANSWER: usize = 4 * 1_024 * 1_024;
+
+/// Part of the remaining time after which a request that may be repeated is sent elsewhere.
+const FIRST_PART: f64 = 0.55;
+
+/// Time until the head of an answer, as a multiple of the usual one, that counts as slow.
+const SLOW_FACTOR: f64 = 4.0;
+
+/// Time until the head of an answer that never counts as slow, in milliseconds.
+const SLOW_FLOOR_MS: f64 = 30.0;
+
+/// Weight of the newest time in the usual one.
+const USUAL_WEIGHT: f64 = 0.05;
+
+/// Confidence below which a larger model is asked.
+const CONFIDENT: u8 = 60;
+
+/// How an attempt ended.
+pub enum End {
+    /// With the answer for the caller.
+    Answer(Response<Payload>),
+    /// The upstream did not run the request.
+    NotRun,
+    /// The request may be sent to another upstream.
+    Again,
+    /// A larger model is to answer.
+    Larger,
+}
+
+impl Traffic {
+    /// Sends the request to an upstream and returns how that ended.
+    pub(super) async fn attempt(
+        self: Rc<Self>,
+        job: &Rc<Job>,
+        resolved: &Resolved,
+        target: &Target,
+    ) -> End {
+        let repeat = job.repeats.get();
+        if repeat > 0 && !self.with_budget(&resolved.service.name, |b| b.withdraw()) {
+            log::info!(event = "budget", request = job.id(); "the retry budget is used up");
+            return End::Answer(job.give_up());
+        }
+        let max_idle = match resolved.route.kind {
+            Kind::NonRepeatable => FRESH,
+            Kind::Idempotent | Kind::Stream => Duration::MAX,
+        };
+        let mut lease = match self.links.lease(target, max_idle).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                self.unreachable(target, &error.to_string());
+                return End::NotRun;
+            }
+        };
+        if !self.is_allowed(job, target) {
+            return End::NotRun;
+        }
+        let running = Running::begin(&self, target, &resolved.service.name, job.tokens());
+        let sent = self.now();
+        let request = self.request(job, resolved, target, job.call.last_event);
+        job.repeats.set(repeat + 1);
+        job.runs.set(job.runs.get() + 1);
+        let left = job.deadline(&resolved.route).since(sent);
+        let again = resolved.route.is_repeatable() && job.runs.get() < resolved.route.attempts;
+        let limit = if again { left.to_std().mul_f64(FIRST_PART) } else { left.to_std() };
+        let answer = match timeout(limit, lease.send(request)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(Error::NotSent(reason))) => {
+                job.runs.set(job.runs.get() - 1);
+                log::debug!("{} was not sent: {reason}", job.id());
+                return End::NotRun;
+            }
+            Ok(Err(Error::Unknown(reason))) => {
+                running.end(Outcome::Failed);
+                drop(lease);
+                return self.lost(job, resolved, target, &reason).await;
+            }
+            Err(_) => {
+                running.end(Outcome::Failed);
+                drop(lease);
+                self.record(&resolved.service.name, &target.version, false, true);
+                log::info!(
+                    event = "silent", request = job.id(), upstream = &*target.upstream,
+                    waited_ms = self.now().since(sent).as_millis();
+                    "an upstream does not answer"
+                );
+                return self.again_or(job, resolved, StatusCode::GATEWAY_TIMEOUT);
+            }
+        };
+        let said = self.dialect().incoming(answer.headers());
+        if said.id.as_deref().is_some_and(|id| Some(id) != job.call.id.as_deref()) {
+            running.end(Outcome::Failed);
+            drop(lease);
+            return self.lost(job, resolved, target, "the answer is another request's").await;
+        }
+        if said.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
+            return self.not_run(job, target, answer, lease, &said).await;
+        }
+        let took = self.now().since(sent);
+        self.deliver(job, resolved, target, Arrived { answer, said, lease, running, took }).await
+    }
+
+    /// Returns whether the tables still allow the upstream after a connection was opened.
+    fn is_allowed(&self, job: &Job, target: &Target) -> bool {
+        let view = self.view();
+        let state = &view.agreed;
+        let current = self.pool.borrow().is_current(&target.upstream, target.incarnation);
+        current && !state.is_taken_out(&target.domain) && self.resolve(job, &view).is_ok()
+    }
+
+    /// Returns the request for the upstream.
+    pub(super) fn request(
+        &self,
+        job: &Job,
+        resolved: &Resolved,
+        target: &Target,
+        last_event: Option<u64>,
+    ) -> Request<Full<hyper::body::Bytes>> {
+        let out = Outgoing {
+            remaining: job.deadline(&resolved.route).since(self.now()),
+            upstream: &target.upstream,
+            account: resolved.account.as_ref().map(|a| &*a.name),
+            model: job.model(&resolved.route).map(|m| &**m),
+            last_event,
+            urgency: resolved.priority().saturating_mul(2).saturating_add(2).min(9),
+        };
+        let mut headers = self.dialect().outgoing(&job.headers, &out);
+        strip_connection(&mut headers);
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.version_mut() = Version::HTTP_11;
+        *request.method_mut() = job.method.clone();
+        if let Ok(uri) = job.target.parse() {
+            *request.uri_mut() = uri;
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Marks an upstream that takes no connection as down.
+    pub(super) fn unreachable(&self, target: &Target, reason: &str) {
+        log::info!(
+            event = "upstream_down", upstream = &*target.upstream, address = &*target.address,
+            reason;
+            "an upstream takes no connection"
+        );
+        self.pool.borrow_mut().fail(&target.upstream, target.incarnation);
+        self.links.discard(&target.upstream);
+    }
+
+    /// Handles a request whose connection broke: looks whether the upstream has ended.
+    pub(super) async fn lost(
+        self: Rc<Self>,
+        job: &Job,
+        resolved: &Resolved,
+        target: &Target,
+        reason: &str,
+    ) -> End {
+        self.record(&resolved.service.name, &target.version, false, false);
+        log::info!(
+            event = "lost", request = job.id(), upstream = &*target.upstream, reason,
+            runs = job.runs.get();
+            "an upstream gave no answer"
+        );
+        self.check_crash(job, target).await;
+        self.again_or(job, resolved, StatusCode::BAD_GATEWAY)
+    }
+
+    /// Opens a connection to learn whether the upstream has ended, which is evidence against the
+    /// request that it ran.
+    pub(super) async fn check_crash(self: &Rc<Self>, job: &Job, target: &Target) {
+        match self.links.open(target).await {
+            Ok(lease) => lease.give_back(None),
+            Err(error) => {
+                self.suspect(job.fingerprint);
+                self.unreachable(target, &error.to_string());
+            }
+        }
+    }
+
+    fn again_or(&self, job: &Job, resolved: &Resolved, status: StatusCode) -> End {
+        let route = &resolved.route;
+        if route.is_repeatable() && job.runs.get() < route.attempts {
+            return End::Again;
+        }
+        End::Answer(crate::gateway::front::refuse(status, None))
+    }
+
+    /// Handles the word of an upstream that it has not run the request.
+    async fn not_run(
+        &self,
+        job: &Job,
+        target: &Target,
+        answer: Response<Incoming>,
+        lease: Lease,
+        said: &Said,
+    ) -> End {
+        job.runs.set(job.runs.get() - 1);
+        let status = answer.status();
+        log::info!(
+            event = "not_run", request = job.id(), upstream = &*target.upstream,
+            status = status.as_u16();
+            "an upstream has not run the request"
+        );
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            self.unreachable(target, "another upstream has the address");
+        }
+        let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+        if body.is_ok() {
+            lease.give_back(said.keep_alive);
+        }
+        End::NotRun
+    }
+
+    async fn deliver(
+        self: &Rc<Self>,
+        job: &Rc<Job>,
+        resolved: &Resolved,
+        target: &Target,
+        arrived: Arrived,
+    ) -> End {
+        let service = &resolved.service.name;
+        let route = &resolved.route;
+        let status = arrived.answer.status();
+        let good = !status.is_server_error();
+        let slow = self.is_slow(&route.name, arrived.took);
+        self.record(service, &target.version, good, slow);
+        if !good && route.is_repeatable() && job.runs.get() < route.attempts {
+            arrived.running.end(Outcome::Failed);
+            return End::Again;
+        }
+        if good && self.wants_larger(job, resolved, &arrived.said) {
+            log::debug!("{} is asked again from a larger model", job.id());
+            job.level.set(route.models.len() - 1);
+            return End::Larger;
+        }
+        if good && route.kind == Kind::Stream {
+            return End::Answer(relay::start(self, job, resolved, target, arrived));
+        }
+        let Arrived {
+            answer,
+            said,
+            lease,
+            running,
+            ..
+        } = arrived;
+        let (parts, body) = answer.into_parts();
+        match Limited::new(body, MAX_ANSWER).collect().await {
+            Ok(body) => {
+                running.end(if good { Outcome::Good } else { Outcome::Failed });
+                lease.give_back(said.keep_alive);
+                let mut response = Response::new(Payload::Whole(Some(body.to_bytes())));
+                *response.status_mut() = status;
+                *response.headers_mut() = parts.headers;
+                strip_connection(response.headers_mut());
+                End::Answer(response)
+            }
+            Err(error) => {
+                running.end(Outcome::Failed);
+                drop(lease);
+                let reason = error.to_string();
+                self.clone().lost(job, resolved, target, &reason).await
+            }
+        }
+    }
+
+    fn wants_larger(&self, job: &Job, resolved: &Resolved, said: &Said) -> bool {
+        let route = &resolved.route;
+        job.call.any_model
+            && job.level.get() + 1 < route.models.len()
+            && job.runs.get() < route.attempts
+            && said.confidence.is_some_and(|c| c < CONFIDENT)
+    }
+
+    /// Returns whether an answer's head took much longer than usual, and learns from it.
+    fn is_slow(&self, route: &Arc<str>, took: Span) -> bool {
+        #[expect(clippy::cast_precision_loss)]
+        let took = took.as_millis() as f64;
+        let mut usual = self.usual.borrow_mut();
+        match usual.binary_search_by(|(name, _)| name.cmp(route)) {
+            Ok(at) => {
+                let mean = usual[at].1;
+                let slow = took > SLOW_FLOOR_MS.max(mean * SLOW_FACTOR);
+                // A slow answer moves the mean as little as one at the bound.
+                let bounded = took.min(mean * SLOW_FACTOR + SLOW_FLOOR_MS);
+                usual[at].1 += USUAL_WEIGHT * (bounded - mean);
+                slow
+            }
+            Err(at) => {
+                usual.insert(at, (route.clone(), took));
+                false
+            }
+        }
+    }
+}
+
+/// An answer whose head has arrived.
+pub struct Arrived {
+    /// Head and body.
+    pub answer: Response<Incoming>,
+    /// What its headers say.
+    pub said: Said,
+    /// The connection.
+    pub lease: Lease,
+    /// The request's count.
+    pub running: Running,
+    /// Time until the head.
+    pub took: Span,
+}
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_connection(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"] {
+        headers.remove(name);
+    }
+    headers.remove(CONNECTION);
+    headers.remove(TRANSFER_ENCODING);
+    headers.remove(CONTENT_LENGTH);
+}
--- /dev/null
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -0,0 +1,255 @@
+//! Forwarding of a stream, continued by another upstream where that is allowed.
+
+use std::{io, rc::Rc, time::Duration};
+
+use http_body_util::BodyExt;
+use hyper::{
+    Response, StatusCode,
+    body::{Bytes, Incoming},
+};
+use masticlock_core::place::{Choice, Outcome, Target};
+use tokio::{
+    sync::mpsc,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use super::{
+    Job, Running, Traffic,
+    attempt::{Arrived, strip_connection},
+};
+use crate::gateway::{
+    entry::Payload, front::Resolved, link::Lease, stream::Events,
+};
+
+/// Parts of a stream that wait for a slow caller.
+const WAITING_PARTS: usize = 8;
+
+/// Part of the longest pause on time after which another upstream continues a stream.
+const STALL_PART: f64 = 0.7;
+
+/// Longest pause of a stream whose route names none.
+const STALL: Duration = Duration::from_secs(2);
+
+/// Pause until an upstream is looked for again.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// Why a part of a stream ended.
+enum Cut {
+    /// The upstream has ended it properly.
+    Complete,
+    /// The upstream broke off or went silent.
+    Broken(String),
+    /// The caller has left.
+    Left,
+}
+
+/// A stream at one upstream.
+struct Source {
+    body: Incoming,
+    lease: Lease,
+    running: Running,
+    target: Target,
+    keep_alive: Option<masticlock_core::time::Span>,
+}
+
+/// Starts to forward a stream and returns its head.
+pub(super) fn start(
+    traffic: &Rc<Traffic>,
+    job: &Rc<Job>,
+    resolved: &Resolved,
+    target: &Target,
+    arrived: Arrived,
+) -> Response<Payload> {
+    let (parts, body) = arrived.answer.into_parts();
+    let (sender, receiver) = mpsc::channel(WAITING_PARTS);
+    let source = Source {
+        body,
+        lease: arrived.lease,
+        running: arrived.running,
+        target: target.clone(),
+        keep_alive: arrived.said.keep_alive,
+    };
+    spawn_local(forward(traffic.clone(), job.clone(), resolved.clone(), source, sender));
+    let mut response = Response::new(Payload::Parts(receiver));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = parts.headers;
+    strip_connection(response.headers_mut());
+    response
+}
+
+async fn forward(
+    traffic: Rc<Traffic>,
+    job: Rc<Job>,
+    resolved: Resolved,
+    source: Source,
+    sender: mpsc::Sender<io::Result<Bytes>>,
+) {
+    let left = job.deadline(&resolved.route).since(traffic.now());
+    let work = pieces(&traffic, &job, &resolved, source, &sender);
+    match timeout(left.to_std(), work).await {
+        Ok(Ok(())) => {}
+        Ok(Err(reason)) => {
+            log::info!(event = "stream_cut", request = job.id(), reason; "a stream is given up");
+            // The caller may have left as well.
+            let _gone = sender.send(Err(io::ErrorKind::ConnectionAborted.into())).await;
+        }
+        Err(_) => {
+            log::info!(event = "stream_cut", request = job.id(), reason = "timeout"; "a stream is given up");
+            let _gone = sender.try_send(Err(io::ErrorKind::TimedOut.into()));
+        }
+    }
+}
+
+/// Forwards pieces of a stream from one upstream after the other.
+async fn pieces(
+    traffic: &Rc<Traffic>,
+    job: &Rc<Job>,
+    resolved: &Resolved,
+    mut source: Source,
+    sender: &mpsc::Sender<io::Result<Bytes>>,
+) -> Result<(), String> {
+    let mut events = Events::after(job.call.last_event);
+    let stall = resolved.route.gap.map_or(STALL, |g| g.to_std().mul_f64(STALL_PART));
+    loop {
+        let cut = piece(&mut source, &mut events, sender, stall).await;
+        let Source {
+            lease,
+            running,
+            target,
+            keep_alive,
+            ..
+        } = source;
+        match cut {
+            Cut::Complete => {
+                running.end(Outcome::Good);
+                lease.give_back(keep_alive);
+                return Ok(());
+            }
+            Cut::Left => {
+                log::info!(event = "caller_left", request = job.id(); "a stream's caller has left");
+                return Ok(());
+            }
+            Cut::Broken(reason) => {
+                running.end(Outcome::Failed);
+                drop((lease, running));
+                traffic.record(&resolved.service.name, &target.version, false, false);
+                log::info!(
+                    event = "stream_broken", request = job.id(), upstream = &*target.upstream,
+                    reason, last_event = events.last().unwrap_or(0), runs = job.runs.get();
+                    "an upstream broke off a stream"
+                );
+                traffic.check_crash(job, &target).await;
+                job.tried.borrow_mut().push(target.upstream.clone());
+                events.restart();
+                if sender.is_closed() {
+                    return Ok(());
+                }
+                source = resume(traffic, job, resolved, events.last()).await?;
+            }
+        }
+    }
+}
+
+/// Forwards whole events until the stream at this upstream ends.
+async fn piece(
+    source: &mut Source,
+    events: &mut Events,
+    sender: &mpsc::Sender<io::Result<Bytes>>,
+    stall: Duration,
+) -> Cut {
+    loop {
+        let frame = tokio::select! {
+            frame = timeout(stall, source.body.frame()) => frame,
+            () = sender.closed() => return Cut::Left,
+        };
+        let frame = match frame {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => return Cut::Broken(error.to_string()),
+            Ok(None) if events.is_partial() => {
+                return Cut::Broken("it ended within an event".into());
+            }
+            Ok(None) => return Cut::Complete,
+            Err(_) => return Cut::Broken("no event for too long".into()),
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if let Some(whole) = events.push(&data)
+            && sender.send(Ok(whole)).await.is_err()
+        {
+            return Cut::Left;
+        }
+    }
+}
+
+/// Sends the request to another upstream, which continues after the last event.
+async fn resume(
+    traffic: &Rc<Traffic>,
+    job: &Rc<Job>,
+    resolved: &Resolved,
+    last_event: Option<u64>,
+) -> Result<Source, String> {
+    loop {
+        if !resolved.route.resumable || job.runs.get() >= resolved.route.attempts {
+            return Err("no attempt is left".into());
+        }
+        let view = traffic.view();
+        let resolved = traffic
+            .resolve(job, &view)
+            .map_err(|_| "the request is not allowed any more")?;
+        let target = match traffic.choose(job, &resolved) {
+            Choice::Upstream(target) => target,
+            Choice::Full | Choice::Nothing => {
+                sleep(LOOK_AGAIN).await;
+                continue;
+            }
+        };
+        if !traffic.with_budget(&resolved.service.name, |b| b.withdraw()) {
+            return Err("the retry budget is used up".into());
+        }
+        let mut lease = match traffic.links.lease(&target, Duration::MAX).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                traffic.unreachable(&target, &error.to_string());
+                continue;
+            }
+        };
+        let running = Running::begin(traffic, &target, &resolved.service.name, job.tokens());
+        let request = traffic.request(job, &resolved, &target, last_event);
+        job.runs.set(job.runs.get() + 1);
+        let answer = match lease.send(request).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                running.end(Outcome::Failed);
+                log::info!(
+                    event = "resume_failed", request = job.id(), upstream = &*target.upstream,
+                    reason:% = error;
+                    "a stream is not continued there"
+                );
+                job.tried.borrow_mut().push(target.upstream.clone());
+                continue;
+            }
+        };
+        let said = traffic.dialect().incoming(answer.headers());
+        let own = said.id.as_deref() == job.call.id.as_deref();
+        if own && answer.status() == StatusCode::OK {
+            log::info!(
+                event = "resumed", request = job.id(), upstream = &*target.upstream,
+                last_event = last_event.unwrap_or(0);
+                "a stream goes on at another upstream"
+            );
+            return Ok(Source {
+                body: answer.into_body(),
+                lease,
+                running,
+                target,
+                keep_alive: said.keep_alive,
+            });
+        }
+        if own && said.not_run {
+            job.runs.set(job.runs.get() - 1);
+        }
+        job.tried.borrow_mut().push(target.upstream.clone());
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/front.rs
@@ -0,0 +1,103 @@
+//! Requests of callers: reading, checking and answering them.
+
+use std::{rc::Rc, sync::Arc};
+
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HOST, RETRY_AFTER},
+};
+use masticlock_core::{
+    place,
+    route::{Account, Route, Service},
+    time::Span,
+};
+
+use super::{
+    entry::{Payload, read_body},
+    forward::{Job, Traffic},
+};
+
+/// What the tables say of a request.
+#[derive(Clone, Debug)]
+pub struct Resolved {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its service.
+    pub service: Arc<Service>,
+    /// Its client account, unless it needs none.
+    pub account: Option<Arc<Account>>,
+}
+
+impl Resolved {
+    /// Returns the rank of the request; 0 is the most urgent.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|a| a.priority);
+        account.unwrap_or(self.route.priority)
+    }
+}
+
+/// Returns an answer of the router's own.
+#[must_use]
+pub fn refuse(status: StatusCode, retry_after: Option<Span>) -> Response<Payload> {
+    let mut response = Response::new(Payload::empty());
+    *response.status_mut() = status;
+    if let Some(after) = retry_after {
+        #[expect(clippy::cast_precision_loss)]
+        let seconds = format!("{:.3}", after.as_millis() as f64 / 1_000.0);
+        if let Ok(value) = seconds.parse() {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Answers a request.
+pub async fn serve(traffic: Rc<Traffic>, request: Request<Incoming>) -> Response<Payload> {
+    let arrived = traffic.now();
+    let (parts, body) = request.into_parts();
+    let limits = traffic.body_limits();
+    let body = match read_body(body, limits.0, limits.1).await {
+        Ok(body) => body,
+        Err(status) => {
+            log::info!(event = "refused", status = status.as_u16(); "a body was not read");
+            return refuse(status, None);
+        }
+    };
+    let call = match traffic.dialect().call(&parts.headers) {
+        Ok(call) => call,
+        Err(reason) => {
+            log::info!(event = "refused", status = 400, reason; "the headers can't be read");
+            return refuse(StatusCode::BAD_REQUEST, None);
+        }
+    };
+    let target = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let job = Job {
+        host: host(&parts.headers),
+        path: parts.uri.path().into(),
+        fingerprint: fingerprint(call.key.as_deref(), target, &body),
+        target: target.into(),
+        method: parts.method,
+        headers: parts.headers,
+        body,
+        call,
+        arrived,
+        ..Job::default()
+    };
+    traffic.serve(job).await
+}
+
+fn host(headers: &HeaderMap) -> String {
+    let host = headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = host.unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+/// Returns a digest of the caller, the path and the body.
+fn fingerprint(key: Option<&str>, target: &str, body: &[u8]) -> u64 {
+    let mut digest = place::digest(target.as_bytes());
+    digest = place::mix(digest ^ place::digest(key.unwrap_or_default().as_bytes()));
+    place::mix(digest ^ place::digest(body))
+}
--- /dev/null
+++ b/crates/node/src/gateway/link.rs
@@ -0,0 +1,196 @@
+//! Connections to upstreams.
+
+use std::{
+    cell::RefCell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::{Bytes, Incoming},
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use masticlock_core::{place::Target, time::Span};
+use tokio::task::{AbortHandle, spawn_local};
+
+use super::socket;
+
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time for which a connection without a request is used again if the upstream names no time.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time for which a connection without a request is used again for a request that must not be
+/// repeated: what it is sent on a connection that has just been closed may have run.
+pub const FRESH: Duration = Duration::from_millis(800);
+
+/// Part of the time that an upstream keeps a connection open in which it is used.
+const KEEP_ALIVE_PART: f64 = 0.6;
+
+/// Idle connections to all upstreams.
+#[derive(Debug, Default)]
+pub struct Links {
+    idle: RefCell<Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    upstream: Arc<str>,
+    incarnation: u64,
+    sender: SendRequest<Full<Bytes>>,
+    task: Guard,
+    since: Instant,
+    limit: Duration,
+}
+
+/// Closes the connection when it is dropped.
+#[derive(Debug)]
+struct Guard(AbortHandle);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection that runs one request. It is closed unless it is given back.
+#[derive(Debug)]
+pub struct Lease {
+    links: Rc<Links>,
+    upstream: Arc<str>,
+    incarnation: u64,
+    sender: SendRequest<Full<Bytes>>,
+    task: Guard,
+}
+
+/// How sending a request failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No byte was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The upstream may have run the request.
+    #[error("no answer: {0}")]
+    Unknown(String),
+}
+
+impl Links {
+    /// Returns a connection to the upstream that was idle for `max_idle` at most, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no connection can be opened.
+    pub async fn lease(self: &Rc<Self>, target: &Target, max_idle: Duration) -> io::Result<Lease> {
+        if let Some(idle) = self.take(target, max_idle) {
+            return Ok(Lease {
+                links: self.clone(),
+                upstream: idle.upstream,
+                incarnation: idle.incarnation,
+                sender: idle.sender,
+                task: idle.task,
+            });
+        }
+        self.open(target).await
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no connection can be opened.
+    pub async fn open(self: &Rc<Self>, target: &Target) -> io::Result<Lease> {
+        let address: SocketAddr = target
+            .address
+            .parse()
+            .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
+        let stream = socket::connect(address, CONNECT_LIMIT).await?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let upstream = target.upstream.clone();
+        let task = spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {upstream} ended: {error}");
+            }
+        });
+        Ok(Lease {
+            links: self.clone(),
+            upstream: target.upstream.clone(),
+            incarnation: target.incarnation,
+            sender,
+            task: Guard(task.abort_handle()),
+        })
+    }
+
+    fn take(&self, target: &Target, max_idle: Duration) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let now = Instant::now();
+        idle.retain(|i| !i.sender.is_closed() && now - i.since < i.limit);
+        let at = idle.iter().rposition(|i| {
+            i.upstream == target.upstream
+                && i.incarnation == target.incarnation
+                && i.sender.is_ready()
+                && now - i.since < max_idle
+        })?;
+        Some(idle.remove(at))
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn discard(&self, upstream: &str) {
+        self.idle.borrow_mut().retain(|i| &*i.upstream != upstream);
+    }
+}
+
+impl Lease {
+    /// Sends a request and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the upstream may have run the request.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| {
+            if error.take_message().is_some() {
+                Error::NotSent(error.into_error().to_string())
+            } else {
+                let error = error.into_error();
+                let source = std::error::Error::source(&error).map(ToString::to_string);
+                Error::Unknown(format!("{error}: {}", source.unwrap_or_default()))
+            }
+        })
+    }
+
+    /// Gives the connection back after the answer was read to its end.
+    pub fn give_back(self, keep_alive: Option<Span>) {
+        let limit = keep_alive.map_or(IDLE_LIMIT, |k| k.to_std().mul_f64(KEEP_ALIVE_PART));
+        let Self {
+            links,
+            upstream,
+            incarnation,
+            sender,
+            task,
+        } = self;
+        if sender.is_closed() {
+            return;
+        }
+        links.idle.borrow_mut().push(Idle {
+            upstream,
+            incarnation,
+            sender,
+            task,
+            since: Instant::now(),
+            limit,
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/message.rs
@@ -0,0 +1,115 @@
+//! Messages between entry and control processes.
+
+use std::sync::Arc;
+
+use masticlock_core::{
+    agreed::{Command, Rollout},
+    consensus::{Identity, Member, Message, Payload},
+    fleet, plain, report,
+    time::Span,
+};
+
+plain! {
+    /// What an instance has seen of a control instance's merged state.
+    #[derive(Copy, Eq, Default)]
+    pub struct Seen {
+        /// Random number of the control process that the marks belong to.
+        pub process: u64,
+        /// Mark of the directory.
+        pub fleet: u64,
+        /// Mark of the reports.
+        pub reports: u64,
+    }
+
+    /// Asks a control instance for what is new.
+    #[derive(Eq)]
+    pub struct Poll {
+        /// What the sender has seen.
+        pub seen: Seen,
+        /// Number of the configuration that the sender holds; none from a control instance, which
+        /// has the agreed state from the log.
+        pub revision: Option<u64>,
+        /// The sender's own report, if it is an entry instance.
+        pub report: Option<report::Report>,
+        /// Internal address of the sender, if it is a control instance.
+        pub control: Option<String>,
+    }
+
+    /// The agreed state as entry instances get it.
+    #[derive(Eq)]
+    pub struct Agreed {
+        /// Number of the configuration.
+        pub revision: u64,
+        /// The configuration, unless the sender of the poll holds it.
+        pub content: Option<Payload>,
+        /// Failure domains out of service.
+        pub taken_out: Vec<Arc<str>>,
+        /// Rollouts.
+        pub rollouts: Vec<Rollout>,
+    }
+
+    /// What is new at a control instance.
+    #[derive(Eq)]
+    pub struct News {
+        /// Marks to send with the next poll.
+        pub seen: Seen,
+        /// Identity of the sender's data folder.
+        pub identity: Identity,
+        /// Whether the sender is the leader with a valid lease.
+        pub leads: bool,
+        /// Time since the agreed state was known to be the newest; none if it never was.
+        pub age: Option<Span>,
+        /// Index of the log that the agreed state belongs to.
+        pub index: u64,
+        /// Upstreams whose records changed.
+        pub fleet: Vec<fleet::Record>,
+        /// Reports that changed, for control instances.
+        pub reports: Vec<report::Record>,
+        /// Totals over the other entry instances, for an entry instance.
+        pub totals: Option<report::Totals>,
+        /// The agreed state, for an entry instance.
+        pub agreed: Option<Agreed>,
+        /// Internal addresses of the control instances.
+        pub control: Vec<String>,
+    }
+
+    /// A message to a control instance.
+    #[derive(Eq)]
+    pub enum Request {
+        /// A message of the replicated log, which is not answered.
+        Replica(Message),
+        /// Asks for what is new.
+        Poll(Poll),
+        /// Asks the leader to append a command.
+        Submit(Command),
+        /// Asks the leader for the index that a read must see.
+        Read,
+        /// Asks the leader to add a replica.
+        Join(Member),
+    }
+
+    /// Why a control instance did not do what it was asked for.
+    #[derive(Copy, Eq, thiserror::Error)]
+    pub enum Refusal {
+        /// No leader with a valid lease is known or reached.
+        #[error("no leader with a valid lease is reached")]
+        NoLeader,
+        /// The command may or may not take effect.
+        #[error("the outcome of the command is not known")]
+        Unknown,
+        /// The identity was removed from the replica set for good.
+        #[error("the replica was removed")]
+        Removed,
+    }
+
+    /// An answer of a control instance.
+    #[derive(Eq)]
+    pub enum Reply {
+        /// Answers a poll.
+        News(Box<News>),
+        /// The command or replica is committed, or the read must see this index.
+        Done(u64),
+        /// It was not done.
+        Refused(Refusal),
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/view.rs
@@ -0,0 +1,48 @@
+//! The blackboard between the threads of an entry process.
+
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwap;
+use masticlock_core::{
+    agreed, fleet,
+    report::{self, Suspect, Trial},
+    route::Table,
+    time::Time,
+};
+
+/// What an entry instance believes, published by its control thread.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Grows with each change of the agreed state or the directory.
+    pub stamp: u64,
+    /// Routes; none before the first configuration.
+    pub table: Option<Arc<Table>>,
+    /// Rollouts and failure domains out of service. Its configuration is in `table`.
+    pub agreed: Arc<agreed::State>,
+    /// Upstreams.
+    pub fleet: Arc<fleet::Directory>,
+    /// Work of the other entry instances.
+    pub totals: Arc<report::Totals>,
+    /// When the agreed state was known to be the newest.
+    pub fresh: Option<Time>,
+}
+
+/// What the traffic thread reports.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Work by upstream.
+    pub loads: Vec<report::Load>,
+    /// Outcomes by service and version.
+    pub trials: Vec<Trial>,
+    /// Requests that may have crashed upstreams.
+    pub suspects: Vec<Suspect>,
+}
+
+/// The blackboard.
+#[derive(Debug, Default)]
+pub struct Board {
+    /// Written by the control thread.
+    pub view: ArcSwap<View>,
+    /// Written by the traffic thread.
+    pub outbox: Mutex<Outbox>,
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod explain;
 pub mod fake;
 pub mod feed;
+pub mod gateway;
 pub mod instance;
 pub mod journal;
 pub mod local;
