--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod attempt;
 pub mod budget;
 pub mod canary;
+pub mod cascade;
 pub mod claim;
 pub mod command;
 pub mod config;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -207,6 +207,21 @@
         found.ok()
     }
 
+    /// Returns the running requests of a service as a part of its usable upstreams' slots.
+    #[must_use]
+    pub fn utilization(&self, service: &str) -> f64 {
+        let mut running = 0;
+        let mut slots = 0;
+        for upstream in &self.upstreams {
+            let said = &upstream.entry.announcement;
+            if &*said.service == service && said.phase == Phase::Ready && upstream.down.is_none() {
+                running += upstream.running + upstream.others.running;
+                slots += said.slots;
+            }
+        }
+        f64::from(running) / f64::from(slots.max(1))
+    }
+
     /// Chooses an upstream.
     #[must_use]
     pub fn choose(&self, want: &Want<'_>, state: &State, now: Time) -> Choice {
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,11 +1,14 @@
 //! An instance's part of a limit that all instances share without asking each other.
 
 /// Part of the allowed ratio that is used, which leaves room for windows that are cut unevenly.
-const RATIO_PART: f64 = 0.6;
+const RATIO_PART: f64 = 0.8;
 
 /// Part of the allowed extra that is used, which leaves room for instances that are not counted.
 const EXTRA_PART: f64 = 0.7;
 
+/// Part of what may be saved up that optional repeats leave.
+const RESERVED_PART: f64 = 0.4;
+
 /// The part of a service's retry budget that belongs to one instance.
 ///
 /// Each request adds the allowed ratio and each repeat takes one. What is saved up is bounded, so
@@ -44,6 +47,12 @@
         self.saved = (self.saved + self.ratio).min(self.cap);
     }
 
+    /// Takes a repeat that could be done without, unless little is left for those that can't.
+    #[must_use]
+    pub fn withdraw_optional(&mut self) -> bool {
+        self.saved >= self.cap * RESERVED_PART + 1.0 && self.withdraw()
+    }
+
     /// Takes a repeat and returns whether there was one left.
     #[must_use]
     pub fn withdraw(&mut self) -> bool {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -99,8 +99,6 @@
     pub fingerprint: u64,
     /// Attempts that may have run.
     pub runs: Cell<u32>,
-    /// Attempts after the first, counted against the retry budget.
-    pub repeats: Cell<u32>,
     /// Position of the model among those of the route.
     pub level: Cell<usize>,
     /// Upstreams that were tried.
@@ -327,14 +325,15 @@
                 End::Answer(response) => return response,
                 End::NotRun => {
                     job.tried.borrow_mut().push(target.upstream.clone());
-                    if job.tried.borrow().len() >= MAX_REFUSALS {
+                    let refused = job.tried.borrow().len() >= MAX_REFUSALS;
+                    if refused || !self.with_budget(&resolved.service.name, Budget::withdraw) {
                         let response = job.give_up();
                         self.log_refusal(&job, &response, "refused by upstreams", &view);
                         return response;
                     }
                 }
                 End::Again => job.tried.borrow_mut().push(target.upstream.clone()),
-                End::Larger => {}
+                End::Larger(level) => job.level.set(level),
             }
         }
     }
@@ -373,7 +372,8 @@
         let view = self.view();
         let service = &resolved.service;
         let subject = service.engine.is_some().then(|| job.subject(&resolved.route));
-        let draw = place::mix(subject.unwrap_or(job.fingerprint) ^ place::digest(service.name.as_bytes()));
+        let session = job.session().unwrap_or(job.fingerprint);
+        let draw = place::mix(session ^ place::digest(service.name.as_bytes()));
         let tried = job.tried.borrow();
         let want = Want {
             service: &service.name,
@@ -512,13 +512,18 @@
         route.models.get(self.level.get()).or(route.models.last())
     }
 
+    /// Returns a digest of the longest part of the prompt that requests share, which requests of
+    /// one session have in common.
+    fn session(&self) -> Option<u64> {
+        let parts = &self.call.parts;
+        // The last part is the request's own.
+        parts.len().checked_sub(2).map(|at| parts[at].0)
+    }
+
     /// Returns a digest of the model and the part of the prompt that requests share.
     fn subject(&self, route: &Route) -> u64 {
         let model = self.model(route).map_or(0, |m| place::digest(m.as_bytes()));
-        let parts = &self.call.parts;
-        // The last part is the request's own.
-        let shared = parts.len().checked_sub(2).map(|at| parts[at].0);
-        place::mix(model ^ shared.unwrap_or(self.fingerprint))
+        place::mix(model ^ self.session().unwrap_or(self.fingerprint))
     }
 }
 
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -9,8 +9,10 @@
     header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
 };
 use masticlock_core::{
+    cascade,
     place::{Outcome, Target},
     route::Kind,
+    share::Budget,
     time::Span,
 };
 use tokio::time::timeout;
@@ -19,7 +21,7 @@
 use crate::gateway::{
     dialect::{Incoming as Said, Outgoing},
     entry::Payload,
-    front::Resolved,
+    front::{Resolved, refuse},
     link::{Error, FRESH, Lease},
 };
 
@@ -38,9 +40,6 @@
 /// Weight of the newest time in the usual one.
 const USUAL_WEIGHT: f64 = 0.05;
 
-/// Confidence below which a larger model is asked.
-const CONFIDENT: u8 = 60;
-
 /// How an attempt ended.
 pub enum End {
     /// With the answer for the caller.
@@ -49,8 +48,8 @@
     NotRun,
     /// The request may be sent to another upstream.
     Again,
-    /// A larger model is to answer.
-    Larger,
+    /// The model at that position of the route is to answer.
+    Larger(usize),
 }
 
 impl Traffic {
@@ -61,11 +60,6 @@
         resolved: &Resolved,
         target: &Target,
     ) -> End {
-        let repeat = job.repeats.get();
-        if repeat > 0 && !self.with_budget(&resolved.service.name, |b| b.withdraw()) {
-            log::info!(event = "budget", request = job.id(); "the retry budget is used up");
-            return End::Answer(job.give_up());
-        }
         let max_idle = match resolved.route.kind {
             Kind::NonRepeatable => FRESH,
             Kind::Idempotent | Kind::Stream => Duration::MAX,
@@ -83,7 +77,6 @@
         let running = Running::begin(&self, target, &resolved.service.name, job.tokens());
         let sent = self.now();
         let request = self.request(job, resolved, target, job.call.last_event);
-        job.repeats.set(repeat + 1);
         job.runs.set(job.runs.get() + 1);
         let left = job.deadline(&resolved.route).since(sent);
         let again = resolved.route.is_repeatable() && job.runs.get() < resolved.route.attempts;
@@ -203,11 +196,18 @@
     }
 
     fn again_or(&self, job: &Job, resolved: &Resolved, status: StatusCode) -> End {
-        let route = &resolved.route;
-        if route.is_repeatable() && job.runs.get() < route.attempts {
+        if self.may_repeat(job, resolved) {
             return End::Again;
         }
-        End::Answer(crate::gateway::front::refuse(status, None))
+        End::Answer(refuse(status, None))
+    }
+
+    /// Returns whether a request that may have run may be sent again, and counts it if so.
+    fn may_repeat(&self, job: &Job, resolved: &Resolved) -> bool {
+        let route = &resolved.route;
+        route.is_repeatable()
+            && job.runs.get() < route.attempts
+            && self.with_budget(&resolved.service.name, Budget::withdraw)
     }
 
     /// Handles the word of an upstream that it has not run the request.
@@ -249,14 +249,12 @@
         let good = !status.is_server_error();
         let slow = self.is_slow(&route.name, arrived.took);
         self.record(service, &target.version, good, slow);
-        if !good && route.is_repeatable() && job.runs.get() < route.attempts {
+        if !good && self.may_repeat(job, resolved) {
             arrived.running.end(Outcome::Failed);
             return End::Again;
         }
-        if good && self.wants_larger(job, resolved, &arrived.said) {
-            log::debug!("{} is asked again from a larger model", job.id());
-            job.level.set(route.models.len() - 1);
-            return End::Larger;
+        if good && let Some(level) = self.larger(job, resolved, &arrived.said) {
+            return End::Larger(level);
         }
         if good && route.kind == Kind::Stream {
             return End::Answer(relay::start(self, job, resolved, target, arrived));
@@ -288,12 +286,26 @@
         }
     }
 
-    fn wants_larger(&self, job: &Job, resolved: &Resolved, said: &Said) -> bool {
+    /// Returns the model that is to answer instead, if there is time and budget for it.
+    fn larger(&self, job: &Job, resolved: &Resolved, said: &Said) -> Option<usize> {
         let route = &resolved.route;
-        job.call.any_model
-            && job.level.get() + 1 < route.models.len()
-            && job.runs.get() < route.attempts
-            && said.confidence.is_some_and(|c| c < CONFIDENT)
+        if !job.call.any_model || job.runs.get() >= route.attempts {
+            return None;
+        }
+        let answer = cascade::Answer {
+            confidence: said.confidence,
+            level: job.level.get(),
+            models: route.models.len(),
+            load: self.pool.borrow().utilization(&resolved.service.name),
+        };
+        let level = cascade::larger(&answer)?;
+        let allowed = self.with_budget(&resolved.service.name, Budget::withdraw_optional);
+        log::debug!(
+            event = "cascade", request = job.id(), level, allowed,
+            confidence = answer.confidence.unwrap_or_default(), load = answer.load;
+            "a larger model is wanted"
+        );
+        allowed.then_some(level)
     }
 
     /// Returns whether an answer's head took much longer than usual, and learns from it.
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -85,8 +85,10 @@
 }
 
 async fn reached(stage: &mut watch::Receiver<Stage>, wanted: Stage) {
-    // The sender lives as long as the process.
-    let _gone = stage.wait_for(|s| *s >= wanted).await;
+    if stage.wait_for(|s| *s >= wanted).await.is_err() {
+        // Without a sender the stage stays as it is.
+        std::future::pending::<()>().await;
+    }
 }
 
 async fn connection<H, F, B>(
