Wait for the commit index at reads and learn of members by identity

Cause: entries without payload are not applied, so a read that waited for the last applied payload to reach the commit index waited for ever; and a data folder that replaced another at the same address counted as lost until the next poll, was removed and began anew in a loop.

--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -109,6 +109,12 @@
         self.leader
     }
 
+    /// Returns the index of the last committed entry, with or without a payload.
+    #[must_use]
+    pub const fn commit(&self) -> u64 {
+        self.commit
+    }
+
     /// Returns the current term.
     #[must_use]
     pub const fn term(&self) -> u64 {
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -396,7 +396,7 @@
         let until = Instant::now() + CALL_LIMIT;
         loop {
             let changed = self.changed.notified();
-            if self.state.borrow().applied >= index {
+            if self.state.borrow().replica.commit() >= index {
                 return Ok(());
             }
             timeout_at(until, changed).await.map_err(drop)?;
--- a/crates/node/src/gateway/control/lead.rs
+++ b/crates/node/src/gateway/control/lead.rs
@@ -53,9 +53,14 @@
 }
 
 /// Returns the next change of the replica set, one at a time.
-fn members(state: &State, now: Time) -> Option<Event> {
+fn members(state: &mut State, now: Time) -> Option<Event> {
     let status = state.replica.status(now);
-    let is_lost = |m: &Member, limit: Span| m.id != status.id && state.silence(m, now) > limit;
+    let all = status.voters.iter().chain(&status.learners);
+    let silences: Vec<_> = all.map(|m| (m.id, state.silence(m.id, now))).collect();
+    let is_lost = |m: &Member, limit: Span| {
+        let silence = silences.iter().find(|(id, _)| *id == m.id);
+        m.id != status.id && silence.is_some_and(|(_, silence)| *silence > limit)
+    };
     let ready: Vec<_> = status
         .learners
         .iter()
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -27,9 +27,6 @@
 /// Time without word from a leader after which a member asks whether it was removed.
 const SILENT: Span = Span::from_secs(2);
 
-/// Silence of a member that never comes back.
-const FOREVER: Span = Span::from_millis(u64::MAX);
-
 /// Who waits for a ticket of the log.
 #[derive(Debug)]
 pub struct Waiting(pub oneshot::Sender<Result<u64, Refusal>>);
@@ -38,8 +35,8 @@
 #[derive(Debug)]
 struct Contact {
     address: SocketAddr,
-    /// When it last answered a poll, and the identity of its data folder.
-    heard: Option<(Time, Identity)>,
+    /// When it last answered a poll.
+    heard: Option<Time>,
     /// Mark of this instance's directory that it has taken over.
     fleet_seen: u64,
 }
@@ -49,8 +46,8 @@
 pub struct State {
     pub replica: Replica,
     pub agreed: Arc<agreed::State>,
-    /// Index of the last applied entry.
-    pub applied: u64,
+    /// Index of the last applied entry with a payload.
+    applied: u64,
     pub fleet: fleet::Directory,
     pub reports: report::Board,
     pub peers: Peers,
@@ -62,8 +59,9 @@
     pub known_leader: Option<(SocketAddr, Time)>,
     /// Random number of this process.
     process: u64,
-    started: Time,
     contacts: Vec<Contact>,
+    /// When each data folder's replica was last heard, sorted by identity.
+    identities: Vec<(Identity, Time)>,
     /// When the agreed state was known to be the newest.
     fresh: Option<Time>,
     /// A poll's send time that counts once the log is applied up to the index.
@@ -110,8 +108,8 @@
             halted: None,
             known_leader: None,
             process: super::random(),
-            started: now,
             contacts: Vec::new(),
+            identities: Vec::new(),
             fresh: None,
             pending: None,
             tickets: Vec::new(),
@@ -176,7 +174,7 @@
             }
         }
         if let Some((sent, index)) = self.pending
-            && self.applied >= index
+            && self.replica.commit() >= index
         {
             self.fresh = self.fresh.max(Some(sent));
             self.pending = None;
@@ -280,19 +278,26 @@
     /// Returns when the control instance last answered.
     pub fn contact(&self, address: SocketAddr) -> Option<Time> {
         let found = self.contacts.iter().find(|c| c.address == address);
-        found.and_then(|c| c.heard).map(|(at, _)| at)
+        found.and_then(|c| c.heard)
     }
 
     /// Returns for how long the member has been out of contact.
     ///
-    /// A member whose address has another data folder has been lost for ever.
-    pub fn silence(&self, member: &Member, now: Time) -> Span {
-        let address: Option<SocketAddr> = member.address.parse().ok();
-        let found = address.and_then(|a| self.contacts.iter().find(|c| c.address == a));
-        match found.and_then(|c| c.heard) {
-            Some((_, identity)) if identity != member.id => FOREVER,
-            Some((at, _)) => now.since(at),
-            None => now.since(self.started),
+    /// A member that was never heard counts from the first question about it.
+    pub fn silence(&mut self, id: Identity, now: Time) -> Span {
+        match self.identities.binary_search_by_key(&id, |(id, _)| *id) {
+            Ok(at) => now.since(self.identities[at].1),
+            Err(at) => {
+                self.identities.insert(at, (id, now));
+                Span::ZERO
+            }
+        }
+    }
+
+    fn heard(&mut self, id: Identity, now: Time) {
+        match self.identities.binary_search_by_key(&id, |(id, _)| *id) {
+            Ok(at) => self.identities[at].1 = now,
+            Err(at) => self.identities.insert(at, (id, now)),
         }
     }
 
@@ -317,7 +322,8 @@
 
     /// Takes over the news of another control instance that were asked for at `sent`.
     pub fn take_news(&mut self, address: SocketAddr, news: News, sent: Time, now: Time) {
-        self.contact_mut(address).heard = Some((now, news.identity));
+        self.contact_mut(address).heard = Some(now);
+        self.heard(news.identity, now);
         for record in news.fleet {
             self.fleet.merge(record, now);
         }
@@ -326,7 +332,7 @@
         }
         if news.leads {
             self.known_leader = Some((address, now));
-            if self.applied >= news.index {
+            if self.replica.commit() >= news.index {
                 self.fresh = self.fresh.max(Some(sent));
             } else {
                 self.pending = Some((sent, news.index));
@@ -349,7 +355,7 @@
             identity: self.id(),
             leads: self.leads(now),
             age: self.age(now),
-            index: self.applied,
+            index: self.replica.commit(),
             fleet: self.fleet.since(seen.fleet, now),
             reports: Vec::new(),
             totals: None,
