Leave a pausing stream only when its upstream takes no connections

Cause: LOST around planned work: a stream that paused for 0.7 of the longest pause on time was cut and, with no repeat left in the budget, ended without an answer. Ruled out: the planned stop itself and the change of configuration.

--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -7,7 +7,7 @@
 const EXTRA_PART: f64 = 0.7;
 
 /// Part of what may be saved up that optional repeats leave.
-const RESERVED_PART: f64 = 0.4;
+const RESERVED_PART: f64 = 0.6;
 
 /// The part of a service's retry budget that belongs to one instance.
 ///
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -52,6 +52,10 @@
 /// Time after which a caller may come back when no upstream was free.
 const BUSY_RETRY: Span = Span::from_millis(300);
 
+/// Time after which a caller may come back to an instance that does not know the newest
+/// configuration: an election and a poll.
+const UNSURE_RETRY: Span = Span::from_millis(2_200);
+
 /// Time after which a caller may come back when no upstream may be used.
 const NOTHING_RETRY: Span = Span::from_millis(600);
 
@@ -229,7 +233,7 @@
     /// A request that has waited is looked up again before it is sent, so that it is never sent by
     /// tables that are out of date.
     fn resolve(&self, job: &Job, view: &View) -> Result<Resolved, Response<Payload>> {
-        let unsure = || refuse(StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY));
+        let unsure = || refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNSURE_RETRY));
         let Some(table) = &view.table else {
             return Err(unsure());
         };
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -25,11 +25,18 @@
 /// Parts of a stream that wait for a slow caller.
 const WAITING_PARTS: usize = 8;
 
-/// Part of the longest pause on time after which another upstream continues a stream.
-const STALL_PART: f64 = 0.7;
+/// Part of the longest pause on time after which an upstream is looked at.
+const STALL_PART: f64 = 0.5;
 
-/// Longest pause of a stream whose route names none.
-const STALL: Duration = Duration::from_secs(2);
+/// Longest pause on time of a stream whose route names none.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Pauses in a row after which another upstream continues a stream, although this one takes
+/// connections. The caller leaves after eight of the longest pauses on time.
+const MAX_STALLS: u32 = 6;
+
+/// Longest time to learn whether an upstream takes connections.
+const LOOK_LIMIT: Duration = Duration::from_millis(300);
 
 /// Pause until an upstream is looked for again.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
@@ -110,9 +117,8 @@
     sender: &mpsc::Sender<io::Result<Bytes>>,
 ) -> Result<(), String> {
     let mut events = Events::after(job.call.last_event);
-    let stall = resolved.route.gap.map_or(STALL, |g| g.to_std().mul_f64(STALL_PART));
     loop {
-        let cut = piece(&mut source, &mut events, sender, stall).await;
+        let cut = piece(traffic, job, resolved, &mut source, &mut events, sender).await;
         let Source {
             lease,
             running,
@@ -152,12 +158,20 @@
 }
 
 /// Forwards whole events until the stream at this upstream ends.
+///
+/// A pause alone ends nothing: the upstream may be busy. It is left if it takes no connections any
+/// more, or after several pauses if another attempt is allowed.
 async fn piece(
+    traffic: &Rc<Traffic>,
+    job: &Rc<Job>,
+    resolved: &Resolved,
     source: &mut Source,
     events: &mut Events,
     sender: &mpsc::Sender<io::Result<Bytes>>,
-    stall: Duration,
 ) -> Cut {
+    let pause = resolved.route.gap.map_or(PAUSE, masticlock_core::time::Span::to_std);
+    let stall = pause.mul_f64(STALL_PART);
+    let mut stalls = 0;
     loop {
         let frame = tokio::select! {
             frame = timeout(stall, source.body.frame()) => frame,
@@ -170,8 +184,15 @@
                 return Cut::Broken("it ended within an event".into());
             }
             Ok(None) => return Cut::Complete,
-            Err(_) => return Cut::Broken("no event for too long".into()),
+            Err(_) => {
+                stalls += 1;
+                if let Some(reason) = traffic.abandon(job, resolved, &source.target, stalls).await {
+                    return Cut::Broken(reason);
+                }
+                continue;
+            }
         };
+        stalls = 0;
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -183,6 +204,38 @@
     }
 }
 
+impl Traffic {
+    /// Returns why a stream that pauses is to be continued elsewhere, if it is.
+    async fn abandon(
+        self: &Rc<Self>,
+        job: &Job,
+        resolved: &Resolved,
+        target: &Target,
+        stalls: u32,
+    ) -> Option<String> {
+        let route = &resolved.route;
+        let allowed = route.resumable && job.runs.get() < route.attempts;
+        if !allowed || !matches!(self.choose(job, resolved), Choice::Upstream(_)) {
+            return None;
+        }
+        if stalls > MAX_STALLS {
+            return Some("no event for too long".into());
+        }
+        // Later pauses of the same stream need no second look.
+        if stalls > 1 {
+            return None;
+        }
+        match timeout(LOOK_LIMIT, self.links.open(target)).await {
+            Ok(Ok(lease)) => {
+                lease.give_back(None);
+                None
+            }
+            Ok(Err(error)) => Some(format!("it takes no connection: {error}")),
+            Err(_) => Some("it takes no connection in time".into()),
+        }
+    }
+}
+
 /// Sends the request to another upstream, which continues after the last event.
 async fn resume(
     traffic: &Rc<Traffic>,
--- a/crates/node/src/gateway/socket.rs
+++ b/crates/node/src/gateway/socket.rs
@@ -16,6 +16,9 @@
 /// Idle time after which a peer is asked whether it is there.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
+/// Questions without an answer after which a connection is closed.
+const KEEPALIVE_RETRIES: u32 = 2;
+
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -30,7 +33,8 @@
     socket.set_tcp_user_timeout(Some(SILENT_LIMIT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE);
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)
 }
 
