Count repeats in a sliding window like the limit they belong to

Cause: a bucket that saves up five repeats ran dry in every clump of requests, although the limit allows 0.9 of the requests of ten seconds.

--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -71,6 +71,8 @@
     pub retry_ratio: f64,
     /// Requests to second upstreams that all instances together have beside that part.
     pub retry_extra: f64,
+    /// Window of that limit.
+    pub retry_window: Span,
 }
 
 /// An answer's body.
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -274,7 +274,7 @@
                 return response;
             }
         };
-        self.with_budget(&resolved.service.name, Budget::deposit);
+        self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
         let left = job.deadline(&resolved.route).since(self.now());
         match timeout(left.to_std(), self.clone().attempts(job.clone())).await {
             Ok(response) => response,
@@ -330,7 +330,7 @@
                 End::NotRun => {
                     job.tried.borrow_mut().push(target.upstream.clone());
                     let refused = job.tried.borrow().len() >= MAX_REFUSALS;
-                    if refused || !self.with_budget(&resolved.service.name, Budget::withdraw) {
+                    if refused || !self.with_budget(&resolved.service.name, |b| b.withdraw(self.now())) {
                         let response = job.give_up();
                         self.log_refusal(&job, &response, "refused by upstreams", &view);
                         return response;
@@ -401,7 +401,7 @@
             Ok(at) => at,
             Err(at) => {
                 let (ratio, extra) = (self.settings.retry_ratio, self.settings.retry_extra);
-                budgets.insert(at, (service.clone(), Budget::new(ratio, extra)));
+                budgets.insert(at, (service.clone(), Budget::new(ratio, extra, self.settings.retry_window)));
                 at
             }
         };
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -12,7 +12,6 @@
     cascade,
     place::{Outcome, Target},
     route::Kind,
-    share::Budget,
     time::Span,
 };
 use tokio::time::timeout;
@@ -207,7 +206,7 @@
         let route = &resolved.route;
         route.is_repeatable()
             && job.runs.get() < route.attempts
-            && self.with_budget(&resolved.service.name, Budget::withdraw)
+            && self.with_budget(&resolved.service.name, |b| b.withdraw(self.now()))
     }
 
     /// Handles the word of an upstream that it has not run the request.
@@ -299,7 +298,7 @@
             load: self.pool.borrow().utilization(&resolved.service.name),
         };
         let level = cascade::larger(&answer)?;
-        let allowed = self.with_budget(&resolved.service.name, Budget::withdraw_optional);
+        let allowed = self.with_budget(&resolved.service.name, |b| b.withdraw_optional(self.now()));
         log::debug!(
             event = "cascade", request = job.id(), level, allowed,
             confidence = answer.confidence.unwrap_or_default(), load = answer.load;
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -258,7 +258,7 @@
                 continue;
             }
         };
-        if !traffic.with_budget(&resolved.service.name, |b| b.withdraw()) {
+        if !traffic.with_budget(&resolved.service.name, |b| b.withdraw(traffic.now())) {
             return Err("the retry budget is used up".into());
         }
         let mut lease = match traffic.links.lease(&target, Duration::MAX).await {
