--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -2,16 +2,56 @@
 //!
 //! The smallest model answers first, because most requests are easy for it and its cost is a small
 //! part of the largest one's. Its confidence decides whether the answer is kept. The bar sinks as
-//! the upstreams fill up: what a larger model gains for one request it then takes from others.
+//! the upstreams become slow: what a larger model gains for one request it then takes from others.
+
+use std::sync::Arc;
+
+use crate::time::Span;
 
 /// Confidence below which a larger model is asked while the upstreams have room, from 0 to 100.
 const BAR: f64 = 50.0;
 
-/// Load of the upstreams, as a part of their slots, from which the bar sinks.
-const BUSY_FROM: f64 = 0.25;
+/// Time until the first event, as a part of the objective, from which the bar sinks.
+const SLOW_FROM: f64 = 0.1;
+
+/// Time until the first event, as a part of the objective, at which every answer is kept.
+const SLOW_TO: f64 = 0.35;
 
-/// Load of the upstreams at which every answer of the smallest model is kept.
-const BUSY_TO: f64 = 0.7;
+/// Weight of the newest time in the mean.
+const NEWEST: f64 = 0.08;
+
+/// Largest part of the objective that one answer counts for.
+const MOST: f64 = 1.5;
+
+/// How slowly the upstreams of each service answer, as a part of the objective.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pressure {
+    /// Sorted by service.
+    services: Vec<(Arc<str>, f64)>,
+}
+
+impl Pressure {
+    /// Takes over the time until the first event of an answer.
+    pub fn observe(&mut self, service: &Arc<str>, took: Span, objective: Span) {
+        #[expect(clippy::cast_precision_loss)]
+        let part = took.as_millis() as f64 / objective.as_millis().max(1) as f64;
+        let part = part.min(MOST);
+        match self.services.binary_search_by(|(s, _)| s.cmp(service)) {
+            Ok(at) => {
+                let mean = &mut self.services[at].1;
+                *mean += NEWEST * (part - *mean);
+            }
+            Err(at) => self.services.insert(at, (service.clone(), part)),
+        }
+    }
+
+    /// Returns the mean time until the first event as a part of the objective.
+    #[must_use]
+    pub fn of(&self, service: &Arc<str>) -> f64 {
+        let found = self.services.binary_search_by(|(s, _)| s.cmp(service));
+        found.map_or(0.0, |at| self.services[at].1)
+    }
+}
 
 /// What is known when the head of an answer has arrived.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,8 +62,8 @@
     pub level: usize,
     /// Number of models of the route.
     pub models: usize,
-    /// Running requests as a part of the slots of the service's upstreams.
-    pub load: f64,
+    /// Mean time until the first event as a part of the objective.
+    pub pressure: f64,
 }
 
 /// Returns the position of the model that is to answer instead, or none if the answer is kept.
@@ -34,6 +74,6 @@
         return None;
     }
     let confidence = f64::from(answer.confidence?);
-    let room = ((BUSY_TO - answer.load) / (BUSY_TO - BUSY_FROM)).clamp(0.0, 1.0);
+    let room = ((SLOW_TO - answer.pressure) / (SLOW_TO - SLOW_FROM)).clamp(0.0, 1.0);
     (confidence < BAR * room).then_some(largest)
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -19,8 +19,8 @@
 /// Load above the mean that is always allowed, in requests.
 const LOAD_SLACK: f64 = 3.0;
 
-/// Tokens that count as one more request in a comparison of loads.
-const TOKENS_PER_LOAD: f64 = 8_000.0;
+/// Work that counts as one more request in a comparison of loads: tokens of the largest model.
+const WORK_PER_LOAD: f64 = 4_000.0;
 
 /// Part of an engine's memory that running requests may use.
 const MEMORY_PART: f64 = 0.9;
@@ -64,6 +64,15 @@
     pub tried: &'a [Arc<str>],
 }
 
+/// What a request takes of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Prompt and output tokens, which need memory.
+    pub tokens: u64,
+    /// Tokens weighted by the cost of their model and of their kind, which need time.
+    pub work: u64,
+}
+
 /// A placement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -107,6 +116,7 @@
     entry: Entry,
     running: u32,
     tokens: u64,
+    work: u64,
     others: Load,
     ok: f64,
     failed: f64,
@@ -207,21 +217,6 @@
         found.ok()
     }
 
-    /// Returns the running requests of a service as a part of its usable upstreams' slots.
-    #[must_use]
-    pub fn utilization(&self, service: &str) -> f64 {
-        let mut running = 0;
-        let mut slots = 0;
-        for upstream in &self.upstreams {
-            let said = &upstream.entry.announcement;
-            if &*said.service == service && said.phase == Phase::Ready && upstream.down.is_none() {
-                running += upstream.running + upstream.others.running;
-                slots += said.slots;
-            }
-        }
-        f64::from(running) / f64::from(slots.max(1))
-    }
-
     /// Chooses an upstream.
     #[must_use]
     pub fn choose(&self, want: &Want<'_>, state: &State, now: Time) -> Choice {
@@ -337,11 +332,12 @@
     }
 
     /// Counts a request as sent.
-    pub fn begin(&mut self, upstream: &str, tokens: u64, now: Time) {
+    pub fn begin(&mut self, upstream: &str, size: Size, now: Time) {
         if let Some(at) = self.find(upstream) {
             let upstream = &mut self.upstreams[at];
             upstream.running += 1;
-            upstream.tokens += tokens;
+            upstream.tokens += size.tokens;
+            upstream.work += size.work;
             if now < upstream.entry.cold_until {
                 upstream.next_cold = now + COLD_INTERVAL;
             }
@@ -349,11 +345,12 @@
     }
 
     /// Counts a request as ended.
-    pub fn end(&mut self, upstream: &str, tokens: u64, outcome: Outcome, now: Time) {
+    pub fn end(&mut self, upstream: &str, size: Size, outcome: Outcome, now: Time) {
         if let Some(at) = self.find(upstream) {
             let upstream = &mut self.upstreams[at];
             upstream.running = upstream.running.saturating_sub(1);
-            upstream.tokens = upstream.tokens.saturating_sub(tokens);
+            upstream.tokens = upstream.tokens.saturating_sub(size.tokens);
+            upstream.work = upstream.work.saturating_sub(size.work);
             upstream.decay(now);
             match outcome {
                 Outcome::Good => upstream.ok += 1.0,
@@ -390,6 +387,7 @@
             entry,
             running: 0,
             tokens: 0,
+            work: 0,
             others: Load::default(),
             ok: 0.0,
             failed: 0.0,
@@ -410,11 +408,11 @@
         }
     }
 
-    /// Returns the requests and tokens of all instances as one number.
+    /// Returns the requests and their work of all instances as one number.
     fn busy(&self) -> f64 {
         #[expect(clippy::cast_precision_loss)]
-        let tokens = (self.tokens + self.others.tokens) as f64;
-        f64::from(self.running + self.others.running) + tokens / TOKENS_PER_LOAD
+        let work = (self.work + self.others.work) as f64;
+        f64::from(self.running + self.others.running) + work / WORK_PER_LOAD
     }
 
     fn decay(&mut self, now: Time) {
@@ -432,6 +430,7 @@
             upstream: self.entry.announcement.upstream.clone(),
             running: self.running,
             tokens: self.tokens,
+            work: self.work,
             ok: self.ok.round() as u32,
             failed: self.failed.round() as u32,
         }
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -23,6 +23,8 @@
         pub running: u32,
         /// Prompt and output tokens of these requests.
         pub tokens: u64,
+        /// Weighted tokens of these requests, which tell how long they take.
+        pub work: u64,
         /// Recent requests that ended well.
         pub ok: u32,
         /// Recent requests that failed at the upstream.
@@ -216,6 +218,7 @@
             let sum = &mut loads[at];
             sum.running += load.running;
             sum.tokens += load.tokens;
+            sum.work += load.work;
             sum.ok += load.ok;
             sum.failed += load.failed;
         }
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -12,7 +12,8 @@
 
 use hyper::{HeaderMap, Method, Response, StatusCode, body::Bytes};
 use masticlock_core::{
-    place::{self, Choice, Outcome, Pool, Target, Want},
+    cascade::Pressure,
+    place::{self, Choice, Outcome, Pool, Size, Target, Want},
     report::{Suspect, Trial},
     route::{Kind, Route},
     share::Budget,
@@ -71,6 +72,12 @@
 /// Requests that may be refused by upstreams before the router gives up.
 const MAX_REFUSALS: usize = 6;
 
+/// Time of an output token relative to that of a prompt token.
+const OUTPUT_WORK: u64 = 10;
+
+/// Least work of a token relative to that of the largest model.
+const LEAST_WORK: f64 = 0.1;
+
 /// Head limits before the first configuration.
 const FIRST_LIMITS: Limits = Limits {
     head_bytes: 16_384,
@@ -124,6 +131,7 @@
     suspects: RefCell<Vec<(Suspect, Time)>>,
     /// Usual time until the head of an answer, by route.
     usual: RefCell<Vec<(Arc<str>, f64)>>,
+    pressure: RefCell<Pressure>,
     /// A request has ended.
     room: Notify,
 }
@@ -150,6 +158,7 @@
             trials: RefCell::default(),
             suspects: RefCell::default(),
             usual: RefCell::default(),
+            pressure: RefCell::default(),
             room: Notify::new(),
         }
     }
@@ -508,6 +517,21 @@
         self.call.prompt_tokens + self.call.output_tokens
     }
 
+    /// Returns what the request takes of an upstream.
+    #[expect(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn size(&self, resolved: &Resolved) -> Size {
+        let models = resolved.service.engine.as_ref().map_or(&[][..], |e| &e.models);
+        let largest = models.iter().map(|m| m.cost).fold(0.0, f64::max);
+        let model = self.model(&resolved.route);
+        let cost = model.and_then(|name| models.iter().find(|m| m.name == *name));
+        let weight = cost.map_or(1.0, |m| m.cost / largest.max(f64::MIN_POSITIVE));
+        let tokens = self.call.prompt_tokens + OUTPUT_WORK * self.call.output_tokens;
+        Size {
+            tokens: self.tokens(),
+            work: (tokens as f64 * weight.max(LEAST_WORK)) as u64,
+        }
+    }
+
     /// Returns the model that the router chose, if the caller leaves the choice.
     pub fn model<'a>(&self, route: &'a Route) -> Option<&'a Arc<str>> {
         if !self.call.any_model {
@@ -536,20 +560,20 @@
     traffic: Rc<Traffic>,
     target: Target,
     service: Arc<str>,
-    tokens: u64,
+    size: Size,
     outcome: Cell<Outcome>,
 }
 
 impl Running {
-    fn begin(traffic: &Rc<Traffic>, target: &Target, service: &Arc<str>, tokens: u64) -> Self {
+    fn begin(traffic: &Rc<Traffic>, target: &Target, service: &Arc<str>, size: Size) -> Self {
         let now = traffic.now();
-        traffic.pool.borrow_mut().begin(&target.upstream, tokens, now);
+        traffic.pool.borrow_mut().begin(&target.upstream, size, now);
         traffic.with_trial(service, &target.version, |t| t.running += 1);
         Self {
             traffic: traffic.clone(),
             target: target.clone(),
             service: service.clone(),
-            tokens,
+            size,
             outcome: Cell::new(Outcome::Neutral),
         }
     }
@@ -564,7 +588,7 @@
     fn drop(&mut self) {
         let now = self.traffic.now();
         let mut pool = self.traffic.pool.borrow_mut();
-        pool.end(&self.target.upstream, self.tokens, self.outcome.get(), now);
+        pool.end(&self.target.upstream, self.size, self.outcome.get(), now);
         drop(pool);
         self.traffic.with_trial(&self.service, &self.target.version, |t| {
             t.running = t.running.saturating_sub(1);
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -73,7 +73,7 @@
         if !self.is_allowed(job, target) {
             return End::NotRun;
         }
-        let running = Running::begin(&self, target, &resolved.service.name, job.tokens());
+        let running = Running::begin(&self, target, &resolved.service.name, job.size(resolved));
         let sent = self.now();
         let request = self.request(job, resolved, target, job.call.last_event);
         job.runs.set(job.runs.get() + 1);
@@ -247,6 +247,10 @@
         let status = arrived.answer.status();
         let good = !status.is_server_error();
         let slow = self.is_slow(&route.name, arrived.took);
+        if route.kind == Kind::Stream {
+            let mut pressure = self.pressure.borrow_mut();
+            pressure.observe(service, arrived.took, route.objective);
+        }
         self.record(service, &target.version, good, slow);
         if !good && self.may_repeat(job, resolved) {
             arrived.running.end(Outcome::Failed);
@@ -295,13 +299,13 @@
             confidence: said.confidence,
             level: job.level.get(),
             models: route.models.len(),
-            load: self.pool.borrow().utilization(&resolved.service.name),
+            pressure: self.pressure.borrow().of(&resolved.service.name),
         };
         let level = cascade::larger(&answer)?;
         let allowed = self.with_budget(&resolved.service.name, |b| b.withdraw_optional(self.now()));
         log::debug!(
             event = "cascade", request = job.id(), level, allowed,
-            confidence = answer.confidence.unwrap_or_default(), load = answer.load;
+            confidence = answer.confidence.unwrap_or_default(), pressure = answer.pressure;
             "a larger model is wanted"
         );
         allowed.then_some(level)
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -268,7 +268,7 @@
                 continue;
             }
         };
-        let running = Running::begin(traffic, &target, &resolved.service.name, job.tokens());
+        let running = Running::begin(traffic, &target, &resolved.service.name, job.size(&resolved));
         let request = traffic.request(job, &resolved, &target, last_event);
         job.runs.set(job.runs.get() + 1);
         let answer = match lease.send(request).await {
