--- a/crates/core/src/agreed.rs
+++ b/crates/core/src/agreed.rs
@@ -168,7 +168,9 @@
     /// Returns whether the failure domain is out of service.
     #[must_use]
     pub fn is_taken_out(&self, domain: &str) -> bool {
-        self.taken_out.binary_search_by(|d| (**d).cmp(domain)).is_ok()
+        self.taken_out
+            .binary_search_by(|d| (**d).cmp(domain))
+            .is_ok()
     }
 
     /// Returns what a version of the service may get.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -95,7 +95,8 @@
     }
 
     fn find(&self, upstream: &str) -> Result<usize, usize> {
-        self.entries.binary_search_by(|e| (*e.announcement.upstream).cmp(upstream))
+        self.entries
+            .binary_search_by(|e| (*e.announcement.upstream).cmp(upstream))
     }
 
     /// Merges a record and returns whether it was news.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -159,7 +159,8 @@
                 .next_if(|o| o.entry.announcement.upstream < entry.announcement.upstream)
                 .is_some()
             {}
-            let same = old.next_if(|o| o.entry.announcement.upstream == entry.announcement.upstream);
+            let same =
+                old.next_if(|o| o.entry.announcement.upstream == entry.announcement.upstream);
             let mut upstream = match same {
                 Some(mut known) => {
                     let reborn =
@@ -173,7 +174,10 @@
                 None => Upstream::new(entry.clone(), now),
             };
             let said = &upstream.entry.announcement;
-            if upstream.down.is_some_and(|d| d < (said.incarnation, said.sequence)) {
+            if upstream
+                .down
+                .is_some_and(|d| d < (said.incarnation, said.sequence))
+            {
                 upstream.down = None;
             }
             self.upstreams.push(upstream);
@@ -314,7 +318,11 @@
         }
         let id = digest(upstream.entry.announcement.upstream.as_bytes());
         let own = mix(id ^ self.instance);
-        let ahead = self.instances.iter().filter(|i| mix(id ^ **i) < own).count();
+        let ahead = self
+            .instances
+            .iter()
+            .filter(|i| mix(id ^ **i) < own)
+            .count();
         #[expect(clippy::cast_precision_loss)]
         let fits = (ahead as f64) < rate.floor();
         fits && self.instances.contains(&self.instance)
@@ -325,9 +333,13 @@
             let far = u.entry.announcement.domain != self.domain;
             u.busy() + if far { FAR_LOAD } else { 0.0 }
         };
-        let order = |u: &Upstream| mix(digest(u.entry.announcement.upstream.as_bytes()) ^ u64::from(salt));
-        let by_cost =
-            |a: &&&Upstream, b: &&&Upstream| cost(a).total_cmp(&cost(b)).then_with(|| order(a).cmp(&order(b)));
+        let order =
+            |u: &Upstream| mix(digest(u.entry.announcement.upstream.as_bytes()) ^ u64::from(salt));
+        let by_cost = |a: &&&Upstream, b: &&&Upstream| {
+            cost(a)
+                .total_cmp(&cost(b))
+                .then_with(|| order(a).cmp(&order(b)))
+        };
         candidates.iter().min_by(by_cost).copied()
     }
 
@@ -465,7 +477,12 @@
 fn preferred<'a>(candidates: &[&'a Upstream], subject: u64) -> Option<&'a Upstream> {
     let mut order: Vec<_> = candidates
         .iter()
-        .map(|u| (mix(digest(u.entry.announcement.upstream.as_bytes()) ^ subject), *u))
+        .map(|u| {
+            (
+                mix(digest(u.entry.announcement.upstream.as_bytes()) ^ subject),
+                *u,
+            )
+        })
         .collect();
     order.sort_unstable_by_key(|(rank, _)| *rank);
     let total: f64 = candidates.iter().map(|u| u.busy()).sum();
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -180,7 +180,10 @@
         let mut routes: Vec<_> = raw.routes.into_iter().map(Arc::new).collect();
         routes.sort_by(|a, b| {
             let longest_first = b.prefix.len().cmp(&a.prefix.len());
-            a.host.cmp(&b.host).then(longest_first).then(a.prefix.cmp(&b.prefix))
+            a.host
+                .cmp(&b.host)
+                .then(longest_first)
+                .then(a.prefix.cmp(&b.prefix))
         });
         let same = |p: &&[Arc<Route>]| p[0].host == p[1].host && p[0].prefix == p[1].prefix;
         if let Some(pair) = routes.windows(2).find(same) {
@@ -197,7 +200,10 @@
         keys.sort_by(|a, b| a.0.cmp(&b.0));
         let shared = |p: &&[(Arc<str>, Arc<Account>)]| p[0].0 == p[1].0 && p[0].1 != p[1].1;
         if let Some(pair) = keys.windows(2).find(shared) {
-            return Err(Error::SharedKey(pair[0].1.name.clone(), pair[1].1.name.clone()));
+            return Err(Error::SharedKey(
+                pair[0].1.name.clone(),
+                pair[1].1.name.clone(),
+            ));
         }
         Ok(Self {
             revision: raw.revision,
@@ -217,7 +223,11 @@
     if route.shares.iter().map(|s| s.weight).sum::<u64>() == 0 {
         return Err(Error::NoWeight(route.name.clone()));
     }
-    let known = |s: &Share| services.binary_search_by(|o| o.name.cmp(&s.service)).is_ok();
+    let known = |s: &Share| {
+        services
+            .binary_search_by(|o| o.name.cmp(&s.service))
+            .is_ok()
+    };
     match route.shares.iter().find(|s| !known(s)) {
         Some(share) => Err(Error::UnknownService {
             route: route.name.clone(),
--- /dev/null
+++ b/crates/core/tests/overload.rs
@@ -0,0 +1,233 @@
+//! Decisions under load: cascade, retry budget, rollout and reports.
+
+use std::sync::Arc;
+
+use masticlock_core::{
+    agreed::{Phase, Rollout},
+    canary,
+    cascade::{self, Answer, Pressure},
+    report::{Board, Load, Record, Report, Suspect, Trial},
+    share::Budget,
+    time::{Span, Time},
+};
+
+const NOW: Time = Time::from_millis(1_000_000);
+const WINDOW: Span = Span::from_secs(10);
+
+fn answer(confidence: u8, pressure: f64) -> Answer {
+    Answer {
+        confidence: Some(confidence),
+        level: 0,
+        models: 3,
+        pressure,
+    }
+}
+
+#[test]
+fn an_answer_without_confidence_goes_to_the_largest_model_while_there_is_room() {
+    assert_eq!(cascade::larger(&answer(10, 0.02)), Some(2));
+    assert_eq!(cascade::larger(&answer(90, 0.02)), None);
+    let silent = Answer {
+        confidence: None,
+        ..answer(0, 0.0)
+    };
+    assert_eq!(cascade::larger(&silent), None);
+    let largest = Answer {
+        level: 2,
+        ..answer(0, 0.0)
+    };
+    assert_eq!(cascade::larger(&largest), None);
+}
+
+/// A burst after a loss of power: first events come later and later.
+#[test]
+fn the_bar_sinks_as_first_events_come_later_and_rises_again() {
+    let service: Arc<str> = "engines".into();
+    let objective = Span::from_secs(4);
+    let mut pressure = Pressure::default();
+    let kept = |p: &Pressure| {
+        (0..100)
+            .filter(|c| cascade::larger(&answer(*c, p.of(&service))).is_none())
+            .count()
+    };
+    let calm = kept(&pressure);
+    let mut last = calm;
+    for _ in 0..60 {
+        pressure.observe(&service, Span::from_millis(3_000), objective);
+        let now = kept(&pressure);
+        assert!(now >= last);
+        last = now;
+    }
+    assert_eq!(last, 100, "every answer is kept");
+    for _ in 0..60 {
+        pressure.observe(&service, Span::from_millis(100), objective);
+    }
+    assert_eq!(kept(&pressure), calm);
+}
+
+/// Eight instances in a storm of failures: the sum stays within the service's budget in every
+/// window, and a calm instance may still repeat.
+#[test]
+fn repeats_of_all_instances_stay_within_the_budget() {
+    let (ratio, extra) = (0.9, 56.0);
+    let mut budgets = vec![Budget::new(ratio, extra, WINDOW); 8];
+    let mut events = Vec::new();
+    for step in 0..6_000_u64 {
+        let now = NOW + Span::from_millis(step * 5);
+        for (at, budget) in budgets.iter_mut().enumerate() {
+            budget.set_instances(8);
+            // Uneven instances, in bursts; each request wants three repeats.
+            if (step / 200 + at as u64).is_multiple_of(2) && step.is_multiple_of(4 + at as u64) {
+                budget.deposit(now);
+                let repeats = (0..3).filter(|_| budget.withdraw(now)).count();
+                events.push((now, repeats));
+            }
+        }
+    }
+    for (start, _) in events.iter().step_by(7) {
+        let within = |e: &&(Time, usize)| e.0 >= *start && e.0.since(*start) < WINDOW;
+        let inside: Vec<_> = events.iter().filter(within).collect();
+        let repeats: usize = inside.iter().map(|e| e.1).sum();
+        #[expect(clippy::cast_precision_loss)]
+        let (repeats, allowed) = (repeats as f64, inside.len() as f64 * ratio + extra);
+        assert!(repeats <= allowed, "{repeats} of {allowed}");
+    }
+    let mut calm = Budget::new(ratio, extra, WINDOW);
+    calm.set_instances(8);
+    calm.deposit(NOW);
+    assert!(calm.withdraw(NOW));
+}
+
+/// Larger models leave repeats to requests that failed.
+#[test]
+fn optional_repeats_leave_the_rest_of_the_budget() {
+    let mut budget = Budget::new(0.9, 56.0, WINDOW);
+    budget.set_instances(8);
+    for _ in 0..100 {
+        budget.deposit(NOW);
+    }
+    let optional = (0..200).filter(|_| budget.withdraw_optional(NOW)).count();
+    assert!((55..=70).contains(&optional), "{optional}");
+    let rest = (0..200).filter(|_| budget.withdraw(NOW)).count();
+    assert!(rest >= 8, "{rest} are left for failures");
+}
+
+fn rollout(permille: u16) -> Rollout {
+    Rollout {
+        service: "engines".into(),
+        target: "v2".into(),
+        began_ms: 10_000,
+        duration_ms: 24_000,
+        permille,
+        phase: Phase::InProgress,
+    }
+}
+
+fn trial(ok: u64, failed: u64, slow: u64, running: u64) -> Trial {
+    Trial {
+        ok,
+        failed,
+        slow,
+        running,
+        ..Trial::default()
+    }
+}
+
+#[test]
+fn a_bad_version_is_reverted_after_few_requests() {
+    let old = trial(700, 10, 7, 90);
+    for new in [trial(6, 6, 0, 2), trial(12, 0, 11, 2)] {
+        let step = canary::step(&rollout(50), &new, &old, 14_000).unwrap();
+        assert_eq!(step.phase, Phase::Reverted);
+    }
+    for new in [trial(30, 1, 0, 2), trial(30, 0, 2, 2), trial(0, 2, 0, 1)] {
+        assert_eq!(canary::step(&rollout(50), &new, &old, 14_000), None);
+    }
+}
+
+#[test]
+fn a_good_version_gets_all_requests_late_and_is_completed_before_the_deadline() {
+    let (new, old) = (trial(60, 1, 0, 4), trial(900, 10, 9, 80));
+    let mut current = rollout(50);
+    let mut phases = Vec::new();
+    for now in (10_000..34_000).step_by(200) {
+        let running = if current.permille == 1_000 && now > 31_000 {
+            0
+        } else {
+            80
+        };
+        let old = Trial {
+            running,
+            ..old.clone()
+        };
+        if let Some(step) = canary::step(&current, &new, &old, now) {
+            (current.permille, current.phase) = (step.permille, step.phase);
+            phases.push((now, step.phase));
+        }
+    }
+    assert_eq!(phases.last().unwrap().1, Phase::Completed);
+    assert!(
+        phases[0].0 >= 28_000,
+        "half of the rollout is over: {phases:?}"
+    );
+    assert!(phases.last().unwrap().0 < 33_500);
+}
+
+#[test]
+fn a_version_that_hardly_ran_is_reverted_at_the_end() {
+    let step = canary::step(
+        &rollout(50),
+        &trial(2, 0, 0, 0),
+        &trial(500, 0, 0, 9),
+        33_500,
+    );
+    assert_eq!(step.unwrap().phase, Phase::Reverted);
+}
+
+fn report(instance: u64, sequence: u64, running: u32) -> Record {
+    Record {
+        report: Report {
+            instance,
+            sequence,
+            loads: vec![Load {
+                upstream: "u".into(),
+                running,
+                ..Load::default()
+            }],
+            trials: vec![Trial {
+                service: "engines".into(),
+                version: "v2".into(),
+                ok: 5,
+                ..Trial::default()
+            }],
+            suspects: vec![Suspect {
+                fingerprint: 42,
+                crashes: 1,
+            }],
+        },
+        age: Span::ZERO,
+    }
+}
+
+#[test]
+fn reports_replace_each_other_and_are_never_counted_twice() {
+    let mut board = Board::default();
+    board.merge(report(1, 1, 3), NOW, true);
+    board.merge(report(2, 1, 4), NOW, false);
+    board.merge(report(2, 1, 4), NOW, false);
+    board.merge(report(1, 2, 5), NOW, true);
+    board.merge(report(1, 1, 9), NOW, true);
+    let totals = board.totals(9, NOW);
+    assert_eq!(totals.loads[0].running, 9);
+    assert_eq!(totals.suspects[0].crashes, 2);
+    assert_eq!(totals.instances, [1, 2]);
+    assert_eq!(board.totals(1, NOW).loads[0].running, 4, "without its own");
+    assert_eq!(board.trial("engines", "v2").ok, 10);
+    assert_eq!(board.control("engines", "v3").ok, 10);
+    assert_eq!(board.since(0, NOW).len(), 1, "only its own are passed on");
+    let later = NOW + Span::from_secs(4);
+    assert!(
+        board.totals(9, later).instances.is_empty(),
+        "silent instances don't count"
+    );
+}
--- /dev/null
+++ b/crates/core/tests/place.rs
@@ -0,0 +1,306 @@
+//! Placement of requests, each test with the load pattern that it answers.
+
+use std::sync::Arc;
+
+use masticlock_core::{
+    agreed::{Command, Phase as Rolled, Rollout, State},
+    fleet::{Announcement, Directory, Phase, Record},
+    place::{Choice, Outcome, Pool, Size, Want, mix},
+    report::{Load, Totals},
+    time::{Span, Time},
+};
+
+const NOW: Time = Time::from_millis(1_000_000);
+const INTERVAL: Span = Span::from_millis(1_200);
+
+fn announcement(number: u64, version: &str, cold: Span) -> Announcement {
+    Announcement {
+        upstream: format!("u{number:02}").into(),
+        service: "engines".into(),
+        address: format!("10.0.0.{number}:80").into(),
+        domain: if number.is_multiple_of(2) { "a" } else { "b" }.into(),
+        version: version.into(),
+        slots: 8,
+        phase: Phase::Ready,
+        cold,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
+fn directory<I>(announcements: I) -> Directory
+where
+    I: IntoIterator<Item = Announcement>,
+{
+    let mut directory = Directory::default();
+    for announcement in announcements {
+        let record = Record {
+            announcement,
+            age: Span::ZERO,
+        };
+        directory.merge(record, NOW);
+    }
+    directory
+}
+
+fn pool(instance: u64, directory: &Directory) -> Pool {
+    let mut pool = Pool::new("a".into(), instance, INTERVAL);
+    pool.update(directory.entries(), NOW);
+    pool
+}
+
+fn want(subject: Option<u64>) -> Want<'static> {
+    Want {
+        service: "engines",
+        subject,
+        draw: 500,
+        tokens: 1_000,
+        memory: 100_000,
+        cold_rate: 10.0,
+        tried: &[],
+    }
+}
+
+fn chosen(choice: Choice) -> Option<Arc<str>> {
+    match choice {
+        Choice::Upstream(target) => Some(target.upstream),
+        Choice::Full | Choice::Nothing => None,
+    }
+}
+
+fn warm(count: u64) -> Directory {
+    directory((0..count).map(|n| announcement(n, "v1", Span::ZERO)))
+}
+
+/// Many instances, one subject: all choose the same upstream, and most keep it when one leaves.
+#[test]
+fn a_subject_stays_with_one_upstream_on_every_instance() {
+    let all = warm(10);
+    let (one, other) = (pool(1, &all), pool(2, &all));
+    let mut fewer = all.clone();
+    fewer.leave("u03", None);
+    let after = pool(1, &fewer);
+    let mut moved = 0;
+    for subject in 0..500 {
+        let want = want(Some(mix(subject)));
+        let first = chosen(one.choose(&want, &State::default(), NOW));
+        assert_eq!(first, chosen(other.choose(&want, &State::default(), NOW)));
+        let then = chosen(after.choose(&want, &State::default(), NOW));
+        assert_ne!(then.as_deref(), Some("u03"));
+        moved += usize::from(first != then);
+    }
+    assert!((20..=100).contains(&moved), "{moved} of 500 moved");
+}
+
+/// One hot subject: the preferred upstream doesn't take everything.
+#[test]
+fn a_hot_subject_spreads_when_its_upstream_fills_up() {
+    let mut pool = pool(1, &warm(10));
+    let mut used = Vec::new();
+    for _ in 0..40 {
+        let upstream = chosen(pool.choose(&want(Some(7)), &State::default(), NOW)).unwrap();
+        let size = Size {
+            tokens: 1_000,
+            work: 4_000,
+        };
+        pool.begin(&upstream, size, NOW);
+        used.push(upstream);
+    }
+    used.sort_unstable();
+    let most = used.chunk_by(|a, b| a == b).map(<[_]>::len).max().unwrap();
+    assert!(most <= 9, "{most} of 40 at one upstream");
+}
+
+/// Eight instances before one cold upstream: together they stay within its rate.
+#[test]
+fn a_cold_upstream_gets_no_more_than_its_rate_from_all_instances() {
+    for instances in [1_u64, 8, 70] {
+        let cold = directory([announcement(0, "v1", Span::from_secs(30))]);
+        let totals = Totals {
+            instances: (1..=instances).collect(),
+            ..Totals::default()
+        };
+        let mut pools: Vec<_> = (1..=instances).map(|i| pool(i, &cold)).collect();
+        for pool in &mut pools {
+            pool.update_totals(&totals);
+        }
+        let mut sent = Vec::new();
+        // Every instance tries every 10 ms for five seconds.
+        for step in 0..500 {
+            let now = NOW + Span::from_millis(step * 10);
+            for pool in &mut pools {
+                pool.update(cold.entries(), now);
+                let choice = pool.choose(&want(None), &State::default(), now);
+                if let Some(upstream) = chosen(choice) {
+                    pool.begin(&upstream, Size::default(), now);
+                    pool.end(&upstream, Size::default(), Outcome::Good, now);
+                    sent.push(now);
+                }
+            }
+        }
+        for start in &sent {
+            let within = |t: &&Time| **t >= *start && t.since(*start) < Span::from_secs(1);
+            let count = sent.iter().filter(within).count();
+            assert!(
+                count <= 10,
+                "{count} in a second from {instances} instances"
+            );
+        }
+        assert!(!sent.is_empty());
+    }
+}
+
+/// An instance that doesn't know itself to be counted sends nothing to a cold upstream.
+#[test]
+fn an_instance_that_is_not_counted_spares_cold_upstreams() {
+    let cold = directory([announcement(0, "v1", Span::from_secs(30))]);
+    let pool = pool(9, &cold);
+    assert_eq!(
+        pool.choose(&want(None), &State::default(), NOW),
+        Choice::Full
+    );
+}
+
+/// Stale reports of other instances count, so that a full upstream isn't filled further.
+#[test]
+fn work_of_other_instances_counts() {
+    let mut pool = pool(1, &warm(2));
+    let loads = ["u00", "u01"].map(|upstream| Load {
+        upstream: upstream.into(),
+        running: if upstream == "u00" { 8 } else { 7 },
+        ..Load::default()
+    });
+    let totals = Totals {
+        loads: loads.to_vec(),
+        instances: vec![1, 2],
+        ..Totals::default()
+    };
+    pool.update_totals(&totals);
+    let upstream = chosen(pool.choose(&want(Some(1)), &State::default(), NOW)).unwrap();
+    assert_eq!(&*upstream, "u01");
+    pool.begin(&upstream, Size::default(), NOW);
+    assert_eq!(
+        pool.choose(&want(Some(1)), &State::default(), NOW),
+        Choice::Full
+    );
+}
+
+/// An upstream that fails many requests while others don't gets none.
+#[test]
+fn an_upstream_that_fails_more_than_others_is_avoided() {
+    let mut pool = pool(1, &warm(4));
+    for number in 0..4 {
+        for _ in 0..10 {
+            let upstream = format!("u{number:02}");
+            pool.begin(&upstream, Size::default(), NOW);
+            let failed = number == 2;
+            let outcome = if failed {
+                Outcome::Failed
+            } else {
+                Outcome::Good
+            };
+            pool.end(&upstream, Size::default(), outcome, NOW);
+        }
+    }
+    for subject in 0..100 {
+        let upstream = chosen(pool.choose(&want(Some(mix(subject))), &State::default(), NOW));
+        assert_ne!(upstream.as_deref(), Some("u02"));
+    }
+}
+
+/// An upstream that takes no connection is left until it announces itself again.
+#[test]
+fn an_upstream_that_is_down_returns_with_its_next_announcement() {
+    let mut all = warm(1);
+    let mut pool = pool(1, &all);
+    pool.fail("u00", 1);
+    assert_eq!(
+        pool.choose(&want(None), &State::default(), NOW),
+        Choice::Nothing
+    );
+    pool.update(all.entries(), NOW);
+    assert_eq!(
+        pool.choose(&want(None), &State::default(), NOW),
+        Choice::Nothing
+    );
+    let mut next = announcement(0, "v1", Span::ZERO);
+    next.sequence = 2;
+    all.merge(
+        Record {
+            announcement: next,
+            age: Span::ZERO,
+        },
+        NOW,
+    );
+    pool.update(all.entries(), NOW);
+    assert!(chosen(pool.choose(&want(None), &State::default(), NOW)).is_some());
+}
+
+/// An upstream that has gone silent gets no new requests.
+#[test]
+fn silent_upstreams_get_nothing() {
+    let pool = pool(1, &warm(1));
+    let later = NOW + Span::from_secs(4);
+    assert_eq!(
+        pool.choose(&want(None), &State::default(), later),
+        Choice::Nothing
+    );
+}
+
+fn rollout(permille: u16, phase: Rolled) -> State {
+    let mut state = State::default();
+    state.apply(Command::Begin(Rollout {
+        service: "engines".into(),
+        target: "v2".into(),
+        began_ms: 0,
+        duration_ms: 24_000,
+        permille,
+        phase,
+    }));
+    state
+}
+
+/// A rollout: the share of the new version is the one that was agreed, and a subject whose draw is
+/// below the share stays with the new version.
+#[test]
+fn the_canary_gets_its_share() {
+    let all =
+        directory((0..8).map(|n| announcement(n, if n < 4 { "v1" } else { "v2" }, Span::ZERO)));
+    let pool = pool(1, &all);
+    let state = rollout(50, Rolled::InProgress);
+    for draw in 0..1_000 {
+        let want = Want {
+            draw,
+            ..want(Some(u64::from(draw)))
+        };
+        let upstream = chosen(pool.choose(&want, &state, NOW)).unwrap();
+        assert_eq!(*upstream >= *"u04", draw < 50, "draw {draw} at {upstream}");
+    }
+    let ended = rollout(0, Rolled::Reverted);
+    let upstream = chosen(pool.choose(&want(Some(1)), &ended, NOW)).unwrap();
+    assert!(*upstream < *"u04");
+}
+
+/// Without old upstreams the stable share is not given to a version on trial.
+#[test]
+fn the_stable_share_never_goes_to_a_version_on_trial() {
+    let all = directory((0..4).map(|n| announcement(n, "v2", Span::ZERO)));
+    let pool = pool(1, &all);
+    let state = rollout(50, Rolled::InProgress);
+    assert_eq!(pool.choose(&want(Some(1)), &state, NOW), Choice::Nothing);
+}
+
+/// A failure domain that was taken out gets nothing.
+#[test]
+fn a_failure_domain_out_of_service_gets_nothing() {
+    let pool = pool(1, &warm(6));
+    let mut state = State::default();
+    state.apply(Command::TakeOut("a".into()));
+    for subject in 0..100 {
+        let choice = pool.choose(&want(Some(mix(subject))), &state, NOW);
+        let Choice::Upstream(target) = choice else {
+            panic!("nothing was chosen");
+        };
+        assert_eq!(&*target.domain, "b");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,148 @@
+//! Checks of routing tables and lookups in them.
+
+use std::sync::Arc;
+
+use masticlock_core::{
+    route::{Account, Error, Kind, Limits, Raw, Route, Service, Share, Table},
+    time::Span,
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: Span::from_millis(800),
+        objective: Span::from_millis(100),
+        gap: None,
+        priority: 0,
+        shares: vec![Share {
+            service: "one".into(),
+            weight: 1,
+        }],
+        attempts: 2,
+        public: false,
+        resumable: false,
+        models: Vec::new(),
+    }
+}
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        connections: 100,
+        cold_rate: 0.0,
+        engine: None,
+    }
+}
+
+fn account(name: &str, keys: &[&str]) -> Account {
+    Account {
+        name: name.into(),
+        keys: keys.iter().map(|k| Arc::from(*k)).collect(),
+        priority: None,
+    }
+}
+
+fn raw(routes: Vec<Route>) -> Raw {
+    Raw {
+        revision: 7,
+        routes,
+        services: vec![service("one"), service("two")],
+        accounts: vec![account("mill", &["k1", "k2"]), account("farm", &["k3"])],
+        limits: Limits {
+            head_bytes: 16_384,
+            body_bytes: 4_096,
+            read_timeout: Span::from_secs(3),
+            idle_timeout: Span::from_secs(15),
+        },
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "/a/"),
+        route("long", "/a/b/"),
+        route("root", "/"),
+    ];
+    let table = Table::try_from(raw(routes)).unwrap();
+    let cases = [
+        ("a.example", "/a/b/c", Some("long")),
+        ("a.example", "/a/b/", Some("long")),
+        ("a.example", "/a/bc", Some("short")),
+        ("a.example", "/x", Some("root")),
+        ("b.example", "/a/b/c", None),
+        ("a.exampl", "/a/", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = table.find(host, path).map(|r| &*r.name);
+        assert_eq!(found, expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn keys_belong_to_one_account() {
+    let table = Table::try_from(raw(vec![route("r", "/")])).unwrap();
+    assert_eq!(&*table.account("k3").unwrap().name, "farm");
+    assert!(table.account("k4").is_none());
+    let mut shared = raw(vec![route("r", "/")]);
+    shared.accounts[1].keys.push("k1".into());
+    assert!(matches!(Table::try_from(shared), Err(Error::SharedKey(..))));
+}
+
+#[test]
+fn tables_that_contradict_themselves_are_refused() {
+    let same = raw(vec![route("r", "/a/"), route("s", "/a/")]);
+    assert!(matches!(Table::try_from(same), Err(Error::SamePlace(..))));
+    let mut timeless = route("r", "/");
+    timeless.timeout = Span::ZERO;
+    let timeless = Table::try_from(raw(vec![timeless]));
+    assert!(matches!(timeless, Err(Error::NoTimeout(_))));
+    let mut weightless = route("r", "/");
+    weightless.shares[0].weight = 0;
+    let weightless = Table::try_from(raw(vec![weightless]));
+    assert!(matches!(weightless, Err(Error::NoWeight(_))));
+    let mut unknown = route("r", "/");
+    unknown.shares[0].service = "three".into();
+    let unknown = Table::try_from(raw(vec![unknown]));
+    assert!(matches!(unknown, Err(Error::UnknownService { .. })));
+}
+
+#[test]
+fn shares_follow_their_weights() {
+    let mut split = route("r", "/");
+    split.shares = vec![
+        Share {
+            service: "one".into(),
+            weight: 9,
+        },
+        Share {
+            service: "two".into(),
+            weight: 1,
+        },
+    ];
+    let two = (0..1_000)
+        .filter(|n| &**split.share(*n).unwrap() == "two")
+        .count();
+    assert_eq!(two, 100);
+}
+
+#[test]
+fn only_resumable_streams_and_idempotent_requests_are_repeated() {
+    let cases = [
+        (Kind::Idempotent, false, true),
+        (Kind::NonRepeatable, true, false),
+        (Kind::Stream, false, false),
+        (Kind::Stream, true, true),
+    ];
+    for (kind, resumable, expected) in cases {
+        let route = Route {
+            kind,
+            resumable,
+            ..route("r", "/")
+        };
+        assert_eq!(route.is_repeatable(), expected, "{kind:?} {resumable}");
+    }
+}
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -128,10 +128,12 @@
 where
     R: FnMut(Handle),
 {
-    let listener = Rc::new(socket::listen(settings.address).map_err(|source| Error::Listen {
-        address: settings.address,
-        source,
-    })?);
+    let listener = Rc::new(
+        socket::listen(settings.address).map_err(|source| Error::Listen {
+            address: settings.address,
+            source,
+        })?,
+    );
     let mut founds = settings.founds;
     loop {
         let (handle, done) = Handle::open(&settings, founds)?;
@@ -282,7 +284,10 @@
     /// Returns an error if this instance can't be sure which one is the newest.
     pub async fn read(&self) -> Result<Arc<agreed::State>, Refusal> {
         let index = self.0.ask_leader(&Request::Read).await?;
-        self.0.applied(index).await.map_err(|_| Refusal::NoLeader)?;
+        self.0
+            .applied(index)
+            .await
+            .map_err(|()| Refusal::NoLeader)?;
         Ok(self.0.state.borrow().agreed.clone())
     }
 
@@ -361,7 +366,8 @@
         let state = self.state.borrow();
         let now = self.clock.now();
         let others = state.addresses(self.settings.address);
-        let reached = |a: &&SocketAddr| state.contact(**a).is_some_and(|at| now.since(at) < CONTACT);
+        let reached =
+            |a: &&SocketAddr| state.contact(**a).is_some_and(|at| now.since(at) < CONTACT);
         let count = others.iter().filter(reached).count();
         2 * (count + 1) > others.len() + 1
     }
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -137,7 +137,13 @@
     let instance: u64 = rand::random();
     let front = socket::listen(settings.front)?;
     let readiness = socket::listen(settings.readiness)?;
-    let traffic = Rc::new(Traffic::new(settings.clone(), clock, board.clone(), dialect(), instance));
+    let traffic = Rc::new(Traffic::new(
+        settings.clone(),
+        clock,
+        board.clone(),
+        dialect(),
+        instance,
+    ));
     let seeds = settings.seeds.clone();
     thread::Builder::new()
         .name("control".into())
@@ -165,16 +171,23 @@
         },
     ));
     let limits = traffic.clone();
-    let serving = http::serve(front, move || limits.limits(), staged, move |request, _| {
-        front::serve(traffic.clone(), request)
-    });
+    let serving = http::serve(
+        front,
+        move || limits.limits(),
+        staged,
+        move |request, _| front::serve(traffic.clone(), request),
+    );
     let ending = async {
         stop.await;
         log::info!(event = "stopping"; "takes no new connections from now on");
         stage.send_replace(Stage::Leaving);
         sleep(LEAVE).await;
         stage.send_replace(Stage::Closed);
-        let rest = settings.grace.to_std().mul_f64(GRACE_PART).saturating_sub(LEAVE);
+        let rest = settings
+            .grace
+            .to_std()
+            .mul_f64(GRACE_PART)
+            .saturating_sub(LEAVE);
         sleep(rest).await;
     };
     tokio::select! {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 use super::{
     dialect::{Call, Dialect},
     entry::{Payload, Settings},
-    front::{Resolved, refuse},
+    front::{Refusal, Resolved},
     http::Limits,
     link::Links,
     view::{Board, View},
@@ -203,21 +203,31 @@
 
     /// Returns the limits of a caller's connection.
     pub fn limits(&self) -> Limits {
-        self.board.view.load().table.as_ref().map_or(FIRST_LIMITS, |table| {
-            let limits = table.limits();
-            Limits {
-                head_bytes: limits.head_bytes,
-                head_timeout: limits.idle_timeout.max(limits.read_timeout).to_std(),
-            }
-        })
+        self.board
+            .view
+            .load()
+            .table
+            .as_ref()
+            .map_or(FIRST_LIMITS, |table| {
+                let limits = table.limits();
+                Limits {
+                    head_bytes: limits.head_bytes,
+                    head_timeout: limits.idle_timeout.max(limits.read_timeout).to_std(),
+                }
+            })
     }
 
     /// Returns the limits of a request's body in bytes and time.
     pub fn body_limits(&self) -> (usize, Duration) {
-        self.board.view.load().table.as_ref().map_or(FIRST_BODY, |table| {
-            let limits = table.limits();
-            (limits.body_bytes, limits.read_timeout.to_std())
-        })
+        self.board
+            .view
+            .load()
+            .table
+            .as_ref()
+            .map_or(FIRST_BODY, |table| {
+                let limits = table.limits();
+                (limits.body_bytes, limits.read_timeout.to_std())
+            })
     }
 
     /// Writes this instance's report.
@@ -241,22 +251,28 @@
     ///
     /// A request that has waited is looked up again before it is sent, so that it is never sent by
     /// tables that are out of date.
-    fn resolve(&self, job: &Job, view: &View) -> Result<Resolved, Response<Payload>> {
-        let unsure = || refuse(StatusCode::SERVICE_UNAVAILABLE, Some(UNSURE_RETRY));
+    fn resolve(&self, job: &Job, view: &View) -> Result<Resolved, Refusal> {
+        let unsure = || Refusal::later(UNSURE_RETRY, "configuration not known to be current");
         let Some(table) = &view.table else {
             return Err(unsure());
         };
         let sure = self.age(view).is_some_and(|age| age < SURE);
-        let answer = |status| if sure { refuse(status, None) } else { unsure() };
+        let answer = |status, reason| {
+            if sure {
+                Refusal::of(status, reason)
+            } else {
+                unsure()
+            }
+        };
         let Some(route) = table.find(&job.host, &job.path) else {
-            return Err(answer(StatusCode::NOT_FOUND));
+            return Err(answer(StatusCode::NOT_FOUND, "no route"));
         };
         let mut account = None;
         if table.has_accounts() && !route.public {
             let key = job.call.key.as_deref();
             account = key.and_then(|k| table.account(k)).cloned();
             if account.is_none() {
-                return Err(answer(StatusCode::UNAUTHORIZED));
+                return Err(answer(StatusCode::UNAUTHORIZED, "unknown key"));
             }
             if !self.is_younger(view, LEASE_PERCENT) {
                 return Err(unsure());
@@ -275,74 +291,56 @@
     /// Answers a request.
     pub async fn serve(self: Rc<Self>, job: Job) -> Response<Payload> {
         let job = Rc::new(job);
-        let view = self.view();
-        let resolved = match self.resolve(&job, &view) {
-            Ok(resolved) => resolved,
-            Err(response) => {
-                self.log_refusal(&job, &response, "not allowed", &view);
-                return response;
+        let answered = match self.resolve(&job, &self.view()) {
+            Ok(resolved) => {
+                self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
+                let left = job.deadline(&resolved.route).since(self.now());
+                let attempts = self.clone().attempts(job.clone());
+                let timely = timeout(left.to_std(), attempts).await;
+                timely.unwrap_or_else(|_| Err(job.timed_out()))
             }
+            Err(refusal) => Err(refusal),
         };
-        self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
-        let left = job.deadline(&resolved.route).since(self.now());
-        match timeout(left.to_std(), self.clone().attempts(job.clone())).await {
-            Ok(response) => response,
-            Err(_) if job.runs.get() > 0 => {
-                log::info!(
-                    event = "timed_out", request = job.id(), runs = job.runs.get();
-                    "no answer in time from an upstream"
-                );
-                refuse(StatusCode::GATEWAY_TIMEOUT, None)
-            }
-            Err(_) => {
-                let response = refuse(StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY));
-                self.log_refusal(&job, &response, "no upstream in time", &view);
-                response
-            }
-        }
+        answered.unwrap_or_else(|refusal| {
+            self.log_refusal(&job, &refusal);
+            refusal.into()
+        })
     }
 
-    fn log_refusal(&self, job: &Job, response: &Response<Payload>, reason: &str, view: &View) {
+    fn log_refusal(&self, job: &Job, refusal: &Refusal) {
+        let view = self.board.view.load();
         log::info!(
-            event = "refused", request = job.id(), status = response.status().as_u16(), reason,
-            runs = job.runs.get(), tried = job.tried.borrow().len(),
+            event = "refused", request = job.id(), status = refusal.status.as_u16(),
+            reason = refusal.reason, runs = job.runs.get(), tried = job.tried.borrow().len(),
             waited_ms = self.now().since(job.arrived).as_millis(),
+            retry_after_ms = refusal.retry_after.map_or(0, Span::as_millis),
             revision = view.table.as_ref().map_or(0, |t| t.revision()),
-            age_ms = self.age(view).map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(-1));
+            age_ms = self.age(&view).map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(-1));
             "a request is refused"
         );
     }
 
     /// Sends the request to one upstream after the other until it is answered.
-    async fn attempts(self: Rc<Self>, job: Rc<Job>) -> Response<Payload> {
+    async fn attempts(self: Rc<Self>, job: Rc<Job>) -> Result<Response<Payload>, Refusal> {
         loop {
-            let view = self.view();
-            let resolved = match self.resolve(&job, &view) {
+            let resolved = match self.resolve(&job, &self.view()) {
                 Ok(resolved) => resolved,
-                Err(response) if job.runs.get() == 0 => {
-                    self.log_refusal(&job, &response, "not allowed", &view);
-                    return response;
-                }
-                Err(_) => return refuse(StatusCode::BAD_GATEWAY, None),
+                Err(refusal) if job.runs.get() == 0 => return Err(refusal),
+                Err(refusal) => return Err(Refusal::of(StatusCode::BAD_GATEWAY, refusal.reason)),
             };
-            let target = match self.place(&job, &resolved).await {
-                Ok(Some(target)) => target,
-                Ok(None) => continue,
-                Err(response) => {
-                    self.log_refusal(&job, &response, "no upstream", &view);
-                    return response;
-                }
+            let Some(target) = self.place(&job, &resolved).await? else {
+                continue;
             };
-            let end = self.clone().attempt(&job, &resolved, &target).await;
-            match end {
-                End::Answer(response) => return response,
+            match self.clone().attempt(&job, &resolved, &target).await {
+                End::Answer(response) => return Ok(response),
+                End::Refused(refusal) => return Err(refusal),
                 End::NotRun => {
                     job.tried.borrow_mut().push(target.upstream.clone());
-                    let refused = job.tried.borrow().len() >= MAX_REFUSALS;
-                    if refused || !self.with_budget(&resolved.service.name, |b| b.withdraw(self.now())) {
-                        let response = job.give_up();
-                        self.log_refusal(&job, &response, "refused by upstreams", &view);
-                        return response;
+                    if job.tried.borrow().len() >= MAX_REFUSALS {
+                        return Err(job.give_up("refused by upstreams"));
+                    }
+                    if !self.with_budget(&resolved.service.name, |b| b.withdraw(self.now())) {
+                        return Err(job.give_up("no retry budget"));
                     }
                 }
                 End::Again => job.tried.borrow_mut().push(target.upstream.clone()),
@@ -354,25 +352,22 @@
     /// Chooses an upstream, waits for one, or returns why the request is given up.
     ///
     /// After a wait the request is resolved anew, for which none is returned.
-    async fn place(
-        &self,
-        job: &Job,
-        resolved: &Resolved,
-    ) -> Result<Option<Target>, Response<Payload>> {
+    async fn place(&self, job: &Job, resolved: &Resolved) -> Result<Option<Target>, Refusal> {
         if self.crashes(job.fingerprint) >= MAX_CRASHES {
-            return Err(job.give_up());
+            return Err(job.give_up("quarantined"));
         }
         let waited = self.now().since(job.arrived);
-        let (patience, retry) = match self.choose(job, resolved) {
+        let (patience, retry, reason) = match self.choose(job, resolved) {
             Choice::Upstream(target) => return Ok(Some(target)),
-            Choice::Full => (patience(&resolved.route), BUSY_RETRY),
-            Choice::Nothing => (NOTHING_PATIENCE, NOTHING_RETRY),
+            Choice::Full => (patience(&resolved.route), BUSY_RETRY, "all upstreams full"),
+            Choice::Nothing => (NOTHING_PATIENCE, NOTHING_RETRY, "no usable upstream"),
         };
         if waited >= patience {
-            if job.runs.get() > 0 {
-                return Err(refuse(StatusCode::BAD_GATEWAY, None));
-            }
-            return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, Some(retry)));
+            return Err(if job.runs.get() > 0 {
+                Refusal::of(StatusCode::BAD_GATEWAY, reason)
+            } else {
+                Refusal::later(retry, reason)
+            });
         }
         tokio::select! {
             () = self.room.notified() => {}
@@ -384,7 +379,10 @@
     fn choose(&self, job: &Job, resolved: &Resolved) -> Choice {
         let view = self.view();
         let service = &resolved.service;
-        let subject = service.engine.is_some().then(|| job.subject(&resolved.route));
+        let subject = service
+            .engine
+            .is_some()
+            .then(|| job.subject(&resolved.route));
         let session = job.session().unwrap_or(job.fingerprint);
         let draw = place::mix(session ^ place::digest(service.name.as_bytes()));
         let tried = job.tried.borrow();
@@ -410,7 +408,13 @@
             Ok(at) => at,
             Err(at) => {
                 let (ratio, extra) = (self.settings.retry_ratio, self.settings.retry_extra);
-                budgets.insert(at, (service.clone(), Budget::new(ratio, extra, self.settings.retry_window)));
+                budgets.insert(
+                    at,
+                    (
+                        service.clone(),
+                        Budget::new(ratio, extra, self.settings.retry_window),
+                    ),
+                );
                 at
             }
         };
@@ -433,7 +437,9 @@
     fn suspect(&self, fingerprint: u64) {
         let now = self.now();
         let mut suspects = self.suspects.borrow_mut();
-        if let Some((suspect, seen)) = suspects.iter_mut().find(|(s, _)| s.fingerprint == fingerprint)
+        if let Some((suspect, seen)) = suspects
+            .iter_mut()
+            .find(|(s, _)| s.fingerprint == fingerprint)
         {
             suspect.crashes += 1;
             *seen = now;
@@ -466,9 +472,8 @@
         F: FnOnce(&mut Trial),
     {
         let mut trials = self.trials.borrow_mut();
-        let found = trials.binary_search_by(|t| {
-            t.service.cmp(service).then_with(|| t.version.cmp(version))
-        });
+        let found = trials
+            .binary_search_by(|t| t.service.cmp(service).then_with(|| t.version.cmp(version)));
         let at = found.unwrap_or_else(|at| {
             let trial = Trial {
                 service: service.clone(),
@@ -499,16 +504,28 @@
 
     /// Returns when the final answer is due.
     pub fn deadline(&self, route: &Route) -> Time {
-        let limit = self.call.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+        let limit = self
+            .call
+            .deadline
+            .map_or(route.timeout, |d| d.min(route.timeout));
         self.arrived + limit
     }
 
-    /// Returns the answer of a request that is given up.
-    pub fn give_up(&self) -> Response<Payload> {
+    /// Returns the refusal of a request that is given up.
+    pub fn give_up(&self, reason: &'static str) -> Refusal {
         if self.runs.get() > 0 {
-            refuse(StatusCode::BAD_GATEWAY, None)
+            Refusal::of(StatusCode::BAD_GATEWAY, reason)
         } else {
-            refuse(StatusCode::SERVICE_UNAVAILABLE, Some(NOTHING_RETRY))
+            Refusal::later(NOTHING_RETRY, reason)
+        }
+    }
+
+    /// Returns the refusal of a request whose time is over.
+    fn timed_out(&self) -> Refusal {
+        if self.runs.get() > 0 {
+            Refusal::of(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        } else {
+            Refusal::later(BUSY_RETRY, "no upstream in time")
         }
     }
 
@@ -518,9 +535,17 @@
     }
 
     /// Returns what the request takes of an upstream.
-    #[expect(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
     pub fn size(&self, resolved: &Resolved) -> Size {
-        let models = resolved.service.engine.as_ref().map_or(&[][..], |e| &e.models);
+        let models = resolved
+            .service
+            .engine
+            .as_ref()
+            .map_or(&[][..], |e| &e.models);
         let largest = models.iter().map(|m| m.cost).fold(0.0, f64::max);
         let model = self.model(&resolved.route);
         let cost = model.and_then(|name| models.iter().find(|m| m.name == *name));
@@ -590,9 +615,10 @@
         let mut pool = self.traffic.pool.borrow_mut();
         pool.end(&self.target.upstream, self.size, self.outcome.get(), now);
         drop(pool);
-        self.traffic.with_trial(&self.service, &self.target.version, |t| {
-            t.running = t.running.saturating_sub(1);
-        });
+        self.traffic
+            .with_trial(&self.service, &self.target.version, |t| {
+                t.running = t.running.saturating_sub(1);
+            });
         self.traffic.room.notify_waiters();
     }
 }
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -20,7 +20,7 @@
 use crate::gateway::{
     dialect::{Incoming as Said, Outgoing},
     entry::Payload,
-    front::{Resolved, refuse},
+    front::{Refusal, Resolved},
     link::{Error, FRESH, Lease},
 };
 
@@ -43,6 +43,8 @@
 pub enum End {
     /// With the answer for the caller.
     Answer(Response<Payload>),
+    /// With a refusal, because the request may have run.
+    Refused(Refusal),
     /// The upstream did not run the request.
     NotRun,
     /// The request may be sent to another upstream.
@@ -79,7 +81,11 @@
         job.runs.set(job.runs.get() + 1);
         let left = job.deadline(&resolved.route).since(sent);
         let again = resolved.route.is_repeatable() && job.runs.get() < resolved.route.attempts;
-        let limit = if again { left.to_std().mul_f64(FIRST_PART) } else { left.to_std() };
+        let limit = if again {
+            left.to_std().mul_f64(FIRST_PART)
+        } else {
+            left.to_std()
+        };
         let answer = match timeout(limit, lease.send(request)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(Error::NotSent(reason))) => {
@@ -105,23 +111,44 @@
             }
         };
         let said = self.dialect().incoming(answer.headers());
-        if said.id.as_deref().is_some_and(|id| Some(id) != job.call.id.as_deref()) {
+        if said
+            .id
+            .as_deref()
+            .is_some_and(|id| Some(id) != job.call.id.as_deref())
+        {
             running.end(Outcome::Failed);
             drop(lease);
-            return self.lost(job, resolved, target, "the answer is another request's").await;
+            return self
+                .lost(job, resolved, target, "the answer is another request's")
+                .await;
         }
         if said.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
             return self.not_run(job, target, answer, lease, &said).await;
         }
         let took = self.now().since(sent);
-        self.deliver(job, resolved, target, Arrived { answer, said, lease, running, took }).await
+        self.deliver(
+            job,
+            resolved,
+            target,
+            Arrived {
+                answer,
+                said,
+                lease,
+                running,
+                took,
+            },
+        )
+        .await
     }
 
     /// Returns whether the tables still allow the upstream after a connection was opened.
     fn is_allowed(&self, job: &Job, target: &Target) -> bool {
         let view = self.view();
         let state = &view.agreed;
-        let current = self.pool.borrow().is_current(&target.upstream, target.incarnation);
+        let current = self
+            .pool
+            .borrow()
+            .is_current(&target.upstream, target.incarnation);
         current && !state.is_taken_out(&target.domain) && self.resolve(job, &view).is_ok()
     }
 
@@ -139,7 +166,11 @@
             account: resolved.account.as_ref().map(|a| &*a.name),
             model: job.model(&resolved.route).map(|m| &**m),
             last_event,
-            urgency: resolved.priority().saturating_mul(2).saturating_add(2).min(9),
+            urgency: resolved
+                .priority()
+                .saturating_mul(2)
+                .saturating_add(2)
+                .min(9),
         };
         let mut headers = self.dialect().outgoing(&job.headers, &out);
         strip_connection(&mut headers);
@@ -160,7 +191,9 @@
             reason;
             "an upstream takes no connection"
         );
-        self.pool.borrow_mut().fail(&target.upstream, target.incarnation);
+        self.pool
+            .borrow_mut()
+            .fail(&target.upstream, target.incarnation);
         self.links.discard(&target.upstream);
     }
 
@@ -198,7 +231,7 @@
         if self.may_repeat(job, resolved) {
             return End::Again;
         }
-        End::Answer(refuse(status, None))
+        End::Refused(Refusal::of(status, "no answer from an upstream"))
     }
 
     /// Returns whether a request that may have run may be sent again, and counts it if so.
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -18,9 +18,7 @@
     Job, Running, Traffic,
     attempt::{Arrived, strip_connection},
 };
-use crate::gateway::{
-    entry::Payload, front::Resolved, link::Lease, stream::Events,
-};
+use crate::gateway::{entry::Payload, front::Resolved, link::Lease, stream::Events};
 
 /// Parts of a stream that wait for a slow caller.
 const WAITING_PARTS: usize = 8;
@@ -77,7 +75,13 @@
         target: target.clone(),
         keep_alive: arrived.said.keep_alive,
     };
-    spawn_local(forward(traffic.clone(), job.clone(), resolved.clone(), source, sender));
+    spawn_local(forward(
+        traffic.clone(),
+        job.clone(),
+        resolved.clone(),
+        source,
+        sender,
+    ));
     let mut response = Response::new(Payload::Parts(receiver));
     *response.status_mut() = parts.status;
     *response.headers_mut() = parts.headers;
@@ -99,7 +103,9 @@
         Ok(Err(reason)) => {
             log::info!(event = "stream_cut", request = job.id(), reason; "a stream is given up");
             // The caller may have left as well.
-            let _gone = sender.send(Err(io::ErrorKind::ConnectionAborted.into())).await;
+            let _gone = sender
+                .send(Err(io::ErrorKind::ConnectionAborted.into()))
+                .await;
         }
         Err(_) => {
             log::info!(event = "stream_cut", request = job.id(), reason = "timeout"; "a stream is given up");
@@ -169,7 +175,10 @@
     events: &mut Events,
     sender: &mpsc::Sender<io::Result<Bytes>>,
 ) -> Cut {
-    let pause = resolved.route.gap.map_or(PAUSE, masticlock_core::time::Span::to_std);
+    let pause = resolved
+        .route
+        .gap
+        .map_or(PAUSE, masticlock_core::time::Span::to_std);
     let stall = pause.mul_f64(STALL_PART);
     let mut stalls = 0;
     loop {
@@ -268,7 +277,12 @@
                 continue;
             }
         };
-        let running = Running::begin(traffic, &target, &resolved.service.name, job.size(&resolved));
+        let running = Running::begin(
+            traffic,
+            &target,
+            &resolved.service.name,
+            job.size(&resolved),
+        );
         let request = traffic.request(job, &resolved, &target, last_event);
         job.runs.set(job.runs.get() + 1);
         let answer = match lease.send(request).await {
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -38,19 +38,53 @@
     }
 }
 
-/// Returns an answer of the router's own.
-#[must_use]
-pub fn refuse(status: StatusCode, retry_after: Option<Span>) -> Response<Payload> {
-    let mut response = Response::new(Payload::empty());
-    *response.status_mut() = status;
-    if let Some(after) = retry_after {
-        #[expect(clippy::cast_precision_loss)]
-        let seconds = format!("{:.3}", after.as_millis() as f64 / 1_000.0);
-        if let Ok(value) = seconds.parse() {
-            response.headers_mut().insert(RETRY_AFTER, value);
+/// An answer of the router's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Status.
+    pub status: StatusCode,
+    /// Time after which the caller may come back.
+    pub retry_after: Option<Span>,
+    /// Reason, for logs.
+    pub reason: &'static str,
+}
+
+impl Refusal {
+    /// Returns a refusal that names no time to come back.
+    #[must_use]
+    pub const fn of(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            retry_after: None,
+            reason,
+        }
+    }
+
+    /// Returns the refusal of a request that has not run and may come back.
+    #[must_use]
+    pub const fn later(after: Span, reason: &'static str) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after: Some(after),
+            reason,
+        }
+    }
+}
+
+impl From<Refusal> for Response<Payload> {
+    fn from(refusal: Refusal) -> Self {
+        let mut response = Self::new(Payload::empty());
+        *response.status_mut() = refusal.status;
+        if let Some(after) = refusal.retry_after {
+            let millis = after.as_millis();
+            let seconds = format!("{}.{:03}", millis / 1_000, millis % 1_000);
+            // Digits and a point are a valid header value.
+            if let Ok(value) = seconds.parse() {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
         }
+        response
     }
-    response
 }
 
 /// Answers a request.
@@ -62,14 +96,14 @@
         Ok(body) => body,
         Err(status) => {
             log::info!(event = "refused", status = status.as_u16(); "a body was not read");
-            return refuse(status, None);
+            return Refusal::of(status, "unread body").into();
         }
     };
     let call = match traffic.dialect().call(&parts.headers) {
         Ok(call) => call,
         Err(reason) => {
             log::info!(event = "refused", status = 400, reason; "the headers can't be read");
-            return refuse(StatusCode::BAD_REQUEST, None);
+            return Refusal::of(StatusCode::BAD_REQUEST, "unreadable headers").into();
         }
     };
     let target = parts.uri.path_and_query().map_or("/", |p| p.as_str());
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -194,7 +194,10 @@
                     changed = true;
                 }
                 Err(reason) => {
-                    log::error!("accepted configuration {} can't be read: {reason}", agreed.revision);
+                    log::error!(
+                        "accepted configuration {} can't be read: {reason}",
+                        agreed.revision
+                    );
                 }
             }
         }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -94,7 +94,8 @@
     fn line(mut self, message: &str) -> String {
         let unix_ms = u64::try_from(unix_ms()).unwrap_or(u64::MAX);
         self.json.insert("unix_ms".into(), unix_ms.into());
-        self.json.insert("level".into(), self.record.level().as_str().into());
+        self.json
+            .insert("level".into(), self.record.level().as_str().into());
         self.json.insert("message".into(), message.into());
         if self.record.key_values().visit(&mut self).is_err() {
             self.json.insert("incomplete".into(), true.into());
@@ -119,7 +120,8 @@
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         let mut line = record.args().to_string();
         if dropped > 0 {
-            let count = format!("{{\"level\":\"WARN\",\"event\":\"log_dropped\",\"lines\":{dropped}}}\n");
+            let count =
+                format!("{{\"level\":\"WARN\",\"event\":\"log_dropped\",\"lines\":{dropped}}}\n");
             line.insert_str(0, &count);
         }
         if self.lines.try_send(line).is_err() {
