--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -125,6 +125,10 @@
         if said.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
             return self.not_run(job, target, answer, lease, &said).await;
         }
+        if let Some(session) = job.session() {
+            let mut sessions = self.sessions.borrow_mut();
+            sessions.use_version(session, &target.version, self.now());
+        }
         let took = self.now().since(sent);
         self.deliver(
             job,
