Try a new version in the second half of its rollout only

A memory of sessions on each instance did not help, because a session's requests come through several instances; it is gone again.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -1,8 +1,9 @@
 //! The share of a service's requests that a new version gets, and the verdict on it.
 //!
-//! The share stays small until late in the rollout, so that a version that turns bad late or
-//! only under load has been given little. Requests about one subject keep their version: a subject
-//! belongs to the new version if its draw lies below the share, and the share only grows.
+//! The first half of a rollout changes nothing for sessions that are under way. Then a small share is
+//! tried, and all requests move late, so that a version that turns bad late or only under load has
+//! been given little. A session belongs to the new version if its draw lies below the share, on
+//! every instance, and the share only grows.
 
 use crate::{
     agreed::{Phase, Rollout},
@@ -13,10 +14,11 @@
     },
 };
 
+/// Part of the rollout's time, in percent, after which the new version is tried.
+const TRIAL_PERCENT: u64 = 51;
+
 /// Requests of 1,000 that a new version gets while it is tried.
-///
-/// With the last part of the rollout at full share this stays under an exposure of 15 in 100.
-pub const TRIAL_PERMILLE: u16 = 50;
+const TRIAL_PERMILLE: u16 = 80;
 
 /// Part of the rollout's time, in percent, after which a good version gets all requests.
 const SWITCH_PERCENT: u64 = 82;
@@ -89,7 +91,11 @@
         });
     }
     if percent < SWITCH_PERCENT {
-        return None;
+        let due = rollout.permille == 0 && percent >= TRIAL_PERCENT;
+        return due.then_some(Step {
+            permille: TRIAL_PERMILLE,
+            phase: Phase::InProgress,
+        });
     }
     if new.ended() < LEAST_ANSWERS {
         return (percent >= COMPLETE_PERCENT).then_some(reverted);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,7 +51,6 @@
 pub mod settings;
 pub mod share;
 pub mod slot;
-pub mod sticky;
 pub mod storage;
 pub mod suspect;
 pub mod time;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -54,8 +54,6 @@
     pub subject: Option<u64>,
     /// Number from 0 to 999 that decides whether a canary takes the request.
     pub draw: u16,
-    /// Version that the request's session has used, which it keeps during a rollout's trial.
-    pub session_version: Option<&'a str>,
     /// Prompt and output tokens.
     pub tokens: u64,
     /// Tokens that fit an upstream's memory; 0 without a limit.
@@ -270,10 +268,6 @@
         let versions = self.upstreams.iter().map(|u| &u.entry.announcement);
         let mut of_service = versions.filter(|a| &*a.service == want.service);
         of_service.any(|a| match state.permit(want.service, &a.version) {
-            // Sessions move when all requests do.
-            Permit::Canary(permille) if permille < 1_000 && want.session_version.is_some() => {
-                want.session_version == Some(&*a.version)
-            }
             Permit::Canary(permille) => want.draw < permille,
             Permit::Stable | Permit::Never => false,
         })
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -73,8 +73,6 @@
     pub retry_extra: f64,
     /// Window of that limit.
     pub retry_window: Span,
-    /// Time between two requests of a session, which keeps its version.
-    pub session: Span,
 }
 
 /// An answer's body.
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -17,7 +17,6 @@
     report::{Suspect, Trial},
     route::{Kind, Route},
     share::Budget,
-    sticky::Sessions,
     time::{Span, Time},
 };
 use tokio::{
@@ -79,10 +78,6 @@
 /// Least work of a token relative to that of the largest model.
 const LEAST_WORK: f64 = 0.1;
 
-/// Time for which a session's version is kept, as a multiple of the time between its requests: a
-/// request itself takes some of it.
-const SESSION_FACTOR: u64 = 2;
-
 /// Head limits before the first configuration.
 const FIRST_LIMITS: Limits = Limits {
     head_bytes: 16_384,
@@ -137,7 +132,6 @@
     /// Usual time until the head of an answer, by route.
     usual: RefCell<Vec<(Arc<str>, f64)>>,
     pressure: RefCell<Pressure>,
-    sessions: RefCell<Sessions>,
     /// A request has ended.
     room: Notify,
 }
@@ -152,7 +146,6 @@
         instance: u64,
     ) -> Self {
         let pool = Pool::new(settings.domain.clone(), instance, settings.announcements);
-        let sessions = Sessions::new(settings.session.times(SESSION_FACTOR));
         Self {
             settings,
             clock,
@@ -166,7 +159,6 @@
             suspects: RefCell::default(),
             usual: RefCell::default(),
             pressure: RefCell::default(),
-            sessions: RefCell::new(sessions),
             room: Notify::new(),
         }
     }
@@ -394,14 +386,11 @@
         let session = job.session().unwrap_or(job.fingerprint);
         let draw = place::mix(session ^ place::digest(service.name.as_bytes()));
         let tried = job.tried.borrow();
-        let sessions = self.sessions.borrow();
-        let session_version = sessions.version(session, self.now());
         let want = Want {
             service: &service.name,
             subject,
             // A remainder below 1,000 fits.
             draw: u16::try_from(draw % 1_000).unwrap_or_default(),
-            session_version: session_version.map(|v| &**v),
             tokens: job.tokens(),
             memory: service.engine.as_ref().map_or(0, |e| e.memory_tokens),
             cold_rate: service.cold_rate,
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -79,6 +79,15 @@
         let sent = self.now();
         let request = self.request(job, resolved, target, job.call.last_event);
         job.runs.set(job.runs.get() + 1);
+        log::info!(
+            event = "sent", request = job.id(), route = &*resolved.route.name,
+            account = resolved.account.as_ref().map_or("-", |a| &*a.name),
+            upstream = &*target.upstream, domain = &*target.domain, version = &*target.version,
+            model = job.model(&resolved.route).map_or("-", |m| &**m),
+            session = job.session().unwrap_or_default(), runs = job.runs.get(),
+            waited_ms = sent.since(job.arrived).as_millis();
+            "a request is sent to an upstream"
+        );
         let left = job.deadline(&resolved.route).since(sent);
         let again = resolved.route.is_repeatable() && job.runs.get() < resolved.route.attempts;
         let limit = if again {
@@ -125,10 +134,6 @@
         if said.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
             return self.not_run(job, target, answer, lease, &said).await;
         }
-        if let Some(session) = job.session() {
-            let mut sessions = self.sessions.borrow_mut();
-            sessions.use_version(session, &target.version, self.now());
-        }
         let took = self.now().since(sent);
         self.deliver(
             job,
