--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -34,6 +34,7 @@
 use super::{
     caller::Caller,
     message::{Poll, Refusal, Reply, Request, Seen},
+    metrics::Belief,
     socket,
 };
 use crate::{
@@ -291,6 +292,24 @@
         Ok(self.0.state.borrow().agreed.clone())
     }
 
+    /// Returns what this instance believes, for metrics.
+    #[must_use]
+    pub fn belief(&self) -> Belief {
+        let state = self.0.state.borrow();
+        let now = self.0.clock.now();
+        let others = state.addresses(self.0.settings.address);
+        let is_reached =
+            |a: &&SocketAddr| state.contact(**a).is_some_and(|at| now.since(at) < CONTACT);
+        Belief {
+            leads: state.leads(now),
+            commit: state.replica.commit(),
+            revision: state.agreed.revision,
+            voters: state.replica.members().voters.len(),
+            upstreams: state.fleet.entries().len(),
+            reached: others.iter().filter(is_reached).count(),
+        }
+    }
+
     /// Returns whether this instance leads with a valid lease.
     #[must_use]
     pub fn leads(&self) -> bool {
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -59,6 +59,8 @@
     pub front: SocketAddr,
     /// Address for questions about readiness.
     pub readiness: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
     /// Internal addresses of control instances to begin with; at least one.
     pub seeds: Vec<SocketAddr>,
     /// Interval at which upstreams announce themselves.
@@ -137,6 +139,7 @@
     let instance: u64 = rand::random();
     let front = socket::listen(settings.front)?;
     let readiness = socket::listen(settings.readiness)?;
+    let metrics = socket::listen(settings.metrics)?;
     let traffic = Rc::new(Traffic::new(
         settings.clone(),
         clock,
@@ -170,6 +173,8 @@
             async move { answer_readiness(ready) }
         },
     ));
+    let measured = traffic.clone();
+    let metrics = spawn_local(http::serve_text(metrics, move || measured.metrics()));
     let limits = traffic.clone();
     let serving = http::serve(
         front,
@@ -194,6 +199,7 @@
         () = serving => {}
         () = ending => log::warn!(event = "stop_forced"; "requests are still open at the end"),
     }
+    metrics.abort();
     readiness.abort();
     reports.abort();
     log::info!(event = "stopped"; "has ended");
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -31,6 +31,7 @@
     front::{Refusal, Resolved},
     http::Limits,
     link::Links,
+    metrics,
     view::{Board, View},
 };
 use crate::clock::Clock;
@@ -114,6 +115,8 @@
     pub arrived: Time,
     /// Digest of account, path and body.
     pub fingerprint: u64,
+    /// Kind of its route, once it is known.
+    pub kind: Cell<Option<Kind>>,
     /// Attempts that may have run.
     pub runs: Cell<u32>,
     /// Position of the model among those of the route.
@@ -141,6 +144,7 @@
     /// A request has ended.
     room: Notify,
     started: Time,
+    metrics: metrics::Entry,
 }
 
 impl Traffic {
@@ -168,6 +172,7 @@
             pressure: RefCell::default(),
             room: Notify::new(),
             started: clock.now(),
+            metrics: metrics::Entry::default(),
         }
     }
 
@@ -255,6 +260,15 @@
         outbox.suspects = suspects;
     }
 
+    /// Returns the metrics as text.
+    pub fn metrics(&self) -> String {
+        let view = self.board.view.load();
+        let revision = view.table.as_ref().map_or(0, |t| t.revision());
+        self.metrics
+            .believe(self.age(&view), revision, view.fleet.entries().len());
+        self.metrics.text()
+    }
+
     /// Looks the request up in the newest tables.
     ///
     /// A request that has waited is looked up again before it is sent, so that it is never sent by
@@ -302,6 +316,7 @@
         self.await_news(&job).await;
         let answered = match self.resolve(&job, &self.view()) {
             Ok(resolved) => {
+                job.kind.set(Some(resolved.route.kind));
                 self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
                 let left = job.deadline(&resolved.route).since(self.now());
                 let attempts = self.clone().attempts(job.clone());
@@ -310,10 +325,13 @@
             }
             Err(refusal) => Err(refusal),
         };
-        answered.unwrap_or_else(|refusal| {
+        let response = answered.unwrap_or_else(|refusal| {
             self.log_refusal(&job, &refusal);
+            self.metrics.refused(refusal.reason);
             refusal.into()
-        })
+        });
+        self.metrics.answered(job.kind.get(), response.status());
+        response
     }
 
     /// Waits while the instance starts or the control instances elect a leader.
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -111,6 +111,7 @@
                 running.end(Outcome::Failed);
                 drop(lease);
                 self.record(&resolved.service.name, &target.version, false, true);
+                self.count(resolved, target, "silent");
                 log::info!(
                     event = "silent", request = job.id(), upstream = &*target.upstream,
                     waited_ms = self.now().since(sent).as_millis();
@@ -132,6 +133,7 @@
                 .await;
         }
         if said.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.count(resolved, target, "not_run");
             return self.not_run(job, target, answer, lease, &said).await;
         }
         let took = self.now().since(sent);
@@ -150,6 +152,11 @@
         .await
     }
 
+    fn count(&self, resolved: &Resolved, target: &Target, outcome: &str) {
+        self.metrics
+            .attempted(&resolved.service.name, &target.domain, outcome);
+    }
+
     /// Returns whether the tables still allow the upstream after a connection was opened.
     fn is_allowed(&self, job: &Job, target: &Target) -> bool {
         let view = self.view();
@@ -215,6 +222,7 @@
         reason: &str,
     ) -> End {
         self.record(&resolved.service.name, &target.version, false, false);
+        self.count(resolved, target, "lost");
         log::info!(
             event = "lost", request = job.id(), upstream = &*target.upstream, reason,
             runs = job.runs.get();
@@ -298,9 +306,12 @@
             arrived.running.end(Outcome::Failed);
             return End::Again;
         }
+        self.metrics.head(route.kind, arrived.took);
         if good && let Some(level) = self.larger(job, resolved, &arrived.said) {
+            self.count(resolved, target, "larger_model");
             return End::Larger(level);
         }
+        self.count(resolved, target, if good { "answered" } else { "failed" });
         if good && route.kind == Kind::Stream {
             return End::Answer(relay::start(self, job, resolved, target, arrived));
         }
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -3,8 +3,12 @@
 use std::{convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use hyper::{
-    Request, Response, body::Body, body::Incoming, header::CONNECTION, header::HeaderValue,
-    server::conn::http1, service::service_fn,
+    Request, Response,
+    body::{Body, Bytes, Incoming},
+    header::CONNECTION,
+    header::HeaderValue,
+    server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -40,6 +44,29 @@
     pub head_timeout: Duration,
 }
 
+/// Largest head of a request for text in bytes.
+const TEXT_HEAD: usize = 8_192;
+
+/// Longest time that a connection for text stays open without a request.
+const TEXT_IDLE: Duration = Duration::from_secs(15);
+
+/// Serves a text for ever, whatever is asked for.
+pub async fn serve_text<T>(listener: TcpListener, text: T)
+where
+    T: Fn() -> String + 'static,
+{
+    let limits = || Limits {
+        head_bytes: TEXT_HEAD,
+        head_timeout: TEXT_IDLE,
+    };
+    let stage = watch::channel(Stage::Open).1;
+    serve(listener, limits, stage, move |_, _| {
+        let text = text();
+        async move { Response::new(http_body_util::Full::new(Bytes::from(text))) }
+    })
+    .await;
+}
+
 /// Accepts connections until the stage is [`Stage::Closed`] and returns when the last has ended.
 pub async fn serve<H, F, B, L>(
     listener: TcpListener,
