--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -27,8 +27,12 @@
 /// Largest answer of a plain service in bytes.
 const MAX_ANSWER: usize = 4 * 1_024 * 1_024;
 
-/// Part of the remaining time after which a request that may be repeated is sent elsewhere.
-const FIRST_PART: f64 = 0.55;
+/// Part of the remaining time, in percent, after which a request that may be repeated is sent
+/// elsewhere.
+const FIRST_PERCENT: u64 = 55;
+
+/// The same as a part of the objective of a plain service, in percent.
+const TIMELY_PERCENT: u64 = 60;
 
 /// Time until the head of an answer, as a multiple of the usual one, that counts as slow.
 const SLOW_FACTOR: f64 = 4.0;
@@ -91,7 +95,7 @@
         let left = job.deadline(&resolved.route).since(sent);
         let again = resolved.route.is_repeatable() && job.runs.get() < resolved.route.attempts;
         let limit = if again {
-            left.to_std().mul_f64(FIRST_PART)
+            Self::first_limit(resolved, left).to_std()
         } else {
             left.to_std()
         };
@@ -157,6 +161,21 @@
             .attempted(&resolved.service.name, &target.domain, outcome);
     }
 
+    /// Returns how long to wait for the head of an answer before another upstream is asked.
+    ///
+    /// A stream that begins late was mostly waiting for its turn, and sending it again would add to
+    /// the load. A plain service that doesn't answer in time is an exception.
+    fn first_limit(resolved: &Resolved, left: Span) -> Span {
+        let late = Span::from_millis(left.as_millis() * FIRST_PERCENT / 100);
+        match resolved.route.kind {
+            Kind::Stream => late,
+            Kind::Idempotent | Kind::NonRepeatable => {
+                let objective = resolved.route.objective.as_millis();
+                late.min(Span::from_millis(objective * TIMELY_PERCENT / 100))
+            }
+        }
+    }
+
     /// Returns whether the tables still allow the upstream after a connection was opened.
     fn is_allowed(&self, job: &Job, target: &Target) -> bool {
         let view = self.view();
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -24,8 +24,9 @@
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
-/// Time for which a connection without a request is used again if the upstream names no time.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Longest time for which a connection without a request is used again. It takes some 20 KB of
+/// memory.
+const IDLE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Time for which a connection without a request is used again for a request that must not be
 /// repeated: what it is sent on a connection that has just been closed may have run.
@@ -173,7 +174,8 @@
 
     /// Gives the connection back after the answer was read to its end.
     pub fn give_back(self, keep_alive: Option<Span>) {
-        let limit = keep_alive.map_or(IDLE_LIMIT, |k| k.to_std().mul_f64(KEEP_ALIVE_PART));
+        let named = keep_alive.map_or(IDLE_LIMIT, |k| k.to_std().mul_f64(KEEP_ALIVE_PART));
+        let limit = named.min(IDLE_LIMIT);
         let Self {
             links,
             upstream,
