Let a control instance outside of the set find the leader and confirm nothing

In the bad ones a control instance that had begun anew knew only seeds that did not lead, never joined, and confirmed announcements that nobody polled from it; the upstreams that reported there counted as silent. Ruled out: the rollout and the leader's place, alike in both kinds of run.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -310,6 +310,12 @@
         }
     }
 
+    /// Returns the address for other processes of the system.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.0.settings.address
+    }
+
     /// Returns whether this instance leads with a valid lease.
     #[must_use]
     pub fn leads(&self) -> bool {
@@ -383,6 +389,10 @@
     /// Returns whether more than half of the control instances were in contact of late.
     fn reaches_majority(&self) -> bool {
         let state = self.state.borrow();
+        // Nobody polls an instance that is not a member.
+        if !state.is_member() {
+            return false;
+        }
         let now = self.clock.now();
         let others = state.addresses(self.settings.address);
         let reached =
@@ -402,7 +412,7 @@
                 let others = state.addresses(self.settings.address);
                 let knows = |a: &&SocketAddr| state.fleet_seen(**a) >= mark;
                 let count = others.iter().filter(knows).count();
-                if 2 * (count + 1) > others.len() + 1 {
+                if state.is_member() && 2 * (count + 1) > others.len() + 1 {
                     return true;
                 }
             }
@@ -502,8 +512,8 @@
                 let mut known = state.addresses(self.settings.address);
                 state.peers.keep(&known);
                 if !state.is_member() {
-                    let seeds = self.settings.seeds.iter();
-                    known.extend(seeds.filter(|a| **a != self.settings.address));
+                    let told = self.settings.seeds.iter().chain(&state.told);
+                    known.extend(told.filter(|a| **a != self.settings.address));
                     known.sort_unstable();
                     known.dedup();
                 }
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -67,6 +67,8 @@
     pub halted: Option<String>,
     /// The leader by its own word, with its identity's address, and when it said so.
     pub known_leader: Option<(SocketAddr, Time)>,
+    /// Members by the word of other control instances, to find the leader before joining.
+    pub told: Vec<SocketAddr>,
     /// Random number of this process.
     process: u64,
     contacts: Vec<Contact>,
@@ -118,6 +120,7 @@
             disk: Some(disk),
             halted: None,
             known_leader: None,
+            told: Vec::new(),
             process: super::random(),
             contacts: Vec::new(),
             identities: Vec::new(),
@@ -335,6 +338,10 @@
     pub fn take_news(&mut self, address: SocketAddr, news: News, sent: Time, now: Time) {
         self.contact_mut(address).heard = Some(now);
         self.heard(news.identity, now);
+        let told: Vec<SocketAddr> = news.control.iter().filter_map(|a| a.parse().ok()).collect();
+        if !told.is_empty() {
+            self.told = told;
+        }
         for record in news.fleet {
             self.fleet.merge(record, now);
         }
@@ -371,7 +378,7 @@
             reports: Vec::new(),
             totals: None,
             agreed: None,
-            control: Vec::new(),
+            control: self.members(),
         };
         if let Some(address) = poll.control.and_then(|a| a.parse().ok()) {
             self.contact_mut(address).fleet_seen = seen.fleet;
@@ -394,10 +401,14 @@
             taken_out: self.agreed.taken_out.clone(),
             rollouts: self.agreed.rollouts.clone(),
         });
+        news
+    }
+
+    /// Returns the internal addresses of all members.
+    fn members(&self) -> Vec<String> {
         let members = self.replica.members();
         let all = members.voters.iter().chain(&members.learners);
-        news.control = all.map(|m: &Member| m.address.clone()).collect();
-        news
+        all.map(|m: &Member| m.address.clone()).collect()
     }
 
     /// Returns the time since the agreed state was known to be the newest.
