--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod command;
 pub mod config;
 pub mod consensus;
+pub mod digest;
 pub mod directory;
 pub mod error;
 pub mod estimate;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     agreed::{Permit, State},
+    digest,
     fleet::{Entry, Phase},
     report::{Load, Totals},
     time::{Span, Time},
@@ -316,12 +317,12 @@
         if now < upstream.next_cold {
             return false;
         }
-        let id = digest(upstream.entry.announcement.upstream.as_bytes());
-        let own = mix(id ^ self.instance);
+        let id = digest::of(upstream.entry.announcement.upstream.as_bytes());
+        let own = digest::mix(id ^ self.instance);
         let ahead = self
             .instances
             .iter()
-            .filter(|i| mix(id ^ **i) < own)
+            .filter(|i| digest::mix(id ^ **i) < own)
             .count();
         #[expect(clippy::cast_precision_loss)]
         let fits = (ahead as f64) < rate.floor();
@@ -333,8 +334,9 @@
             let far = u.entry.announcement.domain != self.domain;
             u.busy() + if far { FAR_LOAD } else { 0.0 }
         };
-        let order =
-            |u: &Upstream| mix(digest(u.entry.announcement.upstream.as_bytes()) ^ u64::from(salt));
+        let order = |u: &Upstream| {
+            digest::mix(digest::of(u.entry.announcement.upstream.as_bytes()) ^ u64::from(salt))
+        };
         let by_cost = |a: &&&Upstream, b: &&&Upstream| {
             cost(a)
                 .total_cmp(&cost(b))
@@ -479,7 +481,7 @@
         .iter()
         .map(|u| {
             (
-                mix(digest(u.entry.announcement.upstream.as_bytes()) ^ subject),
+                digest::mix(digest::of(u.entry.announcement.upstream.as_bytes()) ^ subject),
                 *u,
             )
         })
@@ -492,18 +494,3 @@
     let within = order.iter().find(|(_, u)| u.busy() <= bound);
     within.or_else(|| order.first()).map(|(_, u)| *u)
 }
-
-/// Returns a 64-bit digest (FNV-1a).
-#[must_use]
-pub fn digest(bytes: &[u8]) -> u64 {
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, step)
-}
-
-/// Mixes the bits of a number (finalizer of `SplitMix64`).
-#[must_use]
-pub const fn mix(number: u64) -> u64 {
-    let z = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -4,8 +4,9 @@
 
 use masticlock_core::{
     agreed::{Command, Phase as Rolled, Rollout, State},
+    digest::mix,
     fleet::{Announcement, Directory, Phase, Record},
-    place::{Choice, Outcome, Pool, Size, Want, mix},
+    place::{Choice, Outcome, Pool, Size, Want},
     report::{Load, Totals},
     time::{Span, Time},
 };
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -2,7 +2,9 @@
 //!
 //! One thread owns all state. Every task borrows it between two awaits and never across one.
 
+mod ask;
 mod lead;
+mod member;
 mod serve;
 mod state;
 
@@ -19,21 +21,21 @@
 use masticlock_core::{
     agreed::{self, Command},
     consensus::{Event, Identity, Image, Member, Members, TICK},
+    digest,
     fleet::{self, Announcement},
-    name, place,
+    name,
     time::Span,
 };
 use tokio::{
     net::TcpListener,
-    sync::{Notify, mpsc, oneshot},
+    sync::{Notify, mpsc},
     task::JoinSet,
-    time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
+    time::{MissedTickBehavior, interval},
 };
 
-use self::state::{State, Waiting};
+use self::state::State;
 use super::{
-    caller::Caller,
-    message::{Poll, Refusal, Reply, Request, Seen},
+    message::{Refusal, Request},
     metrics::Belief,
     socket,
 };
@@ -42,24 +44,9 @@
     control::disk::{Disk, Done, LOG},
 };
 
-/// Interval at which control instances poll each other.
-const POLL_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Longest time that a poll may take.
-const POLL_LIMIT: Duration = Duration::from_millis(500);
-
 /// Longest time that a command, read or confirmation may take. Callers give up after a second.
 const CALL_LIMIT: Duration = Duration::from_millis(850);
 
-/// Pause between two tries to reach a leader within [`CALL_LIMIT`].
-const CALL_PAUSE: Duration = Duration::from_millis(60);
-
-/// Interval at which a replica outside of the set asks to join.
-const JOIN_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Interval of the leader's decisions and of housekeeping.
-const DUTY_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Time since the last contact after which a control instance counts as out of reach.
 const CONTACT: Span = Span::from_millis(900);
 
@@ -166,7 +153,7 @@
 
 /// Returns the identity of a founding replica, which all founders know from its address.
 fn founder(address: SocketAddr) -> Identity {
-    Identity::from_random(place::mix(place::digest(address.to_string().as_bytes())))
+    Identity::from_random(digest::mix(digest::of(address.to_string().as_bytes())))
 }
 
 fn founding(settings: &Settings) -> Option<Image> {
@@ -385,232 +372,4 @@
             );
         }
     }
-
-    /// Returns whether more than half of the control instances were in contact of late.
-    fn reaches_majority(&self) -> bool {
-        let state = self.state.borrow();
-        // Nobody polls an instance that is not a member.
-        if !state.is_member() {
-            return false;
-        }
-        let now = self.clock.now();
-        let others = state.addresses(self.settings.address);
-        let reached =
-            |a: &&SocketAddr| state.contact(**a).is_some_and(|at| now.since(at) < CONTACT);
-        let count = others.iter().filter(reached).count();
-        2 * (count + 1) > others.len() + 1
-    }
-
-    /// Waits until a majority of the control instances has taken over the upstream's record.
-    async fn is_known_by_majority(&self, upstream: &str) -> bool {
-        let mark = self.state.borrow().fleet.mark();
-        let until = Instant::now() + CALL_LIMIT;
-        loop {
-            let changed = self.changed.notified();
-            {
-                let state = self.state.borrow();
-                let others = state.addresses(self.settings.address);
-                let knows = |a: &&SocketAddr| state.fleet_seen(**a) >= mark;
-                let count = others.iter().filter(knows).count();
-                if state.is_member() && 2 * (count + 1) > others.len() + 1 {
-                    return true;
-                }
-            }
-            if timeout_at(until, changed).await.is_err() {
-                log::info!(
-                    event = "leave_unconfirmed", upstream;
-                    "too few control instances know that the upstream leaves"
-                );
-                return false;
-            }
-        }
-    }
-
-    /// Waits until the log is applied up to the index.
-    async fn applied(&self, index: u64) -> Result<(), ()> {
-        let until = Instant::now() + CALL_LIMIT;
-        loop {
-            let changed = self.changed.notified();
-            if self.state.borrow().replica.commit() >= index {
-                return Ok(());
-            }
-            timeout_at(until, changed).await.map_err(drop)?;
-        }
-    }
-
-    /// Asks the leader, which may be this instance, and tries again while there is none.
-    async fn ask_leader(&self, request: &Request) -> Result<u64, Refusal> {
-        let until = Instant::now() + CALL_LIMIT;
-        loop {
-            let answer = timeout_at(until, self.ask_once(request)).await;
-            match answer {
-                Ok(Err(Refusal::NoLeader)) => {}
-                Ok(answer) => return answer,
-                Err(_) => return Err(Refusal::Unknown),
-            }
-            if Instant::now() + CALL_PAUSE >= until {
-                return Err(Refusal::NoLeader);
-            }
-            sleep(CALL_PAUSE).await;
-        }
-    }
-
-    async fn ask_once(&self, request: &Request) -> Result<u64, Refusal> {
-        if self.leads() {
-            return self.handle(request.clone()).await;
-        }
-        let leader = self.state.borrow().leader();
-        let Some(address) = leader.filter(|a| *a != self.settings.address) else {
-            return Err(Refusal::NoLeader);
-        };
-        match Caller::new(address).call(request, CALL_LIMIT).await {
-            Ok(Reply::Done(index)) => Ok(index),
-            Ok(Reply::Refused(refusal)) => Err(refusal),
-            Ok(Reply::News(_)) => Err(Refusal::Unknown),
-            Err(error) => {
-                log::debug!("the leader {address} gave no answer: {error}");
-                Err(Refusal::Unknown)
-            }
-        }
-    }
-
-    /// Carries out a request for the leader.
-    async fn handle(&self, request: Request) -> Result<u64, Refusal> {
-        let (reply, answer) = oneshot::channel();
-        let waiting = Waiting(reply);
-        let event = {
-            let mut state = self.state.borrow_mut();
-            let ticket = state.ticket(waiting);
-            match request {
-                Request::Submit(command) => Event::Propose {
-                    ticket,
-                    payload: state::encode(&command),
-                },
-                Request::Read => Event::Read { ticket },
-                Request::Join(member) => {
-                    if state.replica.members().is_removed(member.id) {
-                        return Err(Refusal::Removed);
-                    }
-                    if state.replica.members().member(member.id).is_some() {
-                        return Ok(0);
-                    }
-                    Event::AddLearner { ticket, member }
-                }
-                Request::Replica(_) | Request::Poll(_) => return Err(Refusal::Unknown),
-            }
-        };
-        self.step(event);
-        answer.await.unwrap_or(Err(Refusal::Unknown))
-    }
-
-    /// Polls all other control instances, each by a task of its own.
-    async fn poll_peers(self: Rc<Self>) {
-        let mut pollers: Vec<(SocketAddr, JoinSet<()>)> = Vec::new();
-        loop {
-            let addresses = {
-                let mut state = self.state.borrow_mut();
-                let mut known = state.addresses(self.settings.address);
-                state.peers.keep(&known);
-                if !state.is_member() {
-                    let told = self.settings.seeds.iter().chain(&state.told);
-                    known.extend(told.filter(|a| **a != self.settings.address));
-                    known.sort_unstable();
-                    known.dedup();
-                }
-                known
-            };
-            pollers.retain(|(address, _)| addresses.contains(address));
-            for address in addresses {
-                if pollers.iter().all(|(a, _)| *a != address) {
-                    let mut tasks = JoinSet::new();
-                    tasks.spawn_local(self.clone().poll(address));
-                    pollers.push((address, tasks));
-                }
-            }
-            sleep(DUTY_INTERVAL).await;
-        }
-    }
-
-    async fn poll(self: Rc<Self>, address: SocketAddr) {
-        let mut caller = Caller::new(address);
-        let mut seen = Seen::default();
-        let own = self.settings.address.to_string();
-        loop {
-            let request = Request::Poll(Poll {
-                seen,
-                revision: None,
-                report: None,
-                control: Some(own.clone()),
-            });
-            let sent = self.clock.now();
-            match caller.call(&request, POLL_LIMIT).await {
-                Ok(Reply::News(news)) => {
-                    seen = news.seen;
-                    let now = self.clock.now();
-                    self.state.borrow_mut().take_news(address, *news, sent, now);
-                    self.changed.notify_waiters();
-                }
-                Ok(_) => log::warn!("{address} answers a poll with something else"),
-                Err(error) => log::debug!("{address} is not reached: {error}"),
-            }
-            sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    /// Asks to take part while this replica is not a member.
-    async fn join(self: Rc<Self>) {
-        loop {
-            sleep(JOIN_INTERVAL).await;
-            let (id, is_member, known) = {
-                let state = self.state.borrow();
-                let known = state.known_leader.map(|(address, _)| address);
-                (state.id(), state.is_member(), known)
-            };
-            let removed = self.state.borrow().replica.members().is_removed(id);
-            if removed {
-                self.ended.notify_one();
-                return;
-            }
-            let silent = self.state.borrow().is_silent(self.clock.now());
-            if is_member && !silent {
-                continue;
-            }
-            let text = self.settings.address.to_string();
-            let member = Member {
-                id,
-                instance: self.settings.instance.clone(),
-                address: text,
-            };
-            let asked = known.into_iter().chain(self.settings.seeds.iter().copied());
-            for address in asked.filter(|a| *a != self.settings.address) {
-                let request = Request::Join(member.clone());
-                let answer = Caller::new(address).call(&request, POLL_LIMIT).await;
-                match answer {
-                    Ok(Reply::Refused(Refusal::Removed)) => {
-                        self.ended.notify_one();
-                        return;
-                    }
-                    Ok(Reply::Done(_)) => break,
-                    Ok(_) => {}
-                    Err(error) => log::debug!("{address} takes no replica: {error}"),
-                }
-            }
-        }
-    }
-
-    /// Carries out the leader's decisions and forgets what is old.
-    async fn duties(self: Rc<Self>) {
-        loop {
-            sleep(DUTY_INTERVAL).await;
-            let now = self.clock.now();
-            self.state.borrow_mut().expire(now);
-            if !self.leads() {
-                continue;
-            }
-            let events = lead::decide(&mut self.state.borrow_mut(), now, wall_millis());
-            for event in events {
-                self.step(event);
-            }
-        }
-    }
 }
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,7 +1,10 @@
 //! The way of a request: resolved, placed, sent and answered, again where that is allowed.
 
 mod attempt;
+mod evidence;
+mod job;
 mod relay;
+mod running;
 
 use std::{
     cell::{Cell, RefCell},
@@ -10,10 +13,11 @@
     time::Duration,
 };
 
-use hyper::{HeaderMap, Method, Response, StatusCode, body::Bytes};
+use hyper::{Response, StatusCode};
 use masticlock_core::{
     cascade::Pressure,
-    place::{self, Choice, Outcome, Pool, Size, Target, Want},
+    digest,
+    place::{Choice, Pool, Target, Want},
     report::{Suspect, Trial},
     route::{Kind, Route},
     share::Budget,
@@ -24,9 +28,10 @@
     time::{sleep, timeout},
 };
 
-use self::attempt::End;
+pub use self::job::Job;
+use self::{attempt::End, running::Running};
 use super::{
-    dialect::{Call, Dialect},
+    dialect::Dialect,
     entry::{Payload, Settings},
     front::{Refusal, Resolved},
     http::Limits,
@@ -70,21 +75,9 @@
 /// Upstreams that a request may have crashed before it is not sent any more.
 const MAX_CRASHES: u32 = 3;
 
-/// How long evidence of a crash is kept.
-const SUSPECT_KEPT: Span = Span::from_secs(60);
-
-/// Most requests with evidence of a crash that are kept.
-const MAX_SUSPECTS: usize = 128;
-
 /// Requests that may be refused by upstreams before the router gives up.
 const MAX_REFUSALS: usize = 6;
 
-/// Time of an output token relative to that of a prompt token.
-const OUTPUT_WORK: u64 = 10;
-
-/// Least work of a token relative to that of the largest model.
-const LEAST_WORK: f64 = 0.1;
-
 /// Head limits before the first configuration.
 const FIRST_LIMITS: Limits = Limits {
     head_bytes: 16_384,
@@ -94,37 +87,6 @@
 /// Body limits before the first configuration.
 const FIRST_BODY: (usize, Duration) = (4 * 1_024 * 1_024, Duration::from_secs(3));
 
-/// A caller's request with what has become of it.
-#[derive(Debug, Default)]
-pub struct Job {
-    /// Host in lowercase, without port.
-    pub host: String,
-    /// Path.
-    pub path: String,
-    /// Path and query as the caller sent them.
-    pub target: String,
-    /// Method.
-    pub method: Method,
-    /// Headers.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: Bytes,
-    /// What the headers say.
-    pub call: Call,
-    /// When its head had been read.
-    pub arrived: Time,
-    /// Digest of account, path and body.
-    pub fingerprint: u64,
-    /// Kind of its route, once it is known.
-    pub kind: Cell<Option<Kind>>,
-    /// Attempts that may have run.
-    pub runs: Cell<u32>,
-    /// Position of the model among those of the route.
-    pub level: Cell<usize>,
-    /// Upstreams that were tried.
-    pub tried: RefCell<Vec<Arc<str>>>,
-}
-
 /// Everything that the traffic thread owns.
 pub struct Traffic {
     settings: Settings,
@@ -243,23 +205,6 @@
             })
     }
 
-    /// Writes this instance's report.
-    pub fn report(&self) {
-        let now = self.now();
-        // Brings the pool up to date even without requests.
-        self.view();
-        let loads = self.pool.borrow_mut().loads(now);
-        let mut suspects = self.suspects.borrow_mut();
-        suspects.retain(|(_, seen)| now.since(*seen) < SUSPECT_KEPT);
-        let suspects = suspects.iter().map(|(s, _)| *s).collect();
-        let outbox = self.board.outbox.lock();
-        // The control thread never panics while it holds the lock.
-        let mut outbox = outbox.unwrap_or_else(std::sync::PoisonError::into_inner);
-        outbox.loads = loads;
-        outbox.trials.clone_from(&self.trials.borrow());
-        outbox.suspects = suspects;
-    }
-
     /// Returns the metrics as text.
     pub fn metrics(&self) -> String {
         let view = self.board.view.load();
@@ -438,7 +383,7 @@
             .is_some()
             .then(|| job.subject(&resolved.route));
         let session = job.session().unwrap_or(job.fingerprint);
-        let draw = place::mix(session ^ place::digest(service.name.as_bytes()));
+        let draw = digest::mix(session ^ digest::of(service.name.as_bytes()));
         let tried = job.tried.borrow();
         let want = Want {
             service: &service.name,
@@ -452,93 +397,6 @@
         };
         self.pool.borrow().choose(&want, &view.agreed, self.now())
     }
-
-    fn with_budget<F, T>(&self, service: &Arc<str>, act: F) -> T
-    where
-        F: FnOnce(&mut Budget) -> T,
-    {
-        let mut budgets = self.budgets.borrow_mut();
-        let at = match budgets.binary_search_by(|(s, _)| s.cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                let (ratio, extra) = (self.settings.retry_ratio, self.settings.retry_extra);
-                budgets.insert(
-                    at,
-                    (
-                        service.clone(),
-                        Budget::new(ratio, extra, self.settings.retry_window),
-                    ),
-                );
-                at
-            }
-        };
-        budgets[at].1.set_instances(self.pool.borrow().instances());
-        act(&mut budgets[at].1)
-    }
-
-    /// Returns how many upstreams the request has crashed, as far as all instances know.
-    fn crashes(&self, fingerprint: u64) -> u32 {
-        let suspects = self.suspects.borrow();
-        let own = suspects.iter().find(|(s, _)| s.fingerprint == fingerprint);
-        let view = self.board.view.load();
-        let others = &view.totals.suspects;
-        let others = others.binary_search_by_key(&fingerprint, |s| s.fingerprint);
-        let others = others.map_or(0, |at| view.totals.suspects[at].crashes);
-        own.map_or(0, |(s, _)| s.crashes) + others
-    }
-
-    /// Records that an upstream ended while it ran the request.
-    fn suspect(&self, fingerprint: u64) {
-        let now = self.now();
-        let mut suspects = self.suspects.borrow_mut();
-        if let Some((suspect, seen)) = suspects
-            .iter_mut()
-            .find(|(s, _)| s.fingerprint == fingerprint)
-        {
-            suspect.crashes += 1;
-            *seen = now;
-            return;
-        }
-        if suspects.len() >= MAX_SUSPECTS {
-            suspects.remove(0);
-        }
-        let suspect = Suspect {
-            fingerprint,
-            crashes: 1,
-        };
-        suspects.push((suspect, now));
-    }
-
-    /// Records the outcome of a request for the rollout of its version.
-    fn record(&self, service: &Arc<str>, version: &Arc<str>, good: bool, slow: bool) {
-        self.with_trial(service, version, |trial| {
-            if good {
-                trial.ok += 1;
-            } else {
-                trial.failed += 1;
-            }
-            trial.slow += u64::from(slow);
-        });
-    }
-
-    fn with_trial<F>(&self, service: &Arc<str>, version: &Arc<str>, act: F)
-    where
-        F: FnOnce(&mut Trial),
-    {
-        let mut trials = self.trials.borrow_mut();
-        let found = trials
-            .binary_search_by(|t| t.service.cmp(service).then_with(|| t.version.cmp(version)));
-        let at = found.unwrap_or_else(|at| {
-            let trial = Trial {
-                service: service.clone(),
-                version: version.clone(),
-                ..Trial::default()
-            };
-            trials.insert(at, trial);
-            at
-        });
-        act(&mut trials[at]);
-    }
 }
 
 /// Returns how long a request may wait for a free upstream.
@@ -549,130 +407,3 @@
         Kind::Stream => route.objective,
     }
 }
-
-impl Job {
-    /// Returns the identity of the request, for logs.
-    pub fn id(&self) -> &str {
-        self.call.id.as_deref().unwrap_or("-")
-    }
-
-    /// Returns when the final answer is due.
-    pub fn deadline(&self, route: &Route) -> Time {
-        let limit = self
-            .call
-            .deadline
-            .map_or(route.timeout, |d| d.min(route.timeout));
-        self.arrived + limit
-    }
-
-    /// Returns the refusal of a request that is given up.
-    pub fn give_up(&self, reason: &'static str) -> Refusal {
-        if self.runs.get() > 0 {
-            Refusal::of(StatusCode::BAD_GATEWAY, reason)
-        } else {
-            Refusal::later(NOTHING_RETRY, reason)
-        }
-    }
-
-    /// Returns the refusal of a request whose time is over.
-    fn timed_out(&self) -> Refusal {
-        if self.runs.get() > 0 {
-            Refusal::of(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-        } else {
-            Refusal::later(BUSY_RETRY, "no upstream in time")
-        }
-    }
-
-    /// Returns the tokens of prompt and output.
-    pub const fn tokens(&self) -> u64 {
-        self.call.prompt_tokens + self.call.output_tokens
-    }
-
-    /// Returns what the request takes of an upstream.
-    #[expect(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss
-    )]
-    pub fn size(&self, resolved: &Resolved) -> Size {
-        let models = resolved
-            .service
-            .engine
-            .as_ref()
-            .map_or(&[][..], |e| &e.models);
-        let largest = models.iter().map(|m| m.cost).fold(0.0, f64::max);
-        let model = self.model(&resolved.route);
-        let cost = model.and_then(|name| models.iter().find(|m| m.name == *name));
-        let weight = cost.map_or(1.0, |m| m.cost / largest.max(f64::MIN_POSITIVE));
-        let tokens = self.call.prompt_tokens + OUTPUT_WORK * self.call.output_tokens;
-        Size {
-            tokens: self.tokens(),
-            work: (tokens as f64 * weight.max(LEAST_WORK)) as u64,
-        }
-    }
-
-    /// Returns the model that the router chose, if the caller leaves the choice.
-    pub fn model<'a>(&self, route: &'a Route) -> Option<&'a Arc<str>> {
-        if !self.call.any_model {
-            return None;
-        }
-        route.models.get(self.level.get()).or(route.models.last())
-    }
-
-    /// Returns a digest of the longest part of the prompt that requests share, which requests of
-    /// one session have in common.
-    fn session(&self) -> Option<u64> {
-        let parts = &self.call.parts;
-        // The last part is the request's own.
-        parts.len().checked_sub(2).map(|at| parts[at].0)
-    }
-
-    /// Returns a digest of the model and the part of the prompt that requests share.
-    fn subject(&self, route: &Route) -> u64 {
-        let model = self.model(route).map_or(0, |m| place::digest(m.as_bytes()));
-        place::mix(model ^ self.session().unwrap_or(self.fingerprint))
-    }
-}
-
-/// Counts a request at an upstream until it is dropped.
-pub struct Running {
-    traffic: Rc<Traffic>,
-    target: Target,
-    service: Arc<str>,
-    size: Size,
-    outcome: Cell<Outcome>,
-}
-
-impl Running {
-    fn begin(traffic: &Rc<Traffic>, target: &Target, service: &Arc<str>, size: Size) -> Self {
-        let now = traffic.now();
-        traffic.pool.borrow_mut().begin(&target.upstream, size, now);
-        traffic.with_trial(service, &target.version, |t| t.running += 1);
-        Self {
-            traffic: traffic.clone(),
-            target: target.clone(),
-            service: service.clone(),
-            size,
-            outcome: Cell::new(Outcome::Neutral),
-        }
-    }
-
-    /// Sets how the request ended.
-    fn end(&self, outcome: Outcome) {
-        self.outcome.set(outcome);
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let now = self.traffic.now();
-        let mut pool = self.traffic.pool.borrow_mut();
-        pool.end(&self.target.upstream, self.size, self.outcome.get(), now);
-        drop(pool);
-        self.traffic
-            .with_trial(&self.service, &self.target.version, |t| {
-                t.running = t.running.saturating_sub(1);
-            });
-        self.traffic.room.notify_waiters();
-    }
-}
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -8,7 +8,7 @@
     header::{HOST, RETRY_AFTER},
 };
 use masticlock_core::{
-    place,
+    digest,
     route::{Account, Route, Service},
     time::Span,
 };
@@ -131,7 +131,7 @@
 
 /// Returns a digest of the caller, the path and the body.
 fn fingerprint(key: Option<&str>, target: &str, body: &[u8]) -> u64 {
-    let mut digest = place::digest(target.as_bytes());
-    digest = place::mix(digest ^ place::digest(key.unwrap_or_default().as_bytes()));
-    place::mix(digest ^ place::digest(body))
+    let mut digest = digest::of(target.as_bytes());
+    digest = digest::mix(digest ^ digest::of(key.unwrap_or_default().as_bytes()));
+    digest::mix(digest ^ digest::of(body))
 }
