Pass on no success that no upstream vouches for, and test log lines and metrics

Cause: the signature was read and not looked at, so a 2xx of a broken upstream without one reached its caller as a success. The log writer takes an output, so that a flood against a blocked one can be tested.

--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -140,6 +140,13 @@
             self.count(resolved, target, "not_run");
             return self.not_run(job, target, answer, lease, &said).await;
         }
+        if answer.status().is_success() && !said.signed {
+            running.end(Outcome::Failed);
+            drop(lease);
+            return self
+                .lost(job, resolved, target, "no upstream vouches for the answer")
+                .await;
+        }
         let took = self.now().since(sent);
         self.deliver(
             job,
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,6 +1,14 @@
 //! Log output of the processes.
 
-use std::time::SystemTime;
+use std::{
+    io,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+    time::SystemTime,
+};
 
 use log::LevelFilter;
 use serde::Serialize;
@@ -57,12 +65,12 @@
                 }
             }
         })
-        .chain(std::io::stderr())
+        .chain(io::stderr())
         .apply()
 }
 
 /// Lines that wait to be written. More are dropped and counted.
-const WAITING_LINES: usize = 4_096;
+pub const WAITING_LINES: usize = 4_096;
 
 /// A line of structured output.
 struct Fields<'a> {
@@ -106,8 +114,8 @@
 
 /// Hands lines to the thread that writes them and never waits for it.
 struct Queue {
-    lines: std::sync::mpsc::SyncSender<String>,
-    dropped: std::sync::atomic::AtomicU64,
+    lines: mpsc::SyncSender<String>,
+    dropped: AtomicU64,
 }
 
 impl log::Log for Queue {
@@ -116,7 +124,6 @@
     }
 
     fn log(&self, record: &log::Record<'_>) {
-        use std::sync::atomic::Ordering;
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         let mut line = record.args().to_string();
         if dropped > 0 {
@@ -141,10 +148,16 @@
 ///
 /// Returns an error if the process has a logger already.
 pub fn start_lines(level: LevelFilter) -> Result<(), log::SetLoggerError> {
-    use std::io::Write;
-    let (lines, queue) = std::sync::mpsc::sync_channel::<String>(WAITING_LINES);
-    std::thread::spawn(move || {
-        let mut out = std::io::stdout();
+    lines_to(level, io::stdout()).apply()
+}
+
+/// Returns a logger like that of [`start_lines`] which writes to `out`.
+pub fn lines_to<W>(level: LevelFilter, mut out: W) -> fern::Dispatch
+where
+    W: io::Write + Send + 'static,
+{
+    let (lines, queue) = mpsc::sync_channel::<String>(WAITING_LINES);
+    thread::spawn(move || {
         while let Ok(mut line) = queue.recv() {
             line.push('\n');
             // Without a reader of the output there is nowhere to report that.
@@ -153,7 +166,7 @@
     });
     let queue: Box<dyn log::Log> = Box::new(Queue {
         lines,
-        dropped: std::sync::atomic::AtomicU64::new(0),
+        dropped: AtomicU64::new(0),
     });
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
@@ -168,5 +181,4 @@
             out.finish(format_args!("{}", fields.line(&message.to_string())));
         })
         .chain(queue)
-        .apply()
 }
--- /dev/null
+++ b/crates/node/tests/lines.rs
@@ -0,0 +1,148 @@
+//! Log lines of the gateway's processes: their form, their bound and the stories told from them.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex},
+    time::{Duration, Instant},
+};
+
+use masticlock::{
+    gateway::{metrics, story},
+    logging::{WAITING_LINES, lines_to},
+};
+use masticlock_core::{route::Kind, time::Span};
+
+/// An output that takes nothing until it is opened.
+#[derive(Clone, Default)]
+struct Gate(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+
+impl Gate {
+    fn open(&self) {
+        self.0.0.lock().unwrap().0 = true;
+        self.0.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.0.0.lock().unwrap().1.clone()).unwrap()
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut state = self.0.0.lock().unwrap();
+        while !state.0 {
+            state = self.0.1.wait(state).unwrap();
+        }
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Logs a line as the request path does.
+fn record(logger: &dyn log::Log, request: &str) {
+    let fields = [("event", "sent"), ("request", request)];
+    let record = log::Record::builder()
+        .level(log::Level::Info)
+        .target("masticlock::gateway")
+        .key_values(&fields)
+        .args(format_args!("a request is sent"))
+        .build();
+    logger.log(&record);
+}
+
+#[test]
+fn a_blocked_output_holds_up_nobody_and_says_what_is_missing() {
+    let gate = Gate::default();
+    let (_, logger) = lines_to(log::LevelFilter::Info, gate.clone()).into_log();
+    let started = Instant::now();
+    let flood = 3 * WAITING_LINES;
+    for _ in 0..flood {
+        record(&*logger, "r1");
+    }
+    assert!(
+        started.elapsed() < Duration::from_secs(5),
+        "nothing waits for the output"
+    );
+    gate.open();
+    // The writer takes what has waited; then the next line tells of the others.
+    let until = Instant::now() + Duration::from_secs(20);
+    while gate.text().lines().count() < WAITING_LINES && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    record(&*logger, "r2");
+    while !gate.text().contains("r2") && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let text = gate.text();
+    let written = text.lines().filter(|l| l.contains("\"r1\"")).count();
+    let missing: Vec<_> = text.lines().filter(|l| l.contains("log_dropped")).collect();
+    assert_eq!(missing.len(), 1, "{missing:?}");
+    let missing: serde_json::Value = serde_json::from_str(missing[0]).unwrap();
+    assert_eq!(missing["lines"].as_u64().unwrap() as usize + written, flood);
+}
+
+#[test]
+fn lines_are_objects_with_the_fields_of_the_decision() {
+    let gate = Gate::default();
+    gate.open();
+    let (_, logger) = lines_to(log::LevelFilter::Info, gate.clone()).into_log();
+    record(&*logger, "r1");
+    let until = Instant::now() + Duration::from_secs(10);
+    while gate.text().is_empty() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let line: serde_json::Value = serde_json::from_str(gate.text().trim()).unwrap();
+    assert_eq!(line["event"], "sent");
+    assert_eq!(line["request"], "r1");
+    assert_eq!(line["level"], "INFO");
+    assert_eq!(line["message"], "a request is sent");
+    assert!(line["unix_ms"].as_u64().unwrap() > 1_600_000_000_000);
+}
+
+#[test]
+fn a_story_has_the_lines_about_one_subject_in_order() {
+    let lines = concat!(
+        "  2.0 edge-1 {\"event\":\"lost\",\"message\":\"no answer\",\"request\":\"a\",\"upstream\":\"u\",\"unix_ms\":20}\n",
+        "not a log line\n",
+        "{\"event\":\"sent\",\"message\":\"sent\",\"request\":\"b\",\"upstream\":\"u\",\"unix_ms\":5}\n",
+        "  1.0 edge-1 {\"event\":\"sent\",\"message\":\"sent\",\"request\":\"a\",\"runs\":1,\"unix_ms\":10}\n",
+    );
+    let story = story::tell(lines.as_bytes(), "a").unwrap();
+    let texts: Vec<_> = story.iter().map(|l| (l.unix_ms, l.text.as_str())).collect();
+    assert_eq!(
+        texts,
+        [
+            (10, "sent: sent (request=\"a\" runs=1)"),
+            (20, "lost: no answer (request=\"a\" upstream=\"u\")"),
+        ]
+    );
+    assert_eq!(story[1].source, "2.0 edge-1");
+    assert_eq!(story::tell(lines.as_bytes(), "u").unwrap().len(), 2);
+    assert!(story::tell(lines.as_bytes(), "c").unwrap().is_empty());
+}
+
+#[test]
+fn metrics_are_text_with_bounded_labels() {
+    let entry = metrics::Entry::default();
+    entry.answered(Some(Kind::Stream), hyper::StatusCode::OK);
+    entry.answered(None, hyper::StatusCode::NOT_FOUND);
+    entry.refused("no route");
+    entry.attempted("engines", "a", "answered");
+    entry.head(Kind::Stream, Span::from_millis(80));
+    entry.believe(Some(Span::from_millis(120)), 7, 22);
+    let text = entry.text();
+    for line in [
+        "masticlock_entry_answers_total{kind=\"stream\",status=\"200\"} 1",
+        "masticlock_entry_answers_total{kind=\"none\",status=\"404\"} 1",
+        "masticlock_entry_refused_total{reason=\"no route\"} 1",
+        "masticlock_entry_head_seconds_bucket{le=\"0.1\",kind=\"stream\"} 1",
+        "masticlock_entry_state_age_ms 120",
+        "masticlock_entry_revision 7",
+    ] {
+        assert!(text.contains(line), "no {line} in {text}");
+    }
+}
