--- a/crates/node/tests/lines.rs
+++ b/crates/node/tests/lines.rs
@@ -12,28 +12,38 @@
 };
 use masticlock_core::{route::Kind, time::Span};
 
+/// What an output has taken, and whether it takes anything.
+#[derive(Default)]
+struct Taken {
+    open: bool,
+    bytes: Vec<u8>,
+}
+
 /// An output that takes nothing until it is opened.
 #[derive(Clone, Default)]
-struct Gate(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+struct Gate {
+    taken: Arc<Mutex<Taken>>,
+    opened: Arc<Condvar>,
+}
 
 impl Gate {
     fn open(&self) {
-        self.0.0.lock().unwrap().0 = true;
-        self.0.1.notify_all();
+        self.taken.lock().unwrap().open = true;
+        self.opened.notify_all();
     }
 
     fn text(&self) -> String {
-        String::from_utf8(self.0.0.lock().unwrap().1.clone()).unwrap()
+        String::from_utf8(self.taken.lock().unwrap().bytes.clone()).unwrap()
     }
 }
 
 impl Write for Gate {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut state = self.0.0.lock().unwrap();
-        while !state.0 {
-            state = self.0.1.wait(state).unwrap();
+        let mut taken = self.taken.lock().unwrap();
+        while !taken.open {
+            taken = self.opened.wait(taken).unwrap();
         }
-        state.1.extend_from_slice(bytes);
+        taken.bytes.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
@@ -82,7 +92,8 @@
     let missing: Vec<_> = text.lines().filter(|l| l.contains("log_dropped")).collect();
     assert_eq!(missing.len(), 1, "{missing:?}");
     let missing: serde_json::Value = serde_json::from_str(missing[0]).unwrap();
-    assert_eq!(missing["lines"].as_u64().unwrap() as usize + written, flood);
+    let missing = usize::try_from(missing["lines"].as_u64().unwrap()).unwrap();
+    assert_eq!(missing + written, flood);
 }
 
 #[test]
