--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -24,8 +24,8 @@
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
-/// Longest time for which a connection without a request is used again. It takes some 20 KB of
-/// memory.
+/// Longest time for which a connection without a request is used again. An instance's memory holds
+/// the buffers of all of them.
 const IDLE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Time for which a connection without a request is used again for a request that must not be
