Grant a claim to one attempt of one instance

Cause: the id of a request with an idempotency key follows from the key, so the copies that a caller sends through two instances share it. The claim table granted a running claim again to the same request id, to answer a resend after a lost answer, and so granted it to both instances. A second copy that asked while the first one ran was sent too. The exclusive right to run a suspect request was granted by the same comparison.

Ruled out: a claim freed although bytes were sent (connect errors only, and a freed claim was not needed to see it); a change of the leader; the wait for a slot, which only hid it, because the loopback service answers before the second claim is committed.

Before: booking_that_takes_long_runs_once (three instances, a service that takes 1 s) and claim_is_granted_to_one_instance_only failed. After: both pass, and so do the machine, control, entry and instance tests. A claim now names its holder, an id that no repeat shares, and a running claim is granted again only to the same holder on the same instance. Permits are held, and returned, by request and instance.

--- a/bench/src/capacity/log.rs
+++ b/bench/src/capacity/log.rs
@@ -174,12 +174,12 @@
     let begin = Input::Begin(claim::Ask {
         key: key.clone(),
         fingerprint: world::fingerprint(at),
-        request: world::name("request-0123456789abcdef", at),
+        holder: world::name("request-0123456789abcdef", at),
         instance: world::name("entry", at % world::NODES),
     });
     let finish = Input::Finish(claim::Finish {
         key,
-        request: world::name("request-0123456789abcdef", at),
+        holder: world::name("request-0123456789abcdef", at),
         end: claim::End::Answered(claim::Answer {
             status: 200,
             content_type: "application/json".to_owned(),
--- a/bench/src/capacity/request.rs
+++ b/bench/src/capacity/request.rs
@@ -251,12 +251,12 @@
     let begin = claim::Ask {
         key: key.clone(),
         fingerprint: world::fingerprint(0),
-        request: request(0),
+        holder: request(0),
         instance: me(),
     };
     let finish = claim::Finish {
         key,
-        request: request(0),
+        holder: request(0),
         end: claim::End::Answered(claim::Answer {
             status: 200,
             content_type: "application/json".to_owned(),
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -41,8 +41,8 @@
         pub key: Key,
         /// Digest of account, method, path and body.
         pub fingerprint: request::Fingerprint,
-        /// The request that will run it.
-        pub request: name::Request,
+        /// Identifies this attempt to claim. Unlike the id of the request, repeats don't share it.
+        pub holder: name::Request,
         /// The instance that will run it.
         pub instance: name::Instance,
     }
@@ -86,13 +86,13 @@
 }
 
 plain! {
-    /// The end of a claimed call, with the request that the claim was granted to.
+    /// The end of a claimed call, with the holder that the claim was granted to.
     #[derive(Eq)]
     pub struct Finish {
         /// What the claim is keyed by.
         pub key: Key,
-        /// The request that held the claim. The end of another request changes nothing.
-        pub request: name::Request,
+        /// The holder of the claim. The end of another holder changes nothing.
+        pub holder: name::Request,
         /// How it ended.
         pub end: End,
     }
@@ -102,7 +102,7 @@
     pub enum State {
         /// Granted; bytes may have been sent.
         Running,
-        /// It is certain that no byte was sent. Another request may claim it.
+        /// It is certain that no byte was sent. Another holder may claim it.
         Freed,
         /// The service answered.
         Done(Answer),
@@ -115,9 +115,9 @@
     pub struct Record {
         /// Digest of account, method, path and body; `None` when the end came before the claim.
         pub fingerprint: Option<request::Fingerprint>,
-        /// The request that holds or last held the claim.
-        pub request: name::Request,
-        /// The instance of that request; `None` when the end came before the claim.
+        /// Who holds or last held the claim.
+        pub holder: name::Request,
+        /// The instance of that holder; `None` when the end came before the claim.
         pub instance: Option<name::Instance>,
         /// Time of the log at the last change.
         pub at: Time,
@@ -155,7 +155,7 @@
 impl Table {
     /// Grants the claim, or says why not.
     ///
-    /// A resend of the request that holds the claim is granted again, because
+    /// A resend of the ask that holds the claim is granted again, because
     /// its first answer may be lost; the holder sends the call once.
     ///
     /// # Errors
@@ -182,11 +182,11 @@
         let held = self
             .records
             .get(&ask.key)
-            .is_some_and(|r| r.state == State::Running && r.request == ask.request);
+            .is_some_and(|r| r.state == State::Running && r.is_held_by(ask));
         if verdict == Verdict::Granted && !held {
             let record = Record {
                 fingerprint: Some(ask.fingerprint),
-                request: ask.request.clone(),
+                holder: ask.holder.clone(),
                 instance: Some(ask.instance.clone()),
                 at: now,
                 state: State::Running,
@@ -209,13 +209,13 @@
             // The end overtook its claim, which must not be granted any more.
             None if self.records.len() < MAX_CLAIMS => Record {
                 fingerprint: None,
-                request: finish.request.clone(),
+                holder: finish.holder.clone(),
                 instance: None,
                 at: now,
                 state,
             },
             Some(old)
-                if old.request == finish.request
+                if old.holder == finish.holder
                     && matches!(old.state, State::Running | State::Unknown) =>
             {
                 Record {
@@ -320,14 +320,18 @@
 }
 
 impl Record {
+    fn is_held_by(&self, ask: &Ask) -> bool {
+        self.holder == ask.holder && self.instance.as_ref() == Some(&ask.instance)
+    }
+
     fn verdict(&self, ask: &Ask) -> Verdict {
         let reused = self.fingerprint.is_some_and(|f| f != ask.fingerprint);
         match &self.state {
             // No byte was sent under the old content, so a new one may use the key.
-            State::Freed if self.request != ask.request => Verdict::Granted,
+            State::Freed if self.holder != ask.holder => Verdict::Granted,
             State::Freed => Verdict::InProgress,
             _ if reused => Verdict::Reused,
-            State::Running if self.request == ask.request => Verdict::Granted,
+            State::Running if self.is_held_by(ask) => Verdict::Granted,
             State::Running => Verdict::InProgress,
             State::Done(answer) => Verdict::Done(answer.clone()),
             State::Unknown => Verdict::Unknown,
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -97,6 +97,8 @@
             fingerprint: request::Fingerprint,
             /// The request that held the right.
             request: name::Request,
+            /// The instance of that request.
+            instance: name::Instance,
         },
         /// Changes the orders to engines.
         Order(order::Input),
@@ -158,6 +160,15 @@
     blake3::hash(&bytes).to_hex().to_string()
 }
 
+impl Permit {
+    /// Returns whether this is the permit of that request on that instance.
+    ///
+    /// Repeats with the same idempotency key share an id, so the id alone doesn't tell.
+    fn is_held_by(&self, request: &name::Request, instance: &name::Instance) -> bool {
+        self.request == *request && self.instance == *instance
+    }
+}
+
 impl Machine {
     /// Returns an empty machine at revision 0.
     #[must_use]
@@ -201,9 +212,10 @@
             Input::Release {
                 fingerprint,
                 request,
+                instance,
             } => {
                 self.permits
-                    .retain(|p| p.fingerprint != *fingerprint || p.request != *request);
+                    .retain(|p| p.fingerprint != *fingerprint || !p.is_held_by(request, instance));
                 Output::Applied
             }
             Input::Order(input) => Output::Order(self.orders.apply(input)),
@@ -313,7 +325,10 @@
             .binary_search_by(|p| p.fingerprint.cmp(&ask.fingerprint))
         {
             // A resend keeps the first expiry, which its holder counts with.
-            Ok(at) => Output::Permit(self.permits[at].request == ask.request),
+            Ok(at) => {
+                let held = self.permits[at].is_held_by(&ask.request, &ask.instance);
+                Output::Permit(held)
+            }
             Err(_) if self.permits.len() >= MAX_PERMITS => Output::Permit(false),
             Err(at) => {
                 self.permits.insert(at, permit);
--- a/crates/core/tests/machine.rs
+++ b/crates/core/tests/machine.rs
@@ -42,7 +42,7 @@
     }
 }
 
-fn ask(key: &str, request: &str, body: &[u8]) -> Ask {
+fn ask(key: &str, holder: &str, body: &[u8]) -> Ask {
     let account = named("mill");
     Ask {
         fingerprint: request::Fingerprint::of(&account, body),
@@ -50,7 +50,7 @@
             account,
             key: key.into(),
         },
-        request: named(request),
+        holder: named(holder),
         instance: named("entry-1"),
     }
 }
@@ -58,7 +58,7 @@
 fn finish(ask: &Ask, end: End) -> Input {
     Input::Finish(Finish {
         key: ask.key.clone(),
-        request: ask.request.clone(),
+        holder: ask.holder.clone(),
         end,
     })
 }
@@ -287,6 +287,25 @@
     }
 }
 
+/// Guards against a call that runs on two instances whose requests have the same id, as repeats
+/// with one idempotency key have.
+#[test]
+fn claim_is_granted_to_one_instance_only() {
+    let mut pair = Pair::new();
+    let first = ask("k", "r1", b"body");
+    let second = Ask {
+        instance: named("entry-2"),
+        ..first.clone()
+    };
+    assert_eq!(pair.verdict(&first), Verdict::Granted);
+    assert_eq!(pair.verdict(&second), Verdict::InProgress);
+    assert_eq!(
+        pair.verdict(&first),
+        Verdict::Granted,
+        "a lost answer is sent again"
+    );
+}
+
 /// Guards against messages in another order: an end before its claim, and the
 /// late end of a request whose claim another one has now.
 #[test]
@@ -380,23 +399,30 @@
 #[test]
 fn one_permit_for_each_fingerprint() {
     let fingerprint = request::Fingerprint::of(&named("mill"), b"body");
-    let acquire = |request: &str, secs| {
+    let acquire_at = |instance: &str, request: &str, secs| {
         Input::Acquire(PermitAsk {
             fingerprint,
             request: named(request),
-            instance: named("entry-1"),
+            instance: named(instance),
             term: Span::from_secs(secs),
         })
     };
-    let release = |request: &str| Input::Release {
+    let release_at = |instance: &str, request: &str| Input::Release {
         fingerprint,
         request: named(request),
+        instance: named(instance),
     };
+    let acquire = |request: &str, secs| acquire_at("entry-1", request, secs);
+    let release = |request: &str| release_at("entry-1", request);
     let mut pair = Pair::new();
     let cases = [
         (0, acquire("r1", 5), Output::Permit(true)),
         (1, acquire("r2", 5), Output::Permit(false)),
         (2, acquire("r1", 5), Output::Permit(true)),
+        // A repeat with the same idempotency key has the same id on another instance.
+        (2, acquire_at("entry-2", "r1", 5), Output::Permit(false)),
+        (2, release_at("entry-2", "r1"), Output::Applied),
+        (2, acquire("r2", 5), Output::Permit(false)),
         (3, release("r2"), Output::Applied),
         (4, acquire("r2", 5), Output::Permit(false)),
         // The expiry of the first grant holds, although it was asked for again.
--- a/crates/node/src/client/claims.rs
+++ b/crates/node/src/client/claims.rs
@@ -15,7 +15,7 @@
 /// Claims at the control replicas.
 ///
 /// An instance has at most one claim with the same key open, so that the
-/// late end of one request can't free the claim of the next.
+/// late end of one holder can't free the claim of the next.
 #[derive(Clone, Debug)]
 pub struct Claims {
     inner: Arc<Inner>,
@@ -37,7 +37,7 @@
         match open.binary_search_by(|o| o.0.cmp(&ask.key)) {
             Ok(_) => false,
             Err(at) => {
-                open.insert(at, (ask.key.clone(), ask.request.clone()));
+                open.insert(at, (ask.key.clone(), ask.holder.clone()));
                 true
             }
         }
@@ -81,7 +81,7 @@
         let inner = Arc::clone(&self.inner);
         let finish = claim::Finish {
             key: self.ask.key.clone(),
-            request: self.ask.request.clone(),
+            holder: self.ask.holder.clone(),
             end: claim::End::NotSent,
         };
         tokio::spawn(async move {
@@ -127,13 +127,13 @@
     }
 
     async fn end(&self, key: claim::Key, end: claim::End) -> Result<(), error::Error> {
-        let request = self.inner.holder(&key).ok_or_else(|| {
+        let holder = self.inner.holder(&key).ok_or_else(|| {
             error::Error::new(
                 error::Kind::NotFound,
                 "this instance has no open claim with that key",
             )
         })?;
-        let finish = claim::Finish { key, request, end };
+        let finish = claim::Finish { key, holder, end };
         self.inner.finish(finish).await
     }
 }
--- a/crates/node/src/control/lead.rs
+++ b/crates/node/src/control/lead.rs
@@ -65,6 +65,7 @@
                 let input = Input::Release {
                     fingerprint: release.fingerprint,
                     request: release.request,
+                    instance: release.instance,
                 };
                 self.propose(input, Waiting::Entry(EntryReply::Applied(reply)));
             }
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -397,10 +397,18 @@
         let Some(key) = self.job.key.clone() else {
             return;
         };
+        // The id of the request doesn't do: repeats through other instances share it.
+        let holder = match name::Request::try_from(self.shared.next_id()) {
+            Ok(holder) => holder,
+            Err(error) => {
+                let error = error::Error::new(error::Kind::Internal, error.to_string());
+                return self.queue.push_back(Event::Claimed(Err(error)));
+            }
+        };
         let ask = claim::Ask {
             key,
             fingerprint: self.job.fingerprint,
-            request: self.job.ask.id.clone(),
+            holder,
             instance: self.shared.settings.instance.clone(),
         };
         let claims = self.shared.claims.clone();
--- a/crates/node/src/peer/runs.rs
+++ b/crates/node/src/peer/runs.rs
@@ -175,6 +175,7 @@
             let release = rpc::Release {
                 fingerprint: any_suspect(),
                 request,
+                instance: peer.settings.instance.clone(),
             };
             let Some(control) = &peer.control else { return };
             let returned: Result<(), _> = control
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -146,6 +146,8 @@
         pub fingerprint: request::Fingerprint,
         /// The request that held the right.
         pub request: name::Request,
+        /// The instance of that request.
+        pub instance: name::Instance,
     }
 
     /// Parameters of [`CLAIM_LOOKUP`].
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -135,7 +135,7 @@
     Change::Restrict(Limit::TakeOut(name::Domain::try_from(domain).unwrap()))
 }
 
-fn claim(key: &str, request: &str) -> claim::Ask {
+fn claim(key: &str, holder: &str) -> claim::Ask {
     let account = name::Account::try_from("mill").unwrap();
     claim::Ask {
         fingerprint: request::Fingerprint::of(&account, b"body"),
@@ -143,7 +143,7 @@
             account,
             key: key.into(),
         },
-        request: name::Request::try_from(request).unwrap(),
+        holder: name::Request::try_from(holder).unwrap(),
         instance: name::Instance::try_from("entry-1").unwrap(),
     }
 }
@@ -159,7 +159,7 @@
 async fn finish(client: &Control, ask: &claim::Ask, end: claim::End) {
     let finish = claim::Finish {
         key: ask.key.clone(),
-        request: ask.request.clone(),
+        holder: ask.holder.clone(),
         end,
     };
     let () = client
--- a/crates/node/tests/instance.rs
+++ b/crates/node/tests/instance.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use cluster::{CALL, Cluster, DOMAINS, eventually, name, profile, send};
-use masticlock::{fake::Profile, rpc};
+use masticlock::{
+    fake::{Conduct, Profile},
+    rpc,
+};
 use masticlock_core::config::{Change, Limit};
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
@@ -150,6 +153,25 @@
     assert_eq!(cluster.service.runs("palm-8"), 0);
 }
 
+/// Guards against a booking that runs on two instances because the second copy arrives while the
+/// first one is running.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn booking_that_takes_long_runs_once() {
+    let cluster = Cluster::start([2, 1, 0], Vec::new()).await;
+    cluster.service.set(Conduct {
+        time: Duration::from_secs(1),
+        ..Conduct::default()
+    });
+    let mut bookings = JoinSet::new();
+    for node in [0, 1, 2] {
+        bookings.spawn(send(cluster.booking(node, "palm-9")));
+    }
+    let answers = bookings.join_all().await;
+    assert_eq!(cluster.service.runs("palm-9"), 1, "{answers:?}");
+    let booked = answers.iter().filter(|(status, ..)| *status == 201).count();
+    assert!(booked >= 1, "{answers:?}");
+}
+
 /// Guards against a request that is lost from the bills, or billed twice, when its instance is
 /// killed while the engine works.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/scenario/src/world/claim.rs
+++ b/scenario/src/world/claim.rs
@@ -84,7 +84,7 @@
         let ask = claim::Ask {
             key,
             fingerprint: job.ask.fingerprint,
-            request: request.clone(),
+            holder: request.clone(),
             instance: me,
         };
         self.discard_later(id, to);
@@ -154,7 +154,7 @@
         call.target += 1;
         let finish = claim::Finish {
             key,
-            request: request.clone(),
+            holder: request.clone(),
             end: end.clone(),
         };
         self.discard_later(id, to);
@@ -244,10 +244,12 @@
 
     /// Returns the exclusive right of a request that ended. Only the leader records it.
     pub(super) fn return_permit(&mut self, id: Id, job: &Job) {
+        let me = instance(&self.parts[id].name);
         for to in self.control_ids() {
             let body = Body::PermitEnd {
                 fingerprint: job.ask.fingerprint,
                 request: job.id.clone(),
+                instance: me.clone(),
             };
             self.send(id, to, body);
         }
--- a/scenario/src/world/control.rs
+++ b/scenario/src/world/control.rs
@@ -464,11 +464,11 @@
                 self.propose(id, Input::Submit(*command), waiting);
             }
             Body::Begin(ask) => {
-                let waiting = Waiting::Begin(to, ask.request.clone());
+                let waiting = Waiting::Begin(to, ask.holder.clone());
                 self.propose(id, Input::Begin(ask), waiting);
             }
             Body::Finish(finish) => {
-                let waiting = Waiting::Finish(to, finish.request.clone());
+                let waiting = Waiting::Finish(to, finish.holder.clone());
                 self.propose(id, Input::Finish(finish), waiting);
             }
             Body::Permit(ask) => {
@@ -478,10 +478,12 @@
             Body::PermitEnd {
                 fingerprint,
                 request,
+                instance,
             } => {
                 let input = Input::Release {
                     fingerprint,
                     request,
+                    instance,
                 };
                 self.propose(id, input, Waiting::Nothing);
             }
--- a/scenario/src/world/message.rs
+++ b/scenario/src/world/message.rs
@@ -55,6 +55,7 @@
     PermitEnd {
         fingerprint: request::Fingerprint,
         request: name::Request,
+        instance: name::Instance,
     },
     /// `bill.put`.
     Put(Vec<ledger::Bill>),
