Explain requests and changes from log lines in the product's command line

Cause: the story of a request from log lines was a subcommand of the platform's program, although nothing in it is the platform's; a change could not be followed, and a request that was answered left no last line.

Entry processes log the head of each answer (answered) and the end of each complete stream (stream_end).

Conclusion: one reader, in the product.

--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -3,6 +3,7 @@
 mod args;
 mod change;
 mod check;
+mod lines;
 mod print;
 mod settings;
 
@@ -124,6 +125,10 @@
     match args.action {
         Action::Check { kind, file } => check::run(kind, &file, args.json),
         Action::Recover { write, file } => check::recover(&file, write, args.json),
+        Action::Timeline { lines } if !lines.is_empty() => lines::timeline(&lines, args.json),
+        Action::Explain { lines, request } if !lines.is_empty() => {
+            lines::explain(&lines, &request, args.json)
+        }
         action => {
             let settings = Settings::read(&args.settings)?;
             let runtime = runtime::Builder::new_current_thread()
@@ -144,8 +149,8 @@
         } => print::rollouts(&print::config(&control).await?, json),
         Action::Outcome { id } => change::outcome(&control, &id, json).await,
         Action::Bills { account } => print::bills(&control, settings, account, json).await,
-        Action::Timeline => print::timeline(&control, settings, json).await,
-        Action::Explain { request } => print::explain(&control, settings, &request, json).await,
+        Action::Timeline { .. } => print::timeline(&control, settings, json).await,
+        Action::Explain { request, .. } => print::explain(&control, settings, &request, json).await,
         action => match Order::try_from(action)? {
             Order::Change { change, commit } => {
                 change::submit(&control, change, commit, json).await
--- a/crates/node/src/cli/args.rs
+++ b/crates/node/src/cli/args.rs
@@ -276,11 +276,21 @@
     },
     /// Prints the events of all processes in one order
     #[bpaf(command)]
-    Timeline,
-    /// Shows the plans considered for a request and the reason for the choice
+    Timeline {
+        /// Reads structured log lines from this file, - for standard input, instead of asking the
+        /// processes; may be given several times
+        #[bpaf(long, argument("FILE"))]
+        lines: Vec<PathBuf>,
+    },
+    /// Shows the plans considered for a request and the reason for the choice, or from log lines
+    /// what became of a request or a change
     #[bpaf(command)]
     Explain {
-        /// Request id
+        /// Reads structured log lines from this file, - for standard input, instead of asking the
+        /// processes; may be given several times
+        #[bpaf(long, argument("FILE"))]
+        lines: Vec<PathBuf>,
+        /// Request id; with --lines also an upstream, an address, a command or FIELD=VALUE
         #[bpaf(positional("REQUEST"))]
         request: String,
     },
--- a/crates/node/src/cli/print.rs
+++ b/crates/node/src/cli/print.rs
@@ -15,7 +15,7 @@
 use super::{Exit, Failure, LIMIT, settings::Settings};
 use crate::{client::Control, control::Recovered, rpc};
 
-fn json<T>(value: &T) -> Result<Exit, Failure>
+pub fn json<T>(value: &T) -> Result<Exit, Failure>
 where
     T: Serialize,
 {
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -20,7 +20,6 @@
 pub mod metrics;
 mod peers;
 pub mod socket;
-pub mod story;
 mod stream;
 mod sync;
 pub mod view;
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -270,11 +270,22 @@
             }
             Err(refusal) => Err(refusal),
         };
-        let response = answered.unwrap_or_else(|refusal| {
-            self.log_refusal(&job, &refusal);
-            self.metrics.refused(refusal.reason);
-            refusal.into()
-        });
+        let response = match answered {
+            Ok(response) => {
+                log::info!(
+                    event = "answered", request = job.id(), status = response.status().as_u16(),
+                    runs = job.runs.get(), tried = job.tried.borrow().len(),
+                    waited_ms = self.now().since(job.arrived).as_millis();
+                    "an upstream's answer is passed on"
+                );
+                response
+            }
+            Err(refusal) => {
+                self.log_refusal(&job, &refusal);
+                self.metrics.refused(refusal.reason);
+                refusal.into()
+            }
+        };
         self.metrics.answered(job.kind.get(), response.status());
         response
     }
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -136,6 +136,12 @@
             Cut::Complete => {
                 running.end(Outcome::Good);
                 lease.give_back(keep_alive);
+                log::info!(
+                    event = "stream_end", request = job.id(), upstream = &*target.upstream,
+                    last_event = events.last().unwrap_or(0), runs = job.runs.get(),
+                    waited_ms = traffic.now().since(job.arrived).as_millis();
+                    "a stream is complete"
+                );
                 return Ok(());
             }
             Cut::Left => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod peer;
 pub mod port;
 pub mod rpc;
+pub mod story;
--- a/crates/node/tests/cli.rs
+++ b/crates/node/tests/cli.rs
@@ -43,6 +43,35 @@
     fs::remove_dir_all(folder).unwrap();
 }
 
+/// Guards against a story from log lines that needs settings or a running process, and against a
+/// missing one that looks like a success.
+#[test]
+fn log_lines_are_explained_without_a_process() {
+    let folder = folder("lines");
+    let file = folder.join("log");
+    let line = "{\"event\":\"refused\",\"message\":\"no\",\"request\":\"r1\",\"unix_ms\":5}";
+    fs::write(&file, line).unwrap();
+    let path = file.to_str().unwrap();
+    let cases: [(&[&str], i32, &str); 4] = [
+        (&["explain", "--lines", path, "r1"], 0, "refused: no"),
+        (
+            &["--json", "explain", "--lines", path, "r1"],
+            0,
+            "\"refused\"",
+        ),
+        (&["explain", "--lines", path, "r2"], 1, "r2"),
+        (&["timeline", "--lines", "/nowhere.log"], 2, "/nowhere.log"),
+    ];
+    for (arguments, code, message) in cases {
+        let output = run(arguments);
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8_lossy(&text).into_owned();
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {text}");
+        assert!(text.contains(message), "{arguments:?}: {text}");
+    }
+    fs::remove_dir_all(folder).unwrap();
+}
+
 /// Guards against help that scripts take for an error.
 #[test]
 fn help_exits_with_0() {
--- a/crates/node/tests/lines.rs
+++ b/crates/node/tests/lines.rs
@@ -7,8 +7,9 @@
 };
 
 use masticlock::{
-    gateway::{metrics, story},
+    gateway::metrics,
     logging::{WAITING_LINES, lines_to},
+    story::{self, Subject},
 };
 use masticlock_core::{route::Kind, time::Span};
 
@@ -122,18 +123,42 @@
         "{\"event\":\"sent\",\"message\":\"sent\",\"request\":\"b\",\"upstream\":\"u\",\"unix_ms\":5}\n",
         "  1.0 edge-1 {\"event\":\"sent\",\"message\":\"sent\",\"request\":\"a\",\"runs\":1,\"unix_ms\":10}\n",
     );
-    let story = story::tell(lines.as_bytes(), "a").unwrap();
-    let texts: Vec<_> = story.iter().map(|l| (l.unix_ms, l.text.as_str())).collect();
+    let about = |text: &str| {
+        let subject: Subject = text.parse().unwrap();
+        story::tell(lines.as_bytes(), &subject).unwrap()
+    };
+    let texts: Vec<_> = about("a").iter().map(ToString::to_string).collect();
     assert_eq!(
         texts,
         [
-            (10, "sent: sent (request=\"a\" runs=1)"),
-            (20, "lost: no answer (request=\"a\" upstream=\"u\")"),
+            "10 1.0 edge-1 sent: sent (request=\"a\" runs=1)",
+            "20 2.0 edge-1 lost: no answer (request=\"a\" upstream=\"u\")",
         ]
     );
-    assert_eq!(story[1].source, "2.0 edge-1");
-    assert_eq!(story::tell(lines.as_bytes(), "u").unwrap().len(), 2);
-    assert!(story::tell(lines.as_bytes(), "c").unwrap().is_empty());
+    assert_eq!(about("u").len(), 2);
+    assert!(about("c").is_empty());
+}
+
+/// Guards against a change whose lines can't be joined over processes, and against a time line
+/// that is flooded by single requests.
+#[test]
+fn a_change_is_followed_over_all_processes() {
+    let lines = concat!(
+        "{\"event\":\"configuration\",\"message\":\"in force\",\"revision\":7,\"unix_ms\":30}\n",
+        "{\"event\":\"sent\",\"message\":\"sent\",\"request\":\"b\",\"unix_ms\":5}\n",
+        "{\"command\":\"configure 7\",\"event\":\"applied\",\"message\":\"applied\",\"revision\":7,\"unix_ms\":20}\n",
+        "{\"event\":\"leader\",\"message\":\"leads\",\"term\":2,\"unix_ms\":10}\n",
+    );
+    let events =
+        |found: Vec<story::Line>| -> Vec<String> { found.into_iter().map(|l| l.event).collect() };
+    let revision: Subject = "revision=7".parse().unwrap();
+    let found = story::tell(lines.as_bytes(), &revision).unwrap();
+    assert_eq!(events(found), ["applied", "configuration"]);
+    let command: Subject = "configure 7".parse().unwrap();
+    let found = story::tell(lines.as_bytes(), &command).unwrap();
+    assert_eq!(events(found), ["applied"]);
+    let all = story::timeline(lines.as_bytes()).unwrap();
+    assert_eq!(events(all), ["leader", "applied", "configuration"]);
 }
 
 #[test]
