--- a/crates/core/src/agreed.rs
+++ b/crates/core/src/agreed.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use crate::consensus::Payload;
+use crate::{consensus::Payload, plant::Plant};
 
 /// Rollouts that the state keeps for each service, so that the log's state stays bounded.
 const ROLLOUTS_KEPT: usize = 8;
@@ -123,7 +123,7 @@
     }
 
     fn configure(&mut self, revision: u64, content: Payload) -> bool {
-        if revision <= self.revision {
+        if revision <= self.revision && !Plant::OldRevision.is_planted() {
             return false;
         }
         self.revision = revision;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod pick;
 pub mod place;
 pub mod planner;
+pub mod plant;
 pub mod policy;
 pub mod report;
 pub mod request;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use crate::time::Span;
+use crate::{plant::Plant, time::Span};
 
 plain! {
     /// What a request of a route may do when its first attempt fails.
@@ -302,10 +302,10 @@
 
     /// Returns whether a request that may have run may be sent again.
     #[must_use]
-    pub const fn is_repeatable(&self) -> bool {
+    pub fn is_repeatable(&self) -> bool {
         match self.kind {
             Kind::Idempotent => true,
-            Kind::NonRepeatable => false,
+            Kind::NonRepeatable => Plant::RepeatUnsafe.is_planted(),
             Kind::Stream => self.resumable,
         }
     }
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -20,6 +20,9 @@
     open: Option<(String, File)>,
     /// Held for its lock.
     _lock: File,
+    /// The write that a planted fault holds back.
+    #[cfg(feature = "plant")]
+    held: Option<(String, Vec<u8>)>,
 }
 
 impl Folder {
@@ -48,6 +51,8 @@
                 path,
                 open: None,
                 _lock: lock,
+                #[cfg(feature = "plant")]
+                held: None,
             }),
             Err(TryLockError::WouldBlock) => Err(io::Error::new(
                 io::ErrorKind::ResourceBusy,
@@ -78,6 +83,14 @@
     }
 
     fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        #[cfg(feature = "plant")]
+        if masticlock_core::plant::Plant::NoSync.is_planted() {
+            let before = self.held.replace((file.to_owned(), bytes.to_owned()));
+            return match before {
+                Some((file, bytes)) => self.handle(&file)?.write_all(&bytes),
+                None => Ok(()),
+            };
+        }
         self.handle(file)?.write_all(bytes)
     }
 
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -18,6 +18,7 @@
     cascade::Pressure,
     digest,
     place::{Choice, Pool, Target, Want},
+    plant::Plant,
     report::{Suspect, Trial},
     route::{Kind, Route},
     share::Budget,
@@ -241,7 +242,7 @@
             if account.is_none() {
                 return Err(answer(StatusCode::UNAUTHORIZED, "unknown key"));
             }
-            if !self.is_younger(view, LEASE_PERCENT) {
+            if !self.is_younger(view, LEASE_PERCENT) && !Plant::NoLease.is_planted() {
                 return Err(unsure());
             }
         }
--- /dev/null
+++ b/soak/src/caller.rs
@@ -0,0 +1,182 @@
+//! Callers, which keep using a connection until it ends.
+
+use std::{cell::RefCell, io, rc::Rc, time::Duration};
+
+use masticlock_platform::outside::{self, Fields, Kind};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    io::{AsyncWriteExt, BufReader},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    http,
+    layout::{CHANGING, Layout, STEADY, STEADY_KEY},
+    ledger::{End, Ledger, Request},
+    operator, upstream,
+};
+
+/// Longest time to connect.
+const CONNECT: Duration = Duration::from_millis(800);
+
+/// Time after its deadline that a caller still waits for an answer.
+const BEYOND: Duration = Duration::from_millis(1_500);
+
+/// Longest pause between two requests in milliseconds.
+const PAUSE_MS: u64 = 90;
+
+/// What all callers share.
+pub struct Shared {
+    /// Addresses.
+    pub layout: Layout,
+    /// What they see.
+    pub ledger: Rc<RefCell<Ledger>>,
+    /// Numbers of the newest key and route.
+    pub newest: RefCell<(u64, u64)>,
+}
+
+/// Sends requests until the run ends.
+pub async fn run(shared: Rc<Shared>, number: usize, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut entry = number % shared.layout.entries;
+    let mut line: Option<BufReader<TcpStream>> = None;
+    let mut count = 0;
+    loop {
+        sleep(Duration::from_millis(random.random_range(0..PAUSE_MS))).await;
+        if line.is_none() {
+            let connecting = TcpStream::connect(shared.layout.front_proxy(entry));
+            let Ok(Ok(stream)) = timeout(CONNECT, connecting).await else {
+                entry = random.random_range(0..shared.layout.entries);
+                continue;
+            };
+            line = Some(BufReader::new(stream));
+        }
+        let Some(mut open) = line.take() else {
+            continue;
+        };
+        count += 1;
+        let id = format!("c{number}-{count}");
+        let request = draw(&shared, entry, &mut random);
+        let deadline = if request.kind == Kind::Stream {
+            4_000
+        } else {
+            1_500
+        };
+        let bytes = outside::request(
+            &id,
+            &format!("/{}/", request.route),
+            &request.key,
+            deadline,
+            &request.body,
+        );
+        let kind = request.kind;
+        shared
+            .ledger
+            .borrow_mut()
+            .requests
+            .insert(id.clone(), request);
+        if open.write_all(&bytes).await.is_err() {
+            shared.ledger.borrow_mut().end(&id, End::Cut);
+            entry = random.random_range(0..shared.layout.entries);
+            continue;
+        }
+        let limit = Duration::from_millis(deadline) + BEYOND;
+        let (end, kept) = match timeout(limit, answer(&mut open, &id, kind)).await {
+            Ok(Ok((status, fault, kept))) => {
+                if let Some(fault) = fault {
+                    shared.ledger.borrow_mut().break_promise("whole", &fault);
+                }
+                (End::Status(status), kept)
+            }
+            Ok(Err(_)) => (End::Cut, false),
+            Err(_) => (End::Silent, false),
+        };
+        shared.ledger.borrow_mut().end(&id, end);
+        if kept {
+            line = Some(open);
+        } else {
+            entry = random.random_range(0..shared.layout.entries);
+        }
+    }
+}
+
+fn draw(shared: &Shared, entry: usize, random: &mut ChaCha8Rng) -> Request {
+    let (newest_key, newest_route) = *shared.newest.borrow();
+    let (kind, route) = match random.random_range(0..10) {
+        0..3 => (Kind::Once, "book".to_owned()),
+        3..5 => (Kind::Repeatable, "look".to_owned()),
+        5 => {
+            let back = random.random_range(0..2.min(newest_route));
+            (Kind::Repeatable, operator::extra(newest_route - back))
+        }
+        _ => (Kind::Stream, "ask".to_owned()),
+    };
+    let (account, key) = if random.random_bool(0.7) {
+        (STEADY, STEADY_KEY.to_owned())
+    } else {
+        let back = random.random_range(0..3.min(newest_key));
+        (CHANGING, operator::key(newest_key - back))
+    };
+    Request {
+        kind,
+        route,
+        account,
+        key,
+        body: format!("body {}", random.random_range(0..1_000_000)),
+        entry,
+        sent: shared.ledger.borrow().now(),
+        runs: Vec::new(),
+        end: None,
+    }
+}
+
+/// Reads an answer: its status, what is wrong with it, and whether the connection stays open.
+async fn answer(
+    line: &mut BufReader<TcpStream>,
+    id: &str,
+    kind: Kind,
+) -> io::Result<(u16, Option<String>, bool)> {
+    let Some((first, fields)) = http::head(line).await? else {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    };
+    let status = first.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let status: u16 = status.ok_or(io::ErrorKind::InvalidData)?;
+    let fault = if fields.chunked {
+        stream(line, id).await?
+    } else {
+        let body = http::body(line, fields.length.unwrap_or(0)).await?;
+        let due = format!("{id} done");
+        let wrong = kind == Kind::Stream || body != due;
+        (status == 200 && wrong).then(|| format!("request {id} is answered with {body:?}"))
+    };
+    Ok((
+        status,
+        fault.or_else(|| proof(id, status, &fields)),
+        !fields.closes,
+    ))
+}
+
+fn proof(id: &str, status: u16, fields: &Fields) -> Option<String> {
+    let proven = fields.signature == Some(upstream::signature(id));
+    let own = fields.id.as_deref().is_none_or(|i| i == id);
+    let wrong = !own || (status == 200 && !proven);
+    wrong.then(|| format!("request {id} has the answer {status} with {fields:?}"))
+}
+
+/// Reads a stream to its end and returns what is wrong with its events.
+async fn stream(line: &mut BufReader<TcpStream>, id: &str) -> io::Result<Option<String>> {
+    let mut text = String::new();
+    loop {
+        let chunk = http::chunk(line).await?;
+        if chunk.is_empty() {
+            break;
+        }
+        text.push_str(&chunk);
+    }
+    let due: String = (1..=upstream::events(id))
+        .map(|n| upstream::event(id, n))
+        .collect();
+    Ok((text != due).then(|| format!("request {id} has the events {text:?}")))
+}
--- /dev/null
+++ b/soak/src/judge.rs
@@ -0,0 +1,304 @@
+//! Judges the promises from what was seen.
+
+use std::collections::BTreeMap;
+
+use masticlock_platform::outside::Kind;
+
+use crate::{
+    layout::{BOOKINGS, COLD_RATE, Layout, STEADY, route},
+    ledger::{End, Fact, Ledger, Part, Request, Run, Span},
+};
+
+/// Time without a disturbance after which a machine counts as in touch, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+
+/// Time in which a configuration is in force, in milliseconds.
+const APPLY_MS: u64 = 2_000;
+
+/// Time in which a revocation is in force, in milliseconds.
+const REVOKE_MS: u64 = 5_000;
+
+/// Time after which a leaving upstream gets no requests, in milliseconds.
+const DRAIN_MS: u64 = 2_000;
+
+/// Time after which a failure domain that is taken out gets no requests, in milliseconds.
+const TAKE_OUT_MS: u64 = 5_000;
+
+/// Time after which a request that was not sent on may end without an answer in an orderly stop,
+/// in milliseconds.
+const LOSS_SLACK_MS: u64 = 200;
+
+/// Part of the cold rate by which it may be passed, and the requests beside that.
+const COLD_OVER: (f64, u64) = (1.5, 5);
+
+/// Repeats that a service may get beside its part of the requests, in the window.
+const REPEATS: (f64, f64, u64) = (0.9, 56.0, 10_000);
+
+/// Time after the last start within which requests are served again, in milliseconds.
+const RECOVERY_MS: u64 = 12_000;
+
+/// Kept connections that may break without a known cause in a run.
+const BROKEN_LINES: usize = 3;
+
+/// Wrong refusals that are allowed: so many and one in so many requests.
+const DENIALS: (usize, usize) = (5, 500);
+
+/// Returns the promises that were broken, with what was seen.
+#[must_use]
+pub fn judge(ledger: &Ledger, layout: Layout) -> Vec<String> {
+    let judge = Judge { ledger, layout };
+    let mut broken = ledger.broken.clone();
+    for (id, request) in &ledger.requests {
+        judge.request(id, request, &mut broken);
+    }
+    judge.cold(&mut broken);
+    judge.budget(&mut broken);
+    judge.reads(&mut broken);
+    judge.denials(&mut broken);
+    judge.lines(&mut broken);
+    judge.recovery(&mut broken);
+    broken
+}
+
+struct Judge<'a> {
+    ledger: &'a Ledger,
+    layout: Layout,
+}
+
+impl Judge<'_> {
+    fn is_disturbed(&self, part: Part, from: u64, to: u64) -> bool {
+        self.ledger.is_disturbed(part, from, to)
+    }
+
+    fn is_control_calm(&self, from: u64, to: u64) -> bool {
+        let mut control = self.ledger.disturbed.iter();
+        !control.any(|(p, span)| matches!(p, Part::Control(_)) && span.meets(from, to))
+    }
+
+    /// Returns whether an entry instance is in touch during a span of time.
+    fn is_in_touch(&self, entry: usize, from: u64, to: u64) -> bool {
+        let before = from.saturating_sub(CONTACT_MS);
+        let stopped = self
+            .ledger
+            .stops
+            .iter()
+            .any(|(e, s)| *e == entry && s.meets(before, to));
+        !stopped
+            && !self.is_disturbed(Part::Entry(entry), before, to)
+            && self.is_control_calm(before, to)
+    }
+
+    fn is_sound(&self, run: &Run, to: u64) -> bool {
+        let before = run.at.saturating_sub(CONTACT_MS);
+        !self.is_disturbed(Part::Upstream(run.upstream), before, to)
+    }
+
+    fn request(&self, id: &str, request: &Request, broken: &mut Vec<String>) {
+        let mut say = |promise: &str, what: &str| {
+            broken.push(format!("{promise}: request {id} {what}: {request:?}"));
+        };
+        let attempts = route(&request.route, request.kind).attempts as usize;
+        let sound = request
+            .runs
+            .iter()
+            .filter(|r| self.is_sound(r, r.at + REVOKE_MS))
+            .count();
+        if request.kind == Kind::Once && request.runs.len() > 1 {
+            say("at-most-once", "ran twice");
+        }
+        if request.kind != Kind::Once && sound > attempts {
+            say("attempts", "ran too often");
+        }
+        if let Some((_, End::Status(status))) = request.end {
+            let refused = matches!(status, 408 | 421 | 429 | 503);
+            if refused && request.kind == Kind::Once && !request.runs.is_empty() {
+                say("not-run", "was refused and ran");
+            }
+            let allowed = matches!(status, 200 | 401 | 404 | 408 | 421 | 429 | 500..);
+            if !allowed {
+                say("whole", "has an answer that nobody gave");
+            }
+        }
+        let ran_after = |fact: &Fact, time: u64| {
+            let late = request.sent > fact.span.from + time;
+            late && fact.span.to.is_none_or(|to| request.sent < to) && !request.runs.is_empty()
+        };
+        for fact in &self.ledger.revoked {
+            if fact.name == request.key && ran_after(fact, REVOKE_MS) {
+                say("withdrawn", "ran with a key that was taken away");
+            }
+        }
+        let to = request.end.as_ref().map_or(request.sent, |e| e.0);
+        if !self.is_in_touch(request.entry, request.sent, to) {
+            return;
+        }
+        for fact in &self.ledger.dropped {
+            if fact.name == request.route && ran_after(fact, APPLY_MS) {
+                say("in-force", "ran on a route that was dropped");
+            }
+        }
+        for fact in &self.ledger.added {
+            let late = request.sent > fact.span.from + APPLY_MS;
+            let there = late && fact.span.to.is_none_or(|gone| to < gone);
+            let denied = matches!(request.end, Some((_, End::Status(404))));
+            if fact.name == request.route && there && denied {
+                say("in-force", "was refused on a route that was added");
+            }
+        }
+        for run in &request.runs {
+            self.run(run, &mut say);
+        }
+    }
+
+    fn run<F>(&self, run: &Run, say: &mut F)
+    where
+        F: FnMut(&str, &str),
+    {
+        let late = |span: &Span, time: u64| {
+            let over = run.at > span.from + time;
+            over && span.to.is_none_or(|to| run.at < to)
+        };
+        for (upstream, span) in &self.ledger.left {
+            if *upstream == run.upstream && late(span, DRAIN_MS) {
+                say("leaving", "reached an upstream that had left");
+            }
+        }
+        for fact in &self.ledger.taken_out {
+            let there = fact.name == self.layout.domain(run.upstream);
+            if there && late(&fact.span, TAKE_OUT_MS) {
+                say("taken-out", "reached a failure domain that is taken out");
+            }
+        }
+    }
+
+    fn cold(&self, broken: &mut Vec<String>) {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let most = (COLD_RATE * COLD_OVER.0) as u64 + COLD_OVER.1;
+        for (upstream, span) in &self.ledger.cold {
+            let to = span.to.unwrap_or(u64::MAX);
+            let requests = self.ledger.requests.values();
+            let runs = requests.flat_map(|r| r.runs.iter().map(move |run| (r.sent, run)));
+            let mut at: Vec<_> = runs
+                .filter(|(_, run)| run.upstream == *upstream)
+                .filter(|(sent, run)| *sent >= span.from && run.at <= to)
+                .map(|(_, run)| run.at)
+                .collect();
+            at.sort_unstable();
+            for (number, first) in at.iter().enumerate() {
+                let within = at[number..].iter().take_while(|t| **t < first + 1_000);
+                let count = within.count() as u64;
+                if count > most {
+                    broken.push(format!(
+                        "cold: upstream {upstream} has {count} requests in a second, at {first} ms"
+                    ));
+                    break;
+                }
+            }
+        }
+    }
+
+    fn budget(&self, broken: &mut Vec<String>) {
+        let (part, extra, window) = REPEATS;
+        let mut counts: BTreeMap<(bool, u64), (u32, u32)> = BTreeMap::new();
+        for request in self.ledger.requests.values() {
+            let bookings = route(&request.route, request.kind).service == BOOKINGS;
+            counts
+                .entry((bookings, request.sent / window))
+                .or_default()
+                .0 += 1;
+            for run in request.runs.iter().skip(1) {
+                counts.entry((bookings, run.at / window)).or_default().1 += 1;
+            }
+        }
+        for ((bookings, window), (requests, repeats)) in counts {
+            if f64::from(repeats) > f64::from(requests) * part + extra {
+                broken.push(format!(
+                    "budget: {repeats} repeats of {requests} requests, bookings {bookings}, window {window}"
+                ));
+            }
+        }
+    }
+
+    fn reads(&self, broken: &mut Vec<String>) {
+        for read in &self.ledger.reads {
+            let due = |(_, at): &&(u64, u64)| *at + APPLY_MS < read.sent;
+            let newest = self
+                .ledger
+                .confirmed
+                .iter()
+                .filter(due)
+                .map(|(r, _)| *r)
+                .max();
+            if newest.is_some_and(|n| n > read.revision) {
+                broken.push(format!("in-force: {read:?} is older than {newest:?}"));
+            }
+        }
+    }
+
+    fn denials(&self, broken: &mut Vec<String>) {
+        let all = self.ledger.requests.len();
+        let is_denied = |r: &&Request| {
+            let proper = r.account == STEADY && matches!(&*r.route, "book" | "look" | "ask");
+            let denied =
+                |status: u16| (300..500).contains(&status) && !matches!(status, 408 | 421 | 429);
+            proper && matches!(r.end, Some((_, End::Status(status))) if denied(status))
+        };
+        let denied = self.ledger.requests.values().filter(is_denied).count();
+        if denied > DENIALS.0 + all / DENIALS.1 {
+            broken.push(format!(
+                "allowed: {denied} of {all} proper requests were denied"
+            ));
+        }
+    }
+
+    /// Judges connections that ended without an answer although nothing had harmed them.
+    fn lines(&self, broken: &mut Vec<String>) {
+        let mut lost = Vec::new();
+        for (id, request) in &self.ledger.requests {
+            let Some((at, End::Cut)) = request.end else {
+                continue;
+            };
+            let from = request.sent.saturating_sub(CONTACT_MS);
+            let calm = !self.is_disturbed(Part::Entry(request.entry), from, at)
+                && self.is_control_calm(from, at);
+            let sound = request.runs.iter().all(|r| self.is_sound(r, at));
+            if !calm || !sound {
+                continue;
+            }
+            let (sent_on, late) = (!request.runs.is_empty(), at > request.sent + LOSS_SLACK_MS);
+            let stop = self
+                .ledger
+                .stops
+                .iter()
+                .find(|(e, s)| *e == request.entry && s.meets(request.sent, at));
+            if stop.is_some() && (sent_on || late) {
+                broken.push(format!(
+                    "graceful: request {id} is lost in a stop: {request:?}"
+                ));
+            } else if sent_on {
+                lost.push(id);
+            }
+        }
+        if lost.len() > BROKEN_LINES {
+            broken.push(format!(
+                "answered: connections ended without an answer: {lost:?}"
+            ));
+        }
+    }
+
+    fn recovery(&self, broken: &mut Vec<String>) {
+        let Some(started) = self.ledger.recovered else {
+            return;
+        };
+        let later = |r: &&Request| r.sent > started + RECOVERY_MS && r.account == STEADY;
+        let sent: Vec<_> = self.ledger.requests.values().filter(later).collect();
+        let served = |r: &&&Request| matches!(r.end, Some((_, End::Status(200))));
+        let count = sent.iter().filter(served).count();
+        if sent.is_empty() || count * 4 < sent.len() {
+            broken.push(format!(
+                "recovery: {count} of {} requests were served after the last fault",
+                sent.len()
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/ledger.rs
@@ -0,0 +1,219 @@
+//! What callers, upstreams and operators have seen, in milliseconds since the start of the run.
+
+use std::collections::BTreeMap;
+
+use masticlock_platform::outside::{Fields, Kind};
+use tokio::time::Instant;
+
+/// A part of the system that faults strike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// A control instance.
+    Control(usize),
+    /// An entry instance or the connections to it.
+    Entry(usize),
+    /// An upstream or the connections to it.
+    Upstream(usize),
+}
+
+/// How a caller's request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer with this status.
+    Status(u16),
+    /// The connection ended before the answer was whole.
+    Cut,
+    /// No whole answer came in time.
+    Silent,
+}
+
+/// A run of a request at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The upstream.
+    pub upstream: usize,
+    /// When it began.
+    pub at: u64,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Kind of its route.
+    pub kind: Kind,
+    /// Name of its route.
+    pub route: String,
+    /// Client account.
+    pub account: &'static str,
+    /// Key.
+    pub key: String,
+    /// Body.
+    pub body: String,
+    /// Entry instance that it was sent to.
+    pub entry: usize,
+    /// When its last byte was sent.
+    pub sent: u64,
+    /// Runs at upstreams.
+    pub runs: Vec<Run>,
+    /// When and how it ended.
+    pub end: Option<(u64, End)>,
+}
+
+/// A span of time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// Its start.
+    pub from: u64,
+    /// Its end, if it has ended.
+    pub to: Option<u64>,
+}
+
+impl Span {
+    /// Returns whether it has a moment in common with `from` to `to`.
+    #[must_use]
+    pub fn meets(&self, from: u64, to: u64) -> bool {
+        self.from <= to && self.to.is_none_or(|end| end >= from)
+    }
+}
+
+/// A fact that holds from its confirmation until it is taken back.
+#[derive(Clone, Debug)]
+pub struct Fact {
+    /// What it is about.
+    pub name: String,
+    /// From the confirmation to the moment before it is taken back.
+    pub span: Span,
+}
+
+/// A read of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Read {
+    /// When it was sent.
+    pub sent: u64,
+    /// The number that was read.
+    pub revision: u64,
+}
+
+/// Everything that was seen.
+#[derive(Debug)]
+pub struct Ledger {
+    start: Instant,
+    /// Requests by identity.
+    pub requests: BTreeMap<String, Request>,
+    /// When which part was disturbed, except for orderly stops.
+    pub disturbed: Vec<(Part, Span)>,
+    /// Orderly stops of entry instances, until they are ready again.
+    pub stops: Vec<(usize, Span)>,
+    /// Cold starts of upstreams.
+    pub cold: Vec<(usize, Span)>,
+    /// Upstreams that have said that they leave.
+    pub left: Vec<(usize, Span)>,
+    /// Failure domains that are taken out.
+    pub taken_out: Vec<Fact>,
+    /// Keys that were taken away.
+    pub revoked: Vec<Fact>,
+    /// Routes that were added.
+    pub added: Vec<Fact>,
+    /// Routes that were dropped.
+    pub dropped: Vec<Fact>,
+    /// Configurations that were confirmed, with their numbers.
+    pub confirmed: Vec<(u64, u64)>,
+    /// Reads of the configuration.
+    pub reads: Vec<Read>,
+    /// When the last fault's processes had started again.
+    pub recovered: Option<u64>,
+    /// Promises that were seen to be broken at once.
+    pub broken: Vec<String>,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            requests: BTreeMap::new(),
+            disturbed: Vec::new(),
+            stops: Vec::new(),
+            cold: Vec::new(),
+            left: Vec::new(),
+            taken_out: Vec::new(),
+            revoked: Vec::new(),
+            added: Vec::new(),
+            dropped: Vec::new(),
+            confirmed: Vec::new(),
+            reads: Vec::new(),
+            recovered: None,
+            broken: Vec::new(),
+        }
+    }
+}
+
+impl Ledger {
+    /// Returns the time.
+    #[must_use]
+    pub fn now(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Records a promise that is broken.
+    pub fn break_promise(&mut self, promise: &str, what: &str) {
+        let now = self.now();
+        self.broken.push(format!("{promise}: {what}, at {now} ms"));
+    }
+
+    /// Records that a part is disturbed from now on, and returns the record's number.
+    pub fn disturb(&mut self, part: Part) -> usize {
+        let from = self.now();
+        self.disturbed.push((part, Span { from, to: None }));
+        self.disturbed.len() - 1
+    }
+
+    /// Records the end of a disturbance.
+    pub fn calm(&mut self, record: usize) {
+        let now = self.now();
+        self.disturbed[record].1.to = Some(now);
+    }
+
+    /// Returns whether a part was disturbed at some moment of a span of time.
+    #[must_use]
+    pub fn is_disturbed(&self, part: Part, from: u64, to: u64) -> bool {
+        let mut of_part = self.disturbed.iter().filter(|(p, _)| *p == part);
+        of_part.any(|(_, span)| span.meets(from, to))
+    }
+
+    /// Records a run at an upstream with what reached it, and returns the request's number of
+    /// runs, or nothing if no caller has sent it.
+    pub fn run(&mut self, upstream: usize, path: &str, fields: &Fields, body: &str) -> Option<u64> {
+        let at = self.now();
+        let id = fields.id.clone().unwrap_or_default();
+        let Some(request) = self.requests.get_mut(&id) else {
+            self.break_promise(
+                "unasked",
+                &format!("request {id:?} runs, which nobody sent"),
+            );
+            return None;
+        };
+        request.runs.push(Run { upstream, at });
+        let number = request.runs.len() as u64;
+        let sent = format!("/{}/", request.route);
+        let whole = request.body == body && path == sent;
+        let account = fields.account.as_deref() == Some(request.account);
+        if !whole {
+            self.break_promise(
+                "unasked",
+                &format!("request {id} runs with another content"),
+            );
+        }
+        if !account || fields.key.is_some() {
+            self.break_promise("account", &format!("request {id} runs for {fields:?}"));
+        }
+        Some(number)
+    }
+
+    /// Records how a request ended.
+    pub fn end(&mut self, id: &str, end: End) {
+        let now = self.now();
+        if let Some(request) = self.requests.get_mut(id) {
+            request.end = Some((now, end));
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,137 @@
+//! Which faults strike and when, drawn from a seed.
+
+use std::fmt;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    layout::{DOMAINS, Layout},
+    proxy::Mode,
+};
+
+/// Time from the start of the callers to the first fault in milliseconds.
+const CALM_MS: u64 = 2_500;
+
+/// Longest pause between two faults in milliseconds.
+const PAUSE_MS: u64 = 1_300;
+
+/// Time that the control instances are left alone after a fault of one of them, in milliseconds.
+const CONTROL_REST_MS: u64 = 4_500;
+
+/// A process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A control instance.
+    Control(usize),
+    /// An entry instance.
+    Entry(usize),
+}
+
+/// A fault, with its times in milliseconds.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// A process is killed and starts again.
+    Kill(Target, u64),
+    /// A process stands still.
+    Pause(Target, u64),
+    /// An entry instance is asked to stop and starts again.
+    Stop(usize),
+    /// A control instance is killed, loses its disk and starts again.
+    Wipe(usize, u64),
+    /// All processes are killed at the same moment and start again.
+    KillAll(u64),
+    /// Connections to an entry instance are harmed.
+    Callers(usize, Mode, u64),
+    /// Connections to an entry instance are reset.
+    ResetCallers(usize),
+    /// Connections to an upstream are harmed.
+    Link(usize, Mode, u64),
+    /// Connections to an upstream are reset.
+    ResetLink(usize),
+    /// An upstream crashes and comes back cold.
+    Crash(usize, u64),
+    /// An upstream leaves and comes back as a new process.
+    Leave(usize, u64),
+    /// A failure domain is taken out for a time.
+    TakeOut(&'static str, u64),
+    /// A key is taken away and one added.
+    Keys,
+    /// A route is replaced.
+    Routes,
+    /// An older configuration is sent again.
+    Older,
+    /// The configuration is read.
+    Read(usize),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// A fault and when it strikes, in milliseconds after the start of the callers.
+pub type Step = (u64, Fault);
+
+/// Returns the faults of a run in the order of their times.
+#[must_use]
+pub fn draw(seed: u64, length_ms: u64, layout: Layout) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut control_free = 0;
+    let mut domains_free = 0;
+    let mut at = CALM_MS;
+    while at < length_ms {
+        let upstream = random.random_range(0..2 * layout.upstreams);
+        let entry = random.random_range(0..layout.entries);
+        let control = random.random_range(0..DOMAINS.len());
+        let time = random.random_range(300..3_000);
+        let mode = match random.random_range(0..4) {
+            0 => Mode::Delay(random.random_range(5..120)),
+            1 => Mode::MuteForward,
+            2 => Mode::MuteBackward,
+            _ => Mode::Silent,
+        };
+        let fault = match random.random_range(0..19) {
+            0 => Fault::Kill(Target::Entry(entry), time),
+            // Longer than a revocation takes, so that a stale instance may wake up.
+            1 => Fault::Pause(Target::Entry(entry), 2 * time),
+            2 | 3 => Fault::Stop(entry),
+            4..6 if at >= control_free => {
+                control_free = at + time + CONTROL_REST_MS;
+                Fault::Kill(Target::Control(control), time)
+            }
+            6 if at >= control_free => {
+                control_free = at + time + CONTROL_REST_MS;
+                Fault::Pause(Target::Control(control), time)
+            }
+            7 if at >= control_free => {
+                control_free = at + time + 2 * CONTROL_REST_MS;
+                Fault::Wipe(control, time)
+            }
+            8 if at >= control_free => {
+                control_free = at + time + 2 * CONTROL_REST_MS;
+                Fault::KillAll(time.min(1_500))
+            }
+            9 => Fault::Callers(entry, mode, time),
+            10 => Fault::ResetCallers(entry),
+            11 => Fault::Link(upstream, mode, time),
+            12 => Fault::ResetLink(upstream),
+            13 => Fault::Crash(upstream, time),
+            14 => Fault::Leave(upstream, 2_500 + time),
+            15 if at >= domains_free => {
+                let time = 5_500 + time;
+                domains_free = at + time + CONTROL_REST_MS;
+                Fault::TakeOut(DOMAINS[control], time)
+            }
+            16 => Fault::Keys,
+            17 => Fault::Routes,
+            18 => Fault::Older,
+            _ => Fault::Read(control),
+        };
+        steps.push((at, fault));
+        at += random.random_range(0..PAUSE_MS);
+    }
+    steps
+}
--- /dev/null
+++ b/soak/src/upstream.rs
@@ -0,0 +1,258 @@
+//! Stand-ins for upstreams: a booking service and engines that stream.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
+
+use masticlock_platform::outside::{self, Call, Fields};
+use tokio::{
+    io::{AsyncWriteExt, BufReader},
+    net::TcpStream,
+    task::{JoinSet, spawn_local},
+    time::sleep,
+};
+
+use crate::{
+    http,
+    layout::{ANNOUNCEMENTS_MS, BOOKINGS, Layout},
+    ledger::{Ledger, Part, Span},
+    operator,
+    proxy::{self, Proxy},
+};
+
+/// Time that a booking takes.
+const BOOKING: Duration = Duration::from_millis(15);
+
+/// Pause between two events of a stream.
+const EVENT: Duration = Duration::from_millis(40);
+
+/// Length of a cold start in milliseconds.
+const COLD_MS: u64 = 1_500;
+
+/// Returns the number of events of a request's stream.
+#[must_use]
+pub fn events(id: &str) -> u64 {
+    let sum: u64 = id.bytes().map(u64::from).sum();
+    3 + sum % 20
+}
+
+/// Returns the text of an event.
+#[must_use]
+pub fn event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id}.{number}\n\n")
+}
+
+/// Returns the proof of an upstream for a request.
+#[must_use]
+pub fn signature(id: &str) -> String {
+    format!("proof-{id}")
+}
+
+/// A stand-in for an upstream.
+pub struct Upstream {
+    at: usize,
+    id: String,
+    service: &'static str,
+    layout: Layout,
+    ledger: Rc<RefCell<Ledger>>,
+    /// The proxy that entry instances connect to.
+    pub proxy: Rc<Proxy>,
+    listen: SocketAddr,
+    alive: Cell<bool>,
+    incarnation: Cell<u64>,
+    sequence: Cell<u64>,
+    cold_until: Cell<u64>,
+    connections: RefCell<JoinSet<()>>,
+}
+
+fn wall_ms() -> u64 {
+    let passed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    passed.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+impl Upstream {
+    /// Starts an upstream and its announcements.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its addresses can't be bound.
+    pub async fn start(
+        at: usize,
+        service: &'static str,
+        layout: Layout,
+        ledger: &Rc<RefCell<Ledger>>,
+    ) -> io::Result<Rc<Self>> {
+        let listen = layout.upstream(at);
+        let listener = proxy::listen(listen).await?;
+        let upstream = Rc::new(Self {
+            at,
+            id: format!("u-{at}"),
+            service,
+            layout,
+            ledger: ledger.clone(),
+            proxy: Proxy::start(layout.upstream_proxy(at), listen).await?,
+            listen,
+            alive: Cell::new(true),
+            incarnation: Cell::new(wall_ms()),
+            sequence: Cell::new(0),
+            cold_until: Cell::new(0),
+            connections: RefCell::default(),
+        });
+        let accepting = upstream.clone();
+        spawn_local(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) if accepting.alive.get() => {
+                        let serving = accepting.clone().serve(stream);
+                        accepting.connections.borrow_mut().spawn_local(serving);
+                    }
+                    Ok(_) => {}
+                    Err(error) => eprintln!("upstream {}: {error}", accepting.listen),
+                }
+            }
+        });
+        spawn_local(upstream.clone().announce());
+        Ok(upstream)
+    }
+
+    async fn announce(self: Rc<Self>) {
+        let mut control = self.at;
+        loop {
+            if self.alive.get() {
+                self.sequence.set(self.sequence.get() + 1);
+                let now = self.ledger.borrow().now();
+                let call = Call::Announce(outside::Upstream {
+                    id: self.id.clone(),
+                    service: self.service,
+                    address: self.layout.upstream_proxy(self.at),
+                    domain: self.layout.domain(self.at).to_owned(),
+                    cold_ms: self.cold_until.get().saturating_sub(now),
+                    incarnation: self.incarnation.get(),
+                    sequence: self.sequence.get(),
+                });
+                if operator::call(self.layout, control, &call).await.is_err() {
+                    control += 1;
+                }
+            }
+            sleep(Duration::from_millis(ANNOUNCEMENTS_MS)).await;
+        }
+    }
+
+    /// Ends as a crashed process does, and starts again later.
+    pub async fn crash(&self, down: Duration) {
+        let record = self.ledger.borrow_mut().disturb(Part::Upstream(self.at));
+        self.stop();
+        sleep(down).await;
+        self.restart().await;
+        self.ledger.borrow_mut().calm(record);
+    }
+
+    fn stop(&self) {
+        self.alive.set(false);
+        self.proxy.close();
+        self.connections.borrow_mut().abort_all();
+    }
+
+    async fn restart(&self) {
+        if let Err(error) = self.proxy.open().await {
+            eprintln!("upstream {}: {error}", self.listen);
+        }
+        self.incarnation.set(wall_ms());
+        self.sequence.set(0);
+        let mut ledger = self.ledger.borrow_mut();
+        let now = ledger.now();
+        self.cold_until.set(now + COLD_MS);
+        let to = Some(now + COLD_MS);
+        ledger.cold.push((self.at, Span { from: now, to }));
+        self.alive.set(true);
+    }
+
+    /// Says that it leaves, finishes its work and comes back as a new process.
+    pub async fn leave(&self, away: Duration) {
+        let call = Call::Leave(self.id.clone(), self.incarnation.get());
+        // An announcement after the farewell would be a contradiction.
+        self.alive.set(false);
+        let confirmed = operator::until_done(self.layout, &call, &self.ledger).await;
+        let record = {
+            let mut ledger = self.ledger.borrow_mut();
+            let from = ledger.now();
+            ledger.left.push((self.at, Span { from, to: None }));
+            ledger.left.len() - 1
+        };
+        sleep(away).await;
+        {
+            let mut ledger = self.ledger.borrow_mut();
+            let now = ledger.now();
+            // Without a confirmation nothing was promised.
+            ledger.left[record].1.to = Some(if confirmed { now } else { 0 });
+        }
+        let disturbed = self.ledger.borrow_mut().disturb(Part::Upstream(self.at));
+        self.stop();
+        self.restart().await;
+        self.ledger.borrow_mut().calm(disturbed);
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let _delayed = stream.set_nodelay(true);
+        let (read, mut write) = stream.into_split();
+        let mut reader = BufReader::new(read);
+        // The connection's end is for the ledger of its caller.
+        while let Ok(Some((first, fields))) = http::head(&mut reader).await {
+            let length = fields.length.unwrap_or(0);
+            let Ok(body) = http::body(&mut reader, length).await else {
+                return;
+            };
+            if self
+                .answer(&first, &fields, &body, &mut write)
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    async fn answer<W>(
+        &self,
+        first: &str,
+        fields: &Fields,
+        body: &str,
+        out: &mut W,
+    ) -> io::Result<()>
+    where
+        W: AsyncWriteExt + Unpin,
+    {
+        let id = fields.id.clone().unwrap_or_default();
+        if fields.upstream.as_deref() != Some(&self.id) {
+            return out
+                .write_all(&outside::answer(421, &id, None, Some(0)))
+                .await;
+        }
+        let path = first.split(' ').nth(1).unwrap_or_default();
+        let run = self.ledger.borrow_mut().run(self.at, path, fields, body);
+        if run.is_none() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let proof = signature(&id);
+        if self.service == BOOKINGS {
+            sleep(BOOKING).await;
+            let text = format!("{id} done");
+            let mut answer = outside::answer(200, &id, Some(&proof), Some(text.len()));
+            answer.extend_from_slice(text.as_bytes());
+            return out.write_all(&answer).await;
+        }
+        out.write_all(&outside::answer(200, &id, Some(&proof), None))
+            .await?;
+        for number in fields.last_event.unwrap_or(0) + 1..=events(&id) {
+            let text = event(&id, number);
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            out.write_all(chunk.as_bytes()).await?;
+            sleep(EVENT).await;
+        }
+        out.write_all(b"0\r\n\r\n").await
+    }
+}
--- /dev/null
+++ b/soak/tests/judge.rs
@@ -0,0 +1,193 @@
+//! The judge finds each broken promise in what callers and upstreams saw, and the guard ends what
+//! a killed soak leaves behind.
+
+use std::process::Command;
+
+use masticlock_platform::outside::Kind;
+use masticlock_soak::{
+    judge::judge,
+    layout::{Layout, STEADY, STEADY_KEY},
+    ledger::{End, Fact, Ledger, Part, Read, Request, Run, Span},
+    process::guard,
+};
+
+const LAYOUT: Layout = Layout::new(2, 2, 3);
+
+fn request(kind: Kind, route: &str, sent: u64) -> Request {
+    Request {
+        kind,
+        route: route.to_owned(),
+        account: STEADY,
+        key: STEADY_KEY.to_owned(),
+        body: "body".to_owned(),
+        entry: 0,
+        sent,
+        runs: vec![Run {
+            upstream: 0,
+            at: sent + 5,
+        }],
+        end: Some((sent + 20, End::Status(200))),
+    }
+}
+
+fn from(at: u64) -> Span {
+    Span { from: at, to: None }
+}
+
+fn fact(name: &str, at: u64) -> Fact {
+    Fact {
+        name: name.to_owned(),
+        span: from(at),
+    }
+}
+
+/// Returns the first promise that is broken in a ledger.
+fn first<F>(change: F) -> Option<String>
+where
+    F: FnOnce(&mut Ledger),
+{
+    let mut ledger = Ledger::default();
+    change(&mut ledger);
+    let broken = judge(&ledger, LAYOUT);
+    broken
+        .first()
+        .map(|b| b.split(':').next().unwrap().to_owned())
+}
+
+fn with<F>(mut request: Request, change: F) -> impl FnOnce(&mut Ledger)
+where
+    F: FnOnce(&mut Request, &mut Ledger),
+{
+    move |ledger| {
+        change(&mut request, ledger);
+        ledger.requests.insert("r1".to_owned(), request);
+    }
+}
+
+/// Guards against a judge that finds nothing whatever happens.
+#[test]
+fn each_broken_promise_is_found() {
+    let book = || request(Kind::Once, "book", 20_000);
+    let look = || request(Kind::Repeatable, "look", 20_000);
+    let cases: Vec<(&str, Option<String>)> = vec![
+        (
+            "at-most-once",
+            first(with(book(), |r, _| r.runs.push(r.runs[0]))),
+        ),
+        (
+            "attempts",
+            first(with(look(), |r, _| r.runs = vec![r.runs[0]; 3])),
+        ),
+        (
+            "not-run",
+            first(with(book(), |r, _| {
+                r.end = Some((20_020, End::Status(503)))
+            })),
+        ),
+        (
+            "whole",
+            first(with(look(), |r, _| {
+                r.end = Some((20_020, End::Status(206)))
+            })),
+        ),
+        (
+            "withdrawn",
+            first(with(look(), |r, l| l.revoked.push(fact(&r.key, 14_000)))),
+        ),
+        (
+            "in-force",
+            first(with(
+                request(Kind::Repeatable, "extra-1", 20_000),
+                |_, l| {
+                    l.dropped.push(fact("extra-1", 17_000));
+                },
+            )),
+        ),
+        (
+            "in-force",
+            first(with(
+                request(Kind::Repeatable, "extra-2", 20_000),
+                |r, l| {
+                    l.added.push(fact("extra-2", 17_000));
+                    r.runs.clear();
+                    r.end = Some((20_020, End::Status(404)));
+                },
+            )),
+        ),
+        (
+            "leaving",
+            first(with(look(), |_, l| l.left.push((0, from(17_000))))),
+        ),
+        (
+            "taken-out",
+            first(with(look(), |_, l| l.taken_out.push(fact("a", 14_000)))),
+        ),
+        (
+            "cold",
+            first(with(look(), |r, l| {
+                r.runs = vec![r.runs[0]; 12];
+                l.cold.push((0, from(19_000)));
+                l.disturbed.push((Part::Upstream(0), from(19_000)));
+            })),
+        ),
+        (
+            "graceful",
+            first(with(look(), |r, l| {
+                r.end = Some((20_400, End::Cut));
+                l.stops.push((0, from(19_900)));
+            })),
+        ),
+        (
+            "in-force",
+            first(|l| {
+                l.confirmed = vec![(4, 1_000), (5, 2_000)];
+                l.reads.push(Read {
+                    sent: 5_000,
+                    revision: 4,
+                });
+            }),
+        ),
+        (
+            "recovery",
+            first(with(look(), |r, l| {
+                l.recovered = Some(1_000);
+                r.runs.clear();
+                r.end = Some((20_020, End::Silent));
+            })),
+        ),
+    ];
+    for (promise, found) in cases {
+        assert_eq!(found.as_deref(), Some(promise));
+    }
+}
+
+/// Guards against promises that count as broken where a fault allows it.
+#[test]
+fn disturbed_parts_excuse_late_changes_and_lost_answers() {
+    let look = || request(Kind::Repeatable, "look", 20_000);
+    assert_eq!(first(with(look(), |_, _| {})), None);
+    let disturbed = first(with(look(), |_, l| {
+        l.taken_out.push(fact("a", 14_000));
+        l.disturbed.push((Part::Control(1), from(18_000)));
+    }));
+    assert_eq!(disturbed, None);
+    let cut = first(with(look(), |r, l| {
+        r.end = Some((20_400, End::Cut));
+        l.stops.push((0, from(19_900)));
+        l.disturbed.push((Part::Upstream(0), from(19_000)));
+    }));
+    assert_eq!(cut, None);
+}
+
+/// Guards against processes that a killed soak leaves behind.
+#[test]
+fn guard_ends_what_is_left_when_its_input_ends() {
+    let mut left = Command::new("sleep").arg("60").spawn().unwrap();
+    let mut ended = Command::new("true").spawn().unwrap();
+    let gone = ended.id();
+    ended.wait().unwrap();
+    let input = format!("+{}\n+{gone}\n-{gone}\n", left.id());
+    guard(input.as_bytes()).unwrap();
+    let status = left.wait().unwrap();
+    assert!(!status.success(), "it was killed: {status}");
+}
