Plant faults for the soak, and send older configurations in it

Cause: the first runs of the soak with planted faults showed that two of four could not be found: no plan of the seeds that were tried sent an older configuration, and the fault that holds back writes kept the system from starting, which would have counted as found for the wrong reason.

The feature plant compiles four faults in: a repeat of a request that may run once, a key believed without a lease, an older configuration accepted, a write acknowledged before it is done. Programs that serve are built without it.

--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -23,6 +23,9 @@
     /// The write that a planted fault holds back.
     #[cfg(feature = "plant")]
     held: Option<(String, Vec<u8>)>,
+    /// Writes before the fault begins: those with which a replica starts.
+    #[cfg(feature = "plant")]
+    sound: u32,
 }
 
 impl Folder {
@@ -53,6 +56,8 @@
                 _lock: lock,
                 #[cfg(feature = "plant")]
                 held: None,
+                #[cfg(feature = "plant")]
+                sound: 12,
             }),
             Err(TryLockError::WouldBlock) => Err(io::Error::new(
                 io::ErrorKind::ResourceBusy,
@@ -84,7 +89,9 @@
 
     fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
         #[cfg(feature = "plant")]
-        if masticlock_core::plant::Plant::NoSync.is_planted() {
+        if self.sound > 0 {
+            self.sound -= 1;
+        } else if masticlock_core::plant::Plant::NoSync.is_planted() {
             let before = self.held.replace((file.to_owned(), bytes.to_owned()));
             return match before {
                 Some((file, bytes)) => self.handle(&file)?.write_all(&bytes),
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -24,6 +24,7 @@
     digest,
     fleet::{self, Announcement},
     name,
+    plant::Plant,
     time::Span,
 };
 use tokio::{
@@ -259,6 +260,7 @@
     pub async fn submit(&self, command: Command) -> Result<(), Refusal> {
         if let Command::Configure { revision, .. } = &command
             && *revision <= self.0.state.borrow().agreed.revision
+            && !Plant::OldRevision.is_planted()
         {
             return Ok(());
         }
--- a/soak/src/bin/soak.rs
+++ b/soak/src/bin/soak.rs
@@ -37,6 +37,9 @@
     /// old-revision or no-sync
     #[bpaf(long, argument("NAME"), fallback(String::new()))]
     plant: String,
+    /// Prints the faults of the seeds and plays nothing
+    #[bpaf(long)]
+    plan: bool,
     /// Ends the processes that standard input names when it ends
     #[bpaf(long, hide)]
     guard: bool,
@@ -52,6 +55,13 @@
     }
     let mut broken = 0;
     for seed in args.seed..args.seed + args.seeds {
+        if args.plan {
+            println!("seed {seed}:");
+            for (at, fault) in run::plan(seed, length(&args), args.entries) {
+                println!("{at:>7} {fault}");
+            }
+            continue;
+        }
         match play(&args, seed) {
             Ok(report) => {
                 println!(
@@ -72,6 +82,10 @@
     ExitCode::from(u8::from(broken > 0))
 }
 
+fn length(args: &Args) -> Duration {
+    Duration::from_secs_f64(args.minutes * 60.0)
+}
+
 fn fail(error: &io::Error) -> ExitCode {
     eprintln!("soak: {error}");
     ExitCode::from(2)
@@ -86,7 +100,7 @@
     let folder = env::temp_dir().join(format!("masticlock-soak-{}-{seed}", std::process::id()));
     let options = Options {
         seed,
-        length: Duration::from_secs_f64(args.minutes * 60.0),
+        length: length(args),
         entries: args.entries,
         callers: args.callers,
         program,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -93,7 +93,7 @@
             2 => Mode::MuteBackward,
             _ => Mode::Silent,
         };
-        let fault = match random.random_range(0..19) {
+        let fault = match random.random_range(0..22) {
             0 => Fault::Kill(Target::Entry(entry), time),
             // Longer than a revocation takes, so that a stale instance may wake up.
             1 => Fault::Pause(Target::Entry(entry), 2 * time),
@@ -125,9 +125,9 @@
                 domains_free = at + time + CONTROL_REST_MS;
                 Fault::TakeOut(DOMAINS[control], time)
             }
-            16 => Fault::Keys,
-            17 => Fault::Routes,
-            18 => Fault::Older,
+            16..18 => Fault::Keys,
+            18 => Fault::Routes,
+            19..21 => Fault::Older,
             _ => Fault::Read(control),
         };
         steps.push((at, fault));
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -88,6 +88,13 @@
     callers: Rc<Shared>,
 }
 
+/// Returns the faults of a run.
+#[must_use]
+pub fn plan(seed: u64, length: Duration, entries: usize) -> Vec<plan::Step> {
+    let length = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+    plan::draw(seed, length, Layout::new(0, entries, DOMAINS.len()))
+}
+
 /// Plays a run.
 ///
 /// # Errors
@@ -109,8 +116,7 @@
         let seed = options.seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn_local(caller::run(system.callers.clone(), number, seed));
     }
-    let length = u64::try_from(options.length.as_millis()).unwrap_or(u64::MAX);
-    let steps = plan::draw(options.seed, length, layout);
+    let steps = plan(options.seed, options.length, options.entries);
     let faults = steps.len();
     let start = system.ledger.borrow().now();
     let mut striking = JoinSet::new();
@@ -247,7 +253,13 @@
             Fault::TakeOut(domain, length) => {
                 operator::take_out(self.layout, self.ledger.clone(), domain, time(length)).await;
             }
-            Fault::Older => self.operator.lock().await.send_older().await,
+            Fault::Older => {
+                let operator = self.operator.lock().await;
+                operator.send_older().await;
+                for control in 0..DOMAINS.len() {
+                    operator.read(control).await;
+                }
+            }
             Fault::Keys | Fault::Routes => {
                 let mut operator = self.operator.lock().await;
                 if matches!(fault, Fault::Keys) {
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -81,13 +81,13 @@
         (
             "not-run",
             first(with(book(), |r, _| {
-                r.end = Some((20_020, End::Status(503)))
+                r.end = Some((20_020, End::Status(503)));
             })),
         ),
         (
             "whole",
             first(with(look(), |r, _| {
-                r.end = Some((20_020, End::Status(206)))
+                r.end = Some((20_020, End::Status(206)));
             })),
         ),
         (
