Find each planted fault for its own reason, and test upstreams that come and go

Cause 2: the planted fault that holds back writes kept a replica from starting; it holds back the last configuration and what follows it now. Plans had few changes, so an older configuration was seldom there to be sent again.

--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -11,6 +11,11 @@
 /// File that a process locks while it uses the folder.
 const LOCK: &str = "lock";
 
+/// Least bytes of a write that the planted fault holds back: a configuration, and not what a
+/// replica needs to start.
+#[cfg(feature = "plant")]
+const HELD_BYTES: usize = 400;
+
 /// A folder that one process uses at a time.
 #[derive(Debug)]
 pub struct Folder {
@@ -20,12 +25,9 @@
     open: Option<(String, File)>,
     /// Held for its lock.
     _lock: File,
-    /// The write that a planted fault holds back.
-    #[cfg(feature = "plant")]
-    held: Option<(String, Vec<u8>)>,
-    /// Writes before the fault begins: those with which a replica starts.
+    /// The writes that a planted fault holds back, in their order.
     #[cfg(feature = "plant")]
-    sound: u32,
+    held: Vec<(String, Vec<u8>)>,
 }
 
 impl Folder {
@@ -55,9 +57,7 @@
                 open: None,
                 _lock: lock,
                 #[cfg(feature = "plant")]
-                held: None,
-                #[cfg(feature = "plant")]
-                sound: 12,
+                held: Vec::new(),
             }),
             Err(TryLockError::WouldBlock) => Err(io::Error::new(
                 io::ErrorKind::ResourceBusy,
@@ -89,14 +89,17 @@
 
     fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
         #[cfg(feature = "plant")]
-        if self.sound > 0 {
-            self.sound -= 1;
-        } else if masticlock_core::plant::Plant::NoSync.is_planted() {
-            let before = self.held.replace((file.to_owned(), bytes.to_owned()));
-            return match before {
-                Some((file, bytes)) => self.handle(&file)?.write_all(&bytes),
-                None => Ok(()),
-            };
+        if masticlock_core::plant::Plant::NoSync.is_planted() {
+            let is_large = bytes.len() >= HELD_BYTES;
+            if is_large {
+                for (file, bytes) in std::mem::take(&mut self.held) {
+                    self.handle(&file)?.write_all(&bytes)?;
+                }
+            }
+            if is_large || !self.held.is_empty() {
+                self.held.push((file.to_owned(), bytes.to_owned()));
+                return Ok(());
+            }
         }
         self.handle(file)?.write_all(bytes)
     }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -93,10 +93,10 @@
             2 => Mode::MuteBackward,
             _ => Mode::Silent,
         };
-        let fault = match random.random_range(0..22) {
+        let fault = match random.random_range(0..23) {
             0 => Fault::Kill(Target::Entry(entry), time),
             // Longer than a revocation takes, so that a stale instance may wake up.
-            1 => Fault::Pause(Target::Entry(entry), 2 * time),
+            1 => Fault::Pause(Target::Entry(entry), 3 * time),
             2 | 3 => Fault::Stop(entry),
             4..6 if at >= control_free => {
                 control_free = at + time + CONTROL_REST_MS;
@@ -126,9 +126,10 @@
                 Fault::TakeOut(DOMAINS[control], time)
             }
             16..18 => Fault::Keys,
-            18 => Fault::Routes,
-            19..21 => Fault::Older,
-            _ => Fault::Read(control),
+            18..21 => Fault::Older,
+            21 => Fault::Read(control),
+            // A fault that has to wait makes room for a change.
+            _ => Fault::Routes,
         };
         steps.push((at, fault));
         at += random.random_range(0..PAUSE_MS);
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -142,8 +142,12 @@
         }
     }
 
-    /// Ends as a crashed process does, and starts again later.
+    /// Ends as a crashed process does, and starts again later. One that has left or is down
+    /// already stays so.
     pub async fn crash(&self, down: Duration) {
+        if !self.alive.get() {
+            return;
+        }
         let record = self.ledger.borrow_mut().disturb(Part::Upstream(self.at));
         self.stop();
         sleep(down).await;
@@ -171,8 +175,11 @@
         self.alive.set(true);
     }
 
-    /// Says that it leaves, finishes its work and comes back as a new process.
+    /// Says that it leaves, finishes its work and comes back as a new process, unless it is down.
     pub async fn leave(&self, away: Duration) {
+        if !self.alive.get() {
+            return;
+        }
         let call = Call::Leave(self.id.clone(), self.incarnation.get());
         // An announcement after the farewell would be a contradiction.
         self.alive.set(false);
