--- a/soak/tests/upstream.rs
+++ b/soak/tests/upstream.rs
@@ -25,7 +25,7 @@
         let layout = Layout::new(254, 1, 3);
         let upstream = Upstream::start(0, BOOKINGS, layout, &ledger).await.unwrap();
         let leaving = upstream.clone();
-        spawn_local(async move { leaving.leave(Duration::from_secs(60)).await });
+        spawn_local(async move { leaving.leave(Duration::from_mins(1)).await });
         yield_now().await;
         upstream.crash(Duration::ZERO).await;
         assert!(ledger.borrow().cold.is_empty(), "it has not started again");
