--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -41,19 +41,19 @@
 pub async fn run(shared: Rc<Shared>, number: usize, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut entry = number % shared.layout.entries;
-    let mut line: Option<BufReader<TcpStream>> = None;
+    let mut connection: Option<BufReader<TcpStream>> = None;
     let mut count = 0;
     loop {
         sleep(Duration::from_millis(random.random_range(0..PAUSE_MS))).await;
-        if line.is_none() {
+        if connection.is_none() {
             let connecting = TcpStream::connect(shared.layout.front_proxy(entry));
             let Ok(Ok(stream)) = timeout(CONNECT, connecting).await else {
                 entry = random.random_range(0..shared.layout.entries);
                 continue;
             };
-            line = Some(BufReader::new(stream));
+            connection = Some(BufReader::new(stream));
         }
-        let Some(mut open) = line.take() else {
+        let Some(mut open) = connection.take() else {
             continue;
         };
         count += 1;
@@ -95,7 +95,7 @@
         };
         shared.ledger.borrow_mut().end(&id, end);
         if kept {
-            line = Some(open);
+            connection = Some(open);
         } else {
             entry = random.random_range(0..shared.layout.entries);
         }
@@ -134,19 +134,19 @@
 
 /// Reads an answer: its status, what is wrong with it, and whether the connection stays open.
 async fn answer(
-    line: &mut BufReader<TcpStream>,
+    connection: &mut BufReader<TcpStream>,
     id: &str,
     kind: Kind,
 ) -> io::Result<(u16, Option<String>, bool)> {
-    let Some((first, fields)) = http::head(line).await? else {
+    let Some((first, fields)) = http::head(connection).await? else {
         return Err(io::ErrorKind::UnexpectedEof.into());
     };
     let status = first.split(' ').nth(1).and_then(|s| s.parse().ok());
     let status: u16 = status.ok_or(io::ErrorKind::InvalidData)?;
     let fault = if fields.chunked {
-        stream(line, id).await?
+        stream(connection, id).await?
     } else {
-        let body = http::body(line, fields.length.unwrap_or(0)).await?;
+        let body = http::body(connection, fields.length.unwrap_or(0)).await?;
         let due = format!("{id} done");
         let wrong = kind == Kind::Stream || body != due;
         (status == 200 && wrong).then(|| format!("request {id} is answered with {body:?}"))
@@ -166,10 +166,10 @@
 }
 
 /// Reads a stream to its end and returns what is wrong with its events.
-async fn stream(line: &mut BufReader<TcpStream>, id: &str) -> io::Result<Option<String>> {
+async fn stream(connection: &mut BufReader<TcpStream>, id: &str) -> io::Result<Option<String>> {
     let mut text = String::new();
     loop {
-        let chunk = http::chunk(line).await?;
+        let chunk = http::chunk(connection).await?;
         if chunk.is_empty() {
             break;
         }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -1,4 +1,6 @@
 //! Judges the promises from what was seen.
+//!
+//! The bounds are those that the platform's rules and standard deployments state.
 
 use std::collections::BTreeMap;
 
@@ -38,7 +40,7 @@
 const RECOVERY_MS: u64 = 12_000;
 
 /// Kept connections that may break without a known cause in a run.
-const BROKEN_LINES: usize = 3;
+const BROKEN_CONNECTIONS: usize = 3;
 
 /// Wrong refusals that are allowed: so many and one in so many requests.
 const DENIALS: (usize, usize) = (5, 500);
@@ -55,7 +57,7 @@
     judge.budget(&mut broken);
     judge.reads(&mut broken);
     judge.denials(&mut broken);
-    judge.lines(&mut broken);
+    judge.connections(&mut broken);
     judge.recovery(&mut broken);
     broken
 }
@@ -252,7 +254,7 @@
     }
 
     /// Judges connections that ended without an answer although nothing had harmed them.
-    fn lines(&self, broken: &mut Vec<String>) {
+    fn connections(&self, broken: &mut Vec<String>) {
         let mut lost = Vec::new();
         for (id, request) in &self.ledger.requests {
             let Some((at, End::Cut)) = request.end else {
@@ -279,7 +281,7 @@
                 lost.push(id);
             }
         }
-        if lost.len() > BROKEN_LINES {
+        if lost.len() > BROKEN_CONNECTIONS {
             broken.push(format!(
                 "answered: connections ended without an answer: {lost:?}"
             ));
