Bound what an upstream in trouble can do to a caller

Now only whole events that carry something count as progress, events must follow each other, heads, events and all answers that are held back have bounds in bytes, and a refusal's body is read for 20 ms at most. A connection checks the permission to send right before each write, against a clock that counts suspensions, so a process that was stopped between the decision and the write sends nothing by a permission that has run out. A server that closes serves what the operating system has accepted to the last.

Bytes after an answer closed the connection before.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -35,6 +35,7 @@
     dialect::Dialect,
     entry::{Payload, Settings},
     front::{Refusal, Resolved},
+    held::Held,
     http::Limits,
     link::Links,
     metrics,
@@ -95,6 +96,7 @@
     board: Arc<Board>,
     dialect: Box<dyn Dialect>,
     links: Rc<Links>,
+    held: Rc<Held>,
     pool: RefCell<Pool>,
     /// Stamp of the view that the pool was updated from.
     stamp: Cell<u64>,
@@ -125,7 +127,8 @@
             clock,
             board,
             dialect,
-            links: Rc::default(),
+            links: Rc::new(Links::new(clock)),
+            held: Rc::default(),
             pool: RefCell::new(pool),
             stamp: Cell::new(0),
             budgets: RefCell::default(),
@@ -171,6 +174,14 @@
         self.age(view).is_some_and(|age| age < limit)
     }
 
+    /// Returns until when a request may be sent by the newest tables, if its key limits that.
+    fn sendable_until(&self, resolved: &Resolved) -> Option<Time> {
+        let limit = Span::from_millis(self.settings.revocation.as_millis() * LEASE_PERCENT / 100);
+        let fresh = self.board.view.load().fresh;
+        let until = fresh.map_or(Time::ZERO, |at| at + limit);
+        (resolved.account.is_some() && !Plant::NoLease.is_planted()).then_some(until)
+    }
+
     /// Returns whether the instance takes new connections.
     pub fn is_ready(&self) -> bool {
         let view = self.view();
@@ -388,6 +399,11 @@
     }
 
     fn choose(&self, job: &Job, resolved: &Resolved) -> Choice {
+        self.choose_without(job, resolved, &job.tried.borrow())
+    }
+
+    /// Chooses an upstream that is not one of those that were tried.
+    fn choose_without(&self, job: &Job, resolved: &Resolved, tried: &[Arc<str>]) -> Choice {
         let view = self.view();
         let service = &resolved.service;
         let subject = service
@@ -396,7 +412,6 @@
             .then(|| job.subject(&resolved.route));
         let session = job.session().unwrap_or(job.fingerprint);
         let draw = digest::mix(session ^ digest::of(service.name.as_bytes()));
-        let tried = job.tried.borrow();
         let want = Want {
             service: &service.name,
             subject,
@@ -405,7 +420,7 @@
             tokens: job.tokens(),
             memory: service.engine.as_ref().map_or(0, |e| e.memory_tokens),
             cold_rate: service.cold_rate,
-            tried: &tried,
+            tried,
         };
         self.pool.borrow().choose(&want, &view.agreed, self.now())
     }
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -24,8 +24,12 @@
     link::{Error, FRESH, Lease},
 };
 
-/// Largest answer of a plain service in bytes.
-const MAX_ANSWER: usize = 4 * 1_024 * 1_024;
+/// Largest body, in bytes, of an answer that says that the request was not run. Others close
+/// the connection.
+const MAX_REFUSAL: usize = 16 * 1_024;
+
+/// Longest time to read that body while the request could be sent elsewhere.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(20);
 
 /// Part of the remaining time, in percent, after which a request that may be repeated is sent
 /// elsewhere.
@@ -92,6 +96,7 @@
             waited_ms = sent.since(job.arrived).as_millis();
             "a request is sent to an upstream"
         );
+        let until = self.sendable_until(resolved);
         let left = job.deadline(&resolved.route).since(sent);
         let again = resolved.route.is_repeatable() && job.runs.get() < resolved.route.attempts;
         let limit = if again {
@@ -99,7 +104,7 @@
         } else {
             left.to_std()
         };
-        let answer = match timeout(limit, lease.send(request)).await {
+        let answer = match timeout(limit, lease.send(request, until)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(Error::NotSent(reason))) => {
                 job.runs.set(job.runs.get() - 1);
@@ -125,11 +130,7 @@
             }
         };
         let said = self.dialect().incoming(answer.headers());
-        if said
-            .id
-            .as_deref()
-            .is_some_and(|id| Some(id) != job.call.id.as_deref())
-        {
+        if !is_own(said.id.as_deref(), job.call.id.as_deref(), lease.is_used()) {
             running.end(Outcome::Failed);
             drop(lease);
             return self
@@ -172,7 +173,7 @@
     ///
     /// A stream that begins late was mostly waiting for its turn, and sending it again would add to
     /// the load. A plain service that doesn't answer in time is an exception.
-    fn first_limit(resolved: &Resolved, left: Span) -> Span {
+    pub(super) fn first_limit(resolved: &Resolved, left: Span) -> Span {
         let late = Span::from_millis(left.as_millis() * FIRST_PERCENT / 100);
         match resolved.route.kind {
             Kind::Stream => late,
@@ -304,8 +305,8 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.unreachable(target, "another upstream has the address");
         }
-        let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-        if body.is_ok() {
+        let body = Limited::new(answer.into_body(), MAX_REFUSAL).collect();
+        if matches!(timeout(REFUSAL_LIMIT, body).await, Ok(Ok(_))) {
             lease.give_back(said.keep_alive);
         }
         End::NotRun
@@ -349,11 +350,11 @@
             ..
         } = arrived;
         let (parts, body) = answer.into_parts();
-        match Limited::new(body, MAX_ANSWER).collect().await {
+        match self.held.collect(body).await {
             Ok(body) => {
                 running.end(if good { Outcome::Good } else { Outcome::Failed });
                 lease.give_back(said.keep_alive);
-                let mut response = Response::new(Payload::Whole(Some(body.to_bytes())));
+                let mut response = Response::new(Payload::Whole(Some(body)));
                 *response.status_mut() = status;
                 *response.headers_mut() = parts.headers;
                 strip_connection(response.headers_mut());
@@ -429,6 +430,17 @@
     pub took: Span,
 }
 
+/// Returns whether an answer belongs to the request.
+///
+/// On a connection that was used before, an answer without an identity may be a second one to an
+/// earlier request.
+fn is_own(said: Option<&str>, id: Option<&str>, used: bool) -> bool {
+    match said {
+        Some(said) => Some(said) == id,
+        None => id.is_none() || !used,
+    }
+}
+
 /// Removes the headers that concern one connection only.
 pub(super) fn strip_connection(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -11,7 +11,7 @@
 use tokio::{
     sync::mpsc,
     task::spawn_local,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use super::{
@@ -29,8 +29,8 @@
 /// Longest pause on time of a stream whose route names none.
 const PAUSE: Duration = Duration::from_secs(2);
 
-/// Pauses in a row after which another upstream continues a stream, although this one takes
-/// connections. The caller leaves after eight of the longest pauses on time.
+/// Pauses without an event between them after which another upstream continues a stream, although
+/// this one takes connections. The caller leaves after eight of the longest pauses on time.
 const MAX_STALLS: u32 = 6;
 
 /// Longest time to learn whether an upstream takes connections.
@@ -172,7 +172,8 @@
 /// Forwards whole events until the stream at this upstream ends.
 ///
 /// A pause alone ends nothing: the upstream may be busy. It is left if it takes no connections any
-/// more, or after several pauses if another attempt is allowed.
+/// more, or after several pauses if another attempt is allowed. Bytes that complete no event don't
+/// end a pause.
 async fn piece(
     traffic: &Rc<Traffic>,
     job: &Rc<Job>,
@@ -187,9 +188,17 @@
         .map_or(PAUSE, masticlock_core::time::Span::to_std);
     let stall = pause.mul_f64(STALL_PART);
     let mut stalls = 0;
+    let mut due = Instant::now() + stall;
     loop {
+        if Instant::now() >= due {
+            stalls += 1;
+            due += stall;
+            if let Some(reason) = traffic.abandon(job, resolved, &source.target, stalls).await {
+                return Cut::Broken(reason);
+            }
+        }
         let frame = tokio::select! {
-            frame = timeout(stall, source.body.frame()) => frame,
+            frame = timeout_at(due, source.body.frame()) => frame,
             () = sender.closed() => return Cut::Left,
         };
         let frame = match frame {
@@ -199,23 +208,23 @@
                 return Cut::Broken("it ended within an event".into());
             }
             Ok(None) => return Cut::Complete,
-            Err(_) => {
-                stalls += 1;
-                if let Some(reason) = traffic.abandon(job, resolved, &source.target, stalls).await {
-                    return Cut::Broken(reason);
-                }
-                continue;
-            }
+            Err(_) => continue,
         };
-        stalls = 0;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if let Some(whole) = events.push(&data)
-            && sender.send(Ok(whole)).await.is_err()
-        {
+        let whole = match events.push(&data) {
+            Ok(Some(whole)) => whole,
+            Ok(None) => continue,
+            Err(error) => return Cut::Broken(error.to_string()),
+        };
+        if sender.send(Ok(whole.bytes)).await.is_err() {
             return Cut::Left;
         }
+        if whole.progress {
+            stalls = 0;
+            due = Instant::now() + stall;
+        }
     }
 }
 
@@ -229,8 +238,11 @@
         stalls: u32,
     ) -> Option<String> {
         let route = &resolved.route;
+        let mut tried = job.tried.borrow().clone();
+        tried.push(target.upstream.clone());
+        let other = self.choose_without(job, resolved, &tried);
         let allowed = route.resumable && job.runs.get() < route.attempts;
-        if !allowed || !matches!(self.choose(job, resolved), Choice::Upstream(_)) {
+        if !allowed || !matches!(other, Choice::Upstream(_)) {
             return None;
         }
         if stalls > MAX_STALLS {
@@ -291,13 +303,20 @@
         );
         let request = traffic.request(job, &resolved, &target, last_event);
         job.runs.set(job.runs.get() + 1);
-        let answer = match lease.send(request).await {
-            Ok(answer) => answer,
-            Err(error) => {
+        let until = traffic.sendable_until(&resolved);
+        let left = job.deadline(&resolved.route).since(traffic.now());
+        let limit = Traffic::first_limit(&resolved, left).to_std();
+        let answer = match timeout(limit, lease.send(request, until)).await {
+            Ok(Ok(answer)) => answer,
+            failed => {
                 running.end(Outcome::Failed);
+                let reason = match failed {
+                    Ok(Err(error)) => error.to_string(),
+                    Ok(Ok(_)) | Err(_) => "no answer in time".to_owned(),
+                };
                 log::info!(
                     event = "resume_failed", request = job.id(), upstream = &*target.upstream,
-                    reason:% = error;
+                    reason;
                     "a stream is not continued there"
                 );
                 job.tried.borrow_mut().push(target.upstream.clone());
@@ -306,7 +325,7 @@
         };
         let said = traffic.dialect().incoming(answer.headers());
         let own = said.id.as_deref() == job.call.id.as_deref();
-        if own && answer.status() == StatusCode::OK {
+        if own && said.signed && answer.status() == StatusCode::OK {
             log::info!(
                 event = "resumed", request = job.id(), upstream = &*target.upstream,
                 last_event = last_event.unwrap_or(0);
@@ -320,6 +339,11 @@
                 keep_alive: said.keep_alive,
             });
         }
+        log::info!(
+            event = "resume_failed", request = job.id(), upstream = &*target.upstream,
+            status = answer.status().as_u16(), own, signed = said.signed, not_run = said.not_run;
+            "a stream is not continued there"
+        );
         if own && said.not_run {
             job.runs.set(job.runs.get() - 1);
         }
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -15,7 +15,7 @@
     net::TcpListener,
     sync::watch,
     task::{JoinHandle, spawn_local},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use super::socket;
@@ -23,6 +23,12 @@
 /// Pause after an accept that failed, for example for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time without a new connection after which a closed server accepts no more.
+const LAST_ACCEPT: Duration = Duration::from_millis(10);
+
+/// Time in which a connection reads what has arrived before it is closed.
+const LAST_READ: Duration = Duration::from_millis(10);
+
 /// How a server goes on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -82,10 +88,22 @@
 {
     let handler = Rc::new(handler);
     let mut open: Vec<JoinHandle<()>> = Vec::new();
+    let mut closed = false;
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = reached(&mut stage, Stage::Closed) => break,
+        let accepted = if closed {
+            // What the operating system has accepted before is served to the last.
+            match timeout(LAST_ACCEPT, listener.accept()).await {
+                Ok(accepted) => accepted,
+                Err(_) => break,
+            }
+        } else {
+            tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = reached(&mut stage, Stage::Closed) => {
+                    closed = true;
+                    continue;
+                }
+            }
         };
         let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
@@ -149,9 +167,14 @@
         .max_buf_size(limits.head_bytes.max(8_192) + 8_192)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    let closing = async {
+        reached(&mut stage, Stage::Closed).await;
+        sleep(LAST_READ).await;
+    };
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = reached(&mut stage, Stage::Closed) => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -16,10 +16,17 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use masticlock_core::{place::Target, time::Span};
+use masticlock_core::{
+    place::Target,
+    time::{Span, Time},
+};
 use tokio::task::{AbortHandle, spawn_local};
 
-use super::socket;
+use super::{
+    gate::{Gate, Until},
+    socket,
+};
+use crate::clock::Clock;
 
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -35,9 +42,13 @@
 /// Part of the time that an upstream keeps a connection open in which it is used.
 const KEEP_ALIVE_PART: f64 = 0.6;
 
+/// Largest head of an answer, and most bytes of an answer that wait to be read.
+const MAX_BUFFER: usize = 64 * 1_024;
+
 /// Idle connections to all upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Links {
+    clock: Clock,
     idle: RefCell<Vec<Idle>>,
 }
 
@@ -47,6 +58,7 @@
     incarnation: u64,
     sender: SendRequest<Full<Bytes>>,
     task: Guard,
+    until: Until,
     since: Instant,
     limit: Duration,
 }
@@ -69,6 +81,8 @@
     incarnation: u64,
     sender: SendRequest<Full<Bytes>>,
     task: Guard,
+    until: Until,
+    used: bool,
 }
 
 /// How sending a request failed.
@@ -83,6 +97,15 @@
 }
 
 impl Links {
+    /// Returns no connections.
+    #[must_use]
+    pub const fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: RefCell::new(Vec::new()),
+        }
+    }
+
     /// Returns a connection to the upstream that was idle for `max_idle` at most, or a new one.
     ///
     /// # Errors
@@ -96,6 +119,8 @@
                 incarnation: idle.incarnation,
                 sender: idle.sender,
                 task: idle.task,
+                until: idle.until,
+                used: true,
             });
         }
         self.open(target).await
@@ -112,8 +137,11 @@
             .parse()
             .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
         let stream = socket::connect(address, CONNECT_LIMIT).await?;
+        let until = Until::default();
+        let gate = Gate::new(stream, self.clock, until.clone());
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .max_buf_size(MAX_BUFFER)
+            .handshake(TokioIo::new(gate))
             .await
             .map_err(io::Error::other)?;
         let upstream = target.upstream.clone();
@@ -128,6 +156,8 @@
             incarnation: target.incarnation,
             sender,
             task: Guard(task.abort_handle()),
+            until,
+            used: false,
         })
     }
 
@@ -151,7 +181,13 @@
 }
 
 impl Lease {
-    /// Sends a request and returns the head of the answer.
+    /// Returns whether the connection has had a request before.
+    pub const fn is_used(&self) -> bool {
+        self.used
+    }
+
+    /// Sends a request, whose bytes may be written until the given time, and returns the head of the
+    /// answer.
     ///
     /// # Errors
     ///
@@ -159,7 +195,9 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        until: Option<Time>,
     ) -> Result<Response<Incoming>, Error> {
+        self.until.set(until);
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             if error.take_message().is_some() {
@@ -182,7 +220,10 @@
             incarnation,
             sender,
             task,
+            until,
+            ..
         } = self;
+        until.set(None);
         if sender.is_closed() {
             return;
         }
@@ -191,6 +232,7 @@
             incarnation,
             sender,
             task,
+            until,
             since: Instant::now(),
             limit,
         });
