--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,7 +2,8 @@
 //!
 //! A record is replaced only by a later one of the same start of the upstream or by one of a later
 //! start, whatever order they arrive in. Each change gets a mark, so that a reader asks only for
-//! what it has not seen.
+//! what it has not seen. Most announcements repeat the one before: between control instances they
+//! travel as beats, and entry instances learn only that an upstream has gone silent or returned.
 
 use std::sync::Arc;
 
@@ -11,6 +12,12 @@
 /// How long a record stays after the upstream's last announcement.
 const KEPT: Span = Span::from_secs(30);
 
+/// How long an upstream may be silent before it gets no new requests, in announcement intervals.
+const SILENT_INTERVALS: u64 = 3;
+
+/// Difference in the end of a cold start that counts as a change. Delays of messages stay below.
+const COLD_CHANGE: Span = Span::from_millis(400);
+
 plain! {
     /// Whether an upstream takes new work.
     #[derive(Copy, Eq)]
@@ -53,6 +60,21 @@
         pub announcement: Announcement,
         /// Time since the upstream was heard.
         pub age: Span,
+        /// Whether the sender has not heard the upstream for too long.
+        pub silent: bool,
+    }
+
+    /// An announcement that repeats the one before.
+    #[derive(Eq)]
+    pub struct Beat {
+        /// Identity.
+        pub upstream: Arc<str>,
+        /// Start of the upstream.
+        pub incarnation: u64,
+        /// Number of the announcement.
+        pub sequence: u64,
+        /// Time since the upstream was heard.
+        pub age: Span,
     }
 }
 
@@ -65,7 +87,29 @@
     pub heard: Time,
     /// End of its cold start.
     pub cold_until: Time,
-    mark: u64,
+    /// Whether it has not been heard for too long to get new requests.
+    pub silent: bool,
+    /// Mark of the latest change of what a reader needs.
+    changed: u64,
+    /// Mark of the latest announcement.
+    beat: u64,
+}
+
+impl Entry {
+    /// Returns whether the announcement tells nothing that the known one did not.
+    fn is_repeat(&self, said: &Announcement, now: Time) -> bool {
+        let old = &self.announcement;
+        let same = old.incarnation == said.incarnation
+            && old.service == said.service
+            && old.address == said.address
+            && old.domain == said.domain
+            && old.version == said.version
+            && old.slots == said.slots
+            && old.phase == said.phase;
+        let (known, told) = (self.cold_until.since(now), said.cold);
+        let differ = known.as_millis().abs_diff(told.as_millis());
+        same && !self.silent && differ <= COLD_CHANGE.as_millis()
+    }
 }
 
 /// All known upstreams, sorted by identity.
@@ -100,53 +144,150 @@
     }
 
     /// Merges a record and returns whether it was news.
+    ///
+    /// Whether the sender finds the upstream silent counts for nothing: [`Self::watch`] decides
+    /// that from when it was heard.
     pub fn merge(&mut self, record: Record, now: Time) -> bool {
-        let Record { announcement, age } = record;
-        let heard = now - age;
+        let Record {
+            announcement, age, ..
+        } = record;
+        let found = self.find(&announcement.upstream);
+        if let Ok(at) = found {
+            let old = &self.entries[at].announcement;
+            let order = (old.incarnation, old.sequence)
+                .cmp(&(announcement.incarnation, announcement.sequence));
+            let left = old.incarnation == announcement.incarnation && old.phase == Phase::Leaving;
+            // An upstream that has said that it leaves never takes new work again.
+            if order.is_gt()
+                || (order.is_eq() && old.phase == announcement.phase)
+                || (left && announcement.phase == Phase::Ready)
+            {
+                return false;
+            }
+        }
+        let moved = found.map_or(true, |at| {
+            self.entries[at].announcement.address != announcement.address
+        });
+        if moved && self.is_address_taken(&announcement) {
+            return false;
+        }
+        self.mark += 1;
+        let repeat = found.is_ok_and(|at| self.entries[at].is_repeat(&announcement, now));
+        let changed = match found {
+            Ok(at) if repeat => self.entries[at].changed,
+            Ok(_) | Err(_) => self.mark,
+        };
         let entry = Entry {
             cold_until: now + announcement.cold,
-            heard,
-            mark: self.mark + 1,
+            heard: now - age,
+            silent: false,
+            changed,
+            beat: self.mark,
             announcement,
         };
-        let new = &entry.announcement;
-        let taken = self.entries.iter().any(|e| {
+        let (address, upstream) = (
+            entry.announcement.address.clone(),
+            entry.announcement.upstream.clone(),
+        );
+        match found {
+            Ok(at) => self.entries[at] = entry,
+            Err(at) => self.entries.insert(at, entry),
+        }
+        if moved {
+            // The former owner of a reused address has ended.
+            self.entries.retain(|e| {
+                let old = &e.announcement;
+                old.address != address || old.upstream == upstream
+            });
+        }
+        true
+    }
+
+    /// Returns whether an upstream of a later start has the announced address.
+    fn is_address_taken(&self, new: &Announcement) -> bool {
+        self.entries.iter().any(|e| {
             let old = &e.announcement;
             old.address == new.address
                 && old.upstream != new.upstream
                 && old.incarnation > new.incarnation
-        });
-        if taken {
+        })
+    }
+
+    /// Merges a beat and returns whether its upstream's start is known.
+    pub fn hear(&mut self, beat: &Beat, now: Time) -> bool {
+        let Ok(at) = self.find(&beat.upstream) else {
             return false;
+        };
+        let entry = &mut self.entries[at];
+        if entry.announcement.incarnation != beat.incarnation {
+            return entry.announcement.incarnation > beat.incarnation;
         }
-        match self.find(&new.upstream) {
-            Ok(at) => {
-                let old = &self.entries[at].announcement;
-                let order = (old.incarnation, old.sequence).cmp(&(new.incarnation, new.sequence));
-                let left = old.incarnation == new.incarnation && old.phase == Phase::Leaving;
-                // An upstream that has said that it leaves never takes new work again.
-                if order.is_gt() || (order.is_eq() && old.phase == new.phase) {
-                    return false;
-                }
-                if left && new.phase == Phase::Ready {
-                    return false;
-                }
-                self.entries[at] = entry;
-            }
-            Err(at) => {
-                let (address, upstream) = (new.address.clone(), new.upstream.clone());
-                self.entries.insert(at, entry);
-                // The former owner of a reused address has ended.
-                self.entries.retain(|e| {
-                    let old = &e.announcement;
-                    old.address != address || old.upstream == upstream
-                });
+        if entry.announcement.sequence < beat.sequence {
+            self.mark += 1;
+            entry.announcement.sequence = beat.sequence;
+            entry.heard = now - beat.age;
+            entry.beat = self.mark;
+            if entry.silent {
+                entry.silent = false;
+                entry.changed = self.mark;
             }
         }
-        self.mark += 1;
         true
     }
 
+    /// Takes over a record from the instance that this one follows, which also decides whether
+    /// the upstream is silent, and returns whether anything has changed.
+    pub fn follow(&mut self, record: Record, now: Time) -> bool {
+        let (upstream, incarnation, silent) = (
+            record.announcement.upstream.clone(),
+            record.announcement.incarnation,
+            record.silent,
+        );
+        let merged = self.merge(record, now);
+        let Ok(at) = self.find(&upstream) else {
+            return merged;
+        };
+        let entry = &mut self.entries[at];
+        if entry.announcement.incarnation != incarnation || entry.silent == silent {
+            return merged;
+        }
+        entry.silent = silent;
+        if silent {
+            entry.heard = now;
+        }
+        true
+    }
+
+    /// Takes over all records of the instance that this one begins to follow. Upstreams that it
+    /// doesn't know are silent.
+    pub fn begin(&mut self, records: Vec<Record>, now: Time) {
+        let mut known: Vec<Arc<str>> = Vec::with_capacity(records.len());
+        for record in records {
+            known.push(record.announcement.upstream.clone());
+            self.follow(record, now);
+        }
+        known.sort_unstable();
+        let unknown = |e: &&mut Entry| known.binary_search(&e.announcement.upstream).is_err();
+        for entry in self.entries.iter_mut().filter(unknown) {
+            if !entry.silent {
+                entry.silent = true;
+                entry.heard = now;
+            }
+        }
+    }
+
+    /// Marks upstreams as silent that were not heard for some intervals of their announcements.
+    pub fn watch(&mut self, now: Time, interval: Span) {
+        let limit = interval.times(SILENT_INTERVALS);
+        for entry in &mut self.entries {
+            if !entry.silent && now.since(entry.heard) >= limit {
+                self.mark += 1;
+                entry.silent = true;
+                entry.changed = self.mark;
+            }
+        }
+    }
+
     /// Marks an upstream as leaving and returns whether that is news.
     ///
     /// An upstream that leaves without a number of its own ends whatever incarnation is known.
@@ -161,27 +302,46 @@
         }
         self.mark += 1;
         known.announcement.phase = Phase::Leaving;
-        known.mark = self.mark;
+        known.changed = self.mark;
         true
     }
 
     /// Returns the records that changed after the mark.
     #[must_use]
     pub fn since(&self, mark: u64, now: Time) -> Vec<Record> {
-        let changed = self.entries.iter().filter(|e| e.mark > mark);
+        let changed = self.entries.iter().filter(|e| e.changed > mark);
         let record = |e: &Entry| {
             let mut announcement = e.announcement.clone();
             announcement.cold = e.cold_until.since(now);
             Record {
                 announcement,
                 age: now.since(e.heard),
+                silent: e.silent,
             }
         };
         changed.map(record).collect()
     }
 
-    /// Forgets upstreams that were not heard for a long time.
+    /// Returns the announcements after the mark that changed nothing.
+    #[must_use]
+    pub fn beats(&self, mark: u64, now: Time) -> Vec<Beat> {
+        let repeated = self
+            .entries
+            .iter()
+            .filter(|e| e.beat > mark && e.changed <= mark);
+        repeated
+            .map(|e| Beat {
+                upstream: e.announcement.upstream.clone(),
+                incarnation: e.announcement.incarnation,
+                sequence: e.announcement.sequence,
+                age: now.since(e.heard),
+            })
+            .collect()
+    }
+
+    /// Forgets upstreams that have been silent for a long time.
     pub fn expire(&mut self, now: Time) {
-        self.entries.retain(|e| now.since(e.heard) < KEPT);
+        self.entries
+            .retain(|e| !e.silent || now.since(e.heard) < KEPT);
     }
 }
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -1,7 +1,8 @@
 //! What entry instances report about their work, merged over all control instances.
 //!
-//! Each instance counts only for itself and replaces its own report, so merging never counts
-//! anything twice.
+//! Each entry instance reports to one control instance, which passes on the sum of the reports
+//! that it got itself. What a control instance sends and stores so grows with the number of control
+//! instances and upstreams and not with that of entry instances.
 
 use std::sync::Arc;
 
@@ -13,6 +14,9 @@
 /// How long a report's counts stay part of the totals of a rollout.
 const KEPT: Span = Span::from_secs(60);
 
+/// Age up to which sums are used again. Entry instances poll several times as often.
+const SUM_AGE: Span = Span::from_millis(80);
+
 plain! {
     /// Work at one upstream.
     #[derive(Eq, Default)]
@@ -62,6 +66,8 @@
     pub struct Report {
         /// Random number of the process.
         pub instance: u64,
+        /// Failure domain of the instance.
+        pub domain: Arc<str>,
         /// Grows with each report.
         pub sequence: u64,
         /// Work by upstream.
@@ -72,128 +78,301 @@
         pub suspects: Vec<Suspect>,
     }
 
-    /// A report as instances exchange it.
+    /// An instance whose latest report is part of a sum.
     #[derive(Eq)]
-    pub struct Record {
-        /// The report.
-        pub report: Report,
-        /// Time since it was made.
-        pub age: Span,
+    pub struct Part {
+        /// Random number of the process.
+        pub instance: u64,
+        /// Position of its failure domain among those of the sum.
+        pub domain: u16,
+        /// Number of the report.
+        pub sequence: u64,
+    }
+
+    /// Evidence of one instance.
+    #[derive(Copy, Eq)]
+    pub struct Evidence {
+        /// The instance.
+        pub instance: u64,
+        /// What it has seen.
+        pub suspect: Suspect,
     }
 
-    /// Totals over all instances but one.
+    /// The reports that one control instance got itself.
+    #[derive(Eq, Default)]
+    pub struct Sum {
+        /// Random number of the control process.
+        pub origin: u64,
+        /// Work of the instances that are present, sorted by upstream.
+        pub loads: Vec<Load>,
+        /// Outcomes, sorted by service and version.
+        pub trials: Vec<Trial>,
+        /// Evidence of crashes, by instance and fingerprint.
+        pub evidence: Vec<Evidence>,
+        /// Failure domains of the instances.
+        pub domains: Vec<Arc<str>>,
+        /// Instances that are present, sorted by instance.
+        pub parts: Vec<Part>,
+    }
+
+    /// What an entry instance learns of the others.
     #[derive(Eq, Default)]
     pub struct Totals {
-        /// Work by upstream, sorted by upstream.
+        /// Work of all other instances by upstream, sorted by upstream.
         pub loads: Vec<Load>,
-        /// Evidence of crashes, sorted by fingerprint.
+        /// Evidence of crashes of all other instances, sorted by fingerprint.
         pub suspects: Vec<Suspect>,
-        /// Instances that are present, sorted.
-        pub instances: Vec<u64>,
+        /// Number of all instances that are present, this one included.
+        pub instances: u64,
+        /// Instances of the same failure domain that are present, sorted.
+        pub neighbours: Vec<u64>,
     }
 }
 
+/// A report that an instance sent here itself.
 #[derive(Clone, Debug)]
-struct Entry {
+struct Direct {
     report: Report,
     made: Time,
-    mark: u64,
-    /// Whether the instance itself sent it here. Only such reports are passed on, so that each
-    /// control instance gets each report once.
-    direct: bool,
 }
 
-/// The latest report of each instance, sorted by instance.
+/// The sum of another control instance's reports.
+#[derive(Clone, Debug)]
+struct Remote {
+    sum: Sum,
+    heard: Time,
+}
+
+/// The latest report of each instance that reports here and the latest sum of each other control
+/// instance.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    entries: Vec<Entry>,
-    mark: u64,
+    /// Sorted by instance.
+    direct: Vec<Direct>,
+    /// Sorted by origin.
+    remote: Vec<Remote>,
+    /// Work of all instances, sorted by upstream, and when it was summed.
+    loads: Vec<Load>,
+    summed: Option<Time>,
 }
 
 impl Board {
-    /// Returns the mark of the latest change.
-    #[must_use]
-    pub const fn mark(&self) -> u64 {
-        self.mark
-    }
-
-    /// Merges a report, which is `direct` if it came from the instance itself.
-    pub fn merge(&mut self, record: Record, now: Time, direct: bool) {
-        let entry = Entry {
-            made: now - record.age,
-            report: record.report,
-            mark: self.mark + 1,
-            direct,
-        };
+    /// Takes over an instance's own report.
+    pub fn merge(&mut self, report: Report, now: Time) {
+        let made = now;
+        let entry = Direct { report, made };
         let found = self
-            .entries
+            .direct
             .binary_search_by_key(&entry.report.instance, |e| e.report.instance);
         match found {
-            Ok(at) if self.entries[at].report.sequence >= entry.report.sequence => return,
-            Ok(at) => self.entries[at] = entry,
-            Err(at) => self.entries.insert(at, entry),
+            Ok(at) if self.direct[at].report.sequence >= entry.report.sequence => {}
+            Ok(at) => self.direct[at] = entry,
+            Err(at) => self.direct.insert(at, entry),
+        }
+    }
+
+    /// Takes over another control instance's sum.
+    ///
+    /// An instance that has reported there after its last report here has moved, and its report
+    /// here is forgotten.
+    pub fn take(&mut self, sum: Sum, now: Time) {
+        self.direct.retain(|e| {
+            let report = &e.report;
+            let part = sum
+                .parts
+                .binary_search_by_key(&report.instance, |p| p.instance);
+            part.map_or(true, |at| sum.parts[at].sequence <= report.sequence)
+        });
+        let remote = Remote { sum, heard: now };
+        match self
+            .remote
+            .binary_search_by_key(&remote.sum.origin, |r| r.sum.origin)
+        {
+            Ok(at) => self.remote[at] = remote,
+            Err(at) => self.remote.insert(at, remote),
         }
-        self.mark += 1;
     }
 
-    /// Returns the direct reports that changed after the mark.
+    /// Returns the sum of the reports that came here.
     #[must_use]
-    pub fn since(&self, mark: u64, now: Time) -> Vec<Record> {
-        let changed = self.entries.iter().filter(|e| e.direct && e.mark > mark);
-        changed
-            .map(|e| Record {
-                report: e.report.clone(),
-                age: now.since(e.made),
-            })
-            .collect()
+    pub fn sum(&self, origin: u64, now: Time) -> Sum {
+        let mut sum = Sum {
+            origin,
+            ..Sum::default()
+        };
+        for entry in &self.direct {
+            let report = &entry.report;
+            for trial in &report.trials {
+                add_trial(&mut sum.trials, trial);
+            }
+            for suspect in &report.suspects {
+                sum.evidence.push(Evidence {
+                    instance: report.instance,
+                    suspect: *suspect,
+                });
+            }
+            if now.since(entry.made) >= PRESENT {
+                continue;
+            }
+            let known = sum.domains.iter().position(|d| *d == report.domain);
+            let domain = known.unwrap_or_else(|| {
+                sum.domains.push(report.domain.clone());
+                sum.domains.len() - 1
+            });
+            sum.parts.push(Part {
+                instance: report.instance,
+                domain: u16::try_from(domain).unwrap_or(u16::MAX),
+                sequence: report.sequence,
+            });
+        }
+        sum.loads = add_loads(self.present(now).flat_map(|r| &r.loads));
+        sum
     }
 
-    /// Forgets instances that were not heard for a long time.
+    /// Returns the reports of the instances that report here and are present.
+    fn present(&self, now: Time) -> impl Iterator<Item = &Report> {
+        let present = self
+            .direct
+            .iter()
+            .filter(move |e| now.since(e.made) < PRESENT);
+        present.map(|e| &e.report)
+    }
+
+    /// Returns the sums of other control instances that are not too old.
+    fn sums(&self, now: Time) -> impl Iterator<Item = &Sum> {
+        let recent = self
+            .remote
+            .iter()
+            .filter(move |r| now.since(r.heard) < PRESENT);
+        recent.map(|r| &r.sum)
+    }
+
+    /// Forgets what was not heard for a long time.
     pub fn expire(&mut self, now: Time) {
-        self.entries.retain(|e| now.since(e.made) < KEPT);
+        self.direct.retain(|e| now.since(e.made) < KEPT);
+        self.remote.retain(|r| now.since(r.heard) < PRESENT);
     }
 
-    /// Returns the totals over the instances that are present, without those of `except`.
-    #[must_use]
-    pub fn totals(&self, except: u64, now: Time) -> Totals {
-        let mut totals = Totals::default();
-        let present = self.entries.iter().filter(|e| now.since(e.made) < PRESENT);
-        for entry in present {
-            totals.instances.push(entry.report.instance);
-            let others = entry.report.instance != except;
-            let loads = entry.report.loads.iter().filter(|_| others);
-            for load in loads {
-                add_load(&mut totals.loads, load);
-            }
+    /// Returns what `instance` learns of the others: the work at the upstreams that `wanted` names,
+    /// the evidence of crashes and which instances are present in its failure domain.
+    pub fn totals<W>(&mut self, instance: u64, now: Time, wanted: W) -> Totals
+    where
+        W: Fn(&str) -> bool,
+    {
+        if self.summed.is_none_or(|at| now.since(at) >= SUM_AGE) {
+            let remote = self.sums(now).flat_map(|s| &s.loads);
+            let direct = self.present(now).flat_map(|r| &r.loads);
+            self.loads = add_loads(direct.chain(remote));
+            self.summed = Some(now);
         }
-        for entry in self.entries.iter().filter(|e| e.report.instance != except) {
-            for suspect in &entry.report.suspects {
-                add_suspect(&mut totals.suspects, *suspect);
+        let own = self
+            .direct
+            .binary_search_by_key(&instance, |e| e.report.instance);
+        let own = own.ok().map(|at| &self.direct[at].report);
+        let loads = self.loads.iter().filter(|l| wanted(&l.upstream));
+        let loads = loads.map(|sum| {
+            let part = own.and_then(|r| r.loads.iter().find(|l| l.upstream == sum.upstream));
+            part.map_or_else(|| sum.clone(), |part| sum.without(part))
+        });
+        let domain = own.map(|r| r.domain.clone()).unwrap_or_default();
+        let mut totals = Totals {
+            loads: loads.collect(),
+            ..Totals::default()
+        };
+        for report in self.present(now) {
+            totals.instances += 1;
+            if report.domain == domain {
+                totals.neighbours.push(report.instance);
             }
         }
+        for sum in self.sums(now) {
+            totals.instances += sum.parts.len() as u64;
+            let home = sum.domains.iter().position(|d| *d == domain);
+            let home = home.and_then(|at| u16::try_from(at).ok());
+            let parts = sum.parts.iter().filter(|p| Some(p.domain) == home);
+            totals.neighbours.extend(parts.map(|p| p.instance));
+        }
+        totals.neighbours.sort_unstable();
+        totals.neighbours.dedup();
+        totals.suspects = self.suspects(instance, now);
         totals
     }
 
-    /// Returns the outcomes of a version of a service over all instances.
-    #[must_use]
-    pub fn trial(&self, service: &str, version: &str) -> Trial {
+    /// Returns the evidence of all instances but one, each instance's counted once.
+    fn suspects(&self, except: u64, now: Time) -> Vec<Suspect> {
+        let direct = self.direct.iter().flat_map(|e| {
+            let instance = e.report.instance;
+            let suspects = e.report.suspects.iter();
+            suspects.map(move |s| (s.fingerprint, instance, s.crashes))
+        });
+        let remote = self.sums(now).flat_map(|s| &s.evidence);
+        let remote = remote.map(|e| (e.suspect.fingerprint, e.instance, e.suspect.crashes));
+        let mut all: Vec<_> = direct
+            .chain(remote)
+            .filter(|(_, instance, _)| *instance != except)
+            .collect();
+        all.sort_unstable();
+        let mut suspects: Vec<Suspect> = Vec::new();
+        for of_instance in all.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)) {
+            // The last of a chunk has the most crashes.
+            let (fingerprint, _, crashes) = of_instance[of_instance.len() - 1];
+            match suspects.last_mut() {
+                Some(last) if last.fingerprint == fingerprint => last.crashes += crashes,
+                _ => suspects.push(Suspect {
+                    fingerprint,
+                    crashes,
+                }),
+            }
+        }
+        suspects
+    }
+
+    /// Returns the sum of the outcomes that the filter names over all instances.
+    fn trials<F>(&self, now: Time, filter: F) -> Trial
+    where
+        F: Fn(&Trial) -> bool,
+    {
         let mut sum = Trial::default();
-        let trials = self.entries.iter().flat_map(|e| &e.report.trials);
-        for trial in trials.filter(|t| &*t.service == service && &*t.version == version) {
+        let direct = self.direct.iter().flat_map(|e| &e.report.trials);
+        let remote = self.sums(now).flat_map(|s| &s.trials);
+        for trial in direct.chain(remote).filter(|t| filter(t)) {
             sum.add(trial);
         }
         sum
     }
 
+    /// Returns the outcomes of a version of a service over all instances.
+    #[must_use]
+    pub fn trial(&self, service: &str, version: &str, now: Time) -> Trial {
+        self.trials(now, |t| &*t.service == service && &*t.version == version)
+    }
+
     /// Returns the outcomes of all other versions of a service over all instances.
     #[must_use]
-    pub fn control(&self, service: &str, version: &str) -> Trial {
-        let mut sum = Trial::default();
-        let trials = self.entries.iter().flat_map(|e| &e.report.trials);
-        for trial in trials.filter(|t| &*t.service == service && &*t.version != version) {
-            sum.add(trial);
+    pub fn control(&self, service: &str, version: &str, now: Time) -> Trial {
+        self.trials(now, |t| &*t.service == service && &*t.version != version)
+    }
+}
+
+impl Load {
+    fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        self.tokens += other.tokens;
+        self.work += other.work;
+        self.ok += other.ok;
+        self.failed += other.failed;
+    }
+
+    /// Returns the sum without a part that may be newer than the sum.
+    fn without(&self, part: &Self) -> Self {
+        Self {
+            upstream: self.upstream.clone(),
+            running: self.running.saturating_sub(part.running),
+            tokens: self.tokens.saturating_sub(part.tokens),
+            work: self.work.saturating_sub(part.work),
+            ok: self.ok.saturating_sub(part.ok),
+            failed: self.failed.saturating_sub(part.failed),
         }
-        sum
     }
 }
 
@@ -212,23 +391,27 @@
     }
 }
 
-fn add_load(loads: &mut Vec<Load>, load: &Load) {
-    match loads.binary_search_by(|l| l.upstream.cmp(&load.upstream)) {
-        Ok(at) => {
-            let sum = &mut loads[at];
-            sum.running += load.running;
-            sum.tokens += load.tokens;
-            sum.work += load.work;
-            sum.ok += load.ok;
-            sum.failed += load.failed;
+/// Returns the sums by upstream, sorted.
+fn add_loads<'a, L>(loads: L) -> Vec<Load>
+where
+    L: Iterator<Item = &'a Load>,
+{
+    let mut all: Vec<&Load> = loads.collect();
+    all.sort_unstable_by(|a, b| a.upstream.cmp(&b.upstream));
+    let mut sums: Vec<Load> = Vec::new();
+    for load in all {
+        match sums.last_mut() {
+            Some(last) if last.upstream == load.upstream => last.add(load),
+            _ => sums.push(load.clone()),
         }
-        Err(at) => loads.insert(at, load.clone()),
     }
+    sums
 }
 
-fn add_suspect(suspects: &mut Vec<Suspect>, suspect: Suspect) {
-    match suspects.binary_search_by_key(&suspect.fingerprint, |s| s.fingerprint) {
-        Ok(at) => suspects[at].crashes += suspect.crashes,
-        Err(at) => suspects.insert(at, suspect),
+fn add_trial(trials: &mut Vec<Trial>, trial: &Trial) {
+    let key = |t: &Trial| (t.service.clone(), t.version.clone());
+    match trials.binary_search_by(|t| key(t).cmp(&key(trial))) {
+        Ok(at) => trials[at].add(trial),
+        Err(at) => trials.insert(at, trial.clone()),
     }
 }
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -10,9 +10,10 @@
 
 use std::{
     cell::RefCell,
-    fs, io,
+    fs::{self, File},
+    io::{self, Write},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime},
@@ -30,8 +31,8 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, mpsc},
-    task::JoinSet,
-    time::{MissedTickBehavior, interval},
+    task::{JoinSet, spawn_blocking},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use self::state::State;
@@ -51,6 +52,15 @@
 /// Time since the last contact after which a control instance counts as out of reach.
 const CONTACT: Span = Span::from_millis(900);
 
+/// Interval at which an instance whose disk takes no writes tries it again.
+const DISK_RETRY: Duration = Duration::from_millis(500);
+
+/// File that is written to learn whether the disk takes writes.
+const PROBE: &str = "probe";
+
+/// Bytes of that file. A block that other files share would take fewer of them.
+const PROBE_BYTES: usize = 64 * 1_024;
+
 /// Settings of a control process, checked.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -58,6 +68,10 @@
     pub instance: name::Instance,
     /// Address for other processes of the system.
     pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Interval at which upstreams announce themselves.
+    pub announcements: Span,
     /// Data folder.
     pub data: PathBuf,
     /// Internal addresses of control instances to begin with.
@@ -98,6 +112,8 @@
     changed: Notify,
     /// The replica can't go on.
     ended: Notify,
+    /// Where the disk's thread reports to.
+    written: mpsc::UnboundedSender<Done>,
 }
 
 /// Why [`Shared::run`] ended.
@@ -152,6 +168,20 @@
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Writes a file into the data folder and removes it.
+fn probe(data: &Path) -> io::Result<()> {
+    let path = data.join(PROBE);
+    let written = File::create(&path).and_then(|mut file| {
+        file.write_all(&vec![0; PROBE_BYTES])?;
+        file.sync_all()
+    });
+    match fs::remove_file(&path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+        Ok(()) | Err(_) => {}
+    }
+    written
+}
+
 /// Returns the identity of a founding replica, which all founders know from its address.
 fn founder(address: SocketAddr) -> Identity {
     Identity::from_random(digest::mix(digest::of(address.to_string().as_bytes())))
@@ -192,20 +222,22 @@
         let fresh = fresh.unwrap_or_else(|| Image::empty(Identity::from_random(random())));
         let (sender, done) = mpsc::unbounded_channel();
         let known = Disk::is_founded(&settings.data);
-        let (disk, content) = Disk::open(&settings.data, fresh, sender).map_err(Error::Disk)?;
+        let (disk, content) =
+            Disk::open(&settings.data, fresh, sender.clone()).map_err(Error::Disk)?;
         log::info!(
             event = "replica_start", identity = content.image.id.to_string(), known,
             last = content.image.entries.last().map_or(content.image.snapshot.index, |e| e.index);
             "replica starts"
         );
         let clock = Clock::start();
-        let state = State::new(content.image, disk, clock.now()).map_err(Error::Disk)?;
+        let state = State::new(settings, content.image, disk, clock.now()).map_err(Error::Disk)?;
         let shared = Shared {
             settings: settings.clone(),
             clock,
             state: RefCell::new(state),
             changed: Notify::new(),
             ended: Notify::new(),
+            written: sender,
         };
         Ok((Self(Rc::new(shared)), done))
     }
@@ -230,6 +262,7 @@
             let record = fleet::Record {
                 announcement,
                 age: Span::ZERO,
+                silent: false,
             };
             let merged = state.fleet.merge(record, now);
             changed && merged
@@ -332,7 +365,14 @@
                 Some(done) = done.recv() => match done {
                     Done::Records(sequence) => self.step(Event::Synced(sequence)),
                     Done::Bills(_) => {}
-                    Done::Failed(reason) => return End::Failed(Error::Disk(reason)),
+                    Done::Failed(reason) => {
+                        log::error!(
+                            event = "disk_failed", reason = &*reason;
+                            "the disk takes no writes: stands aside"
+                        );
+                        self.state.borrow_mut().stand_aside();
+                        tasks.spawn_local(self.clone().await_disk());
+                    }
                 },
                 () = self.ended.notified() => {
                     let halted = self.state.borrow_mut().halted.take();
@@ -345,6 +385,44 @@
         }
     }
 
+    /// Waits until the disk takes writes and takes part in the log again.
+    ///
+    /// What the failed write left behind is read back as after a restart, so that nothing counts as
+    /// written that is not.
+    async fn await_disk(self: Rc<Self>) {
+        let data = &self.settings.data;
+        let image = loop {
+            sleep(DISK_RETRY).await;
+            let tried = data.clone();
+            let probed = spawn_blocking(move || probe(&tried)).await;
+            match probed.map_err(io::Error::other).flatten() {
+                Ok(()) => {}
+                Err(error) => {
+                    log::debug!("the disk takes no writes yet: {error}");
+                    continue;
+                }
+            }
+            let fresh = Image::empty(Identity::from_random(random()));
+            match Disk::open(data, fresh, self.written.clone()) {
+                Ok((disk, content)) => break (content.image, disk),
+                Err(reason) => log::warn!("the data folder can't be read: {reason}"),
+            }
+        };
+        let rejoined = {
+            let mut state = self.state.borrow_mut();
+            state.rejoin(image.0, image.1, self.clock.now())
+        };
+        match rejoined {
+            Ok(()) => {
+                log::info!(event = "disk_back"; "the disk takes writes: takes part again");
+            }
+            Err(reason) => {
+                self.state.borrow_mut().halted = Some(reason);
+                self.ended.notify_one();
+            }
+        }
+    }
+
     /// Steps the replica and carries out its actions.
     fn step(&self, event: Event) {
         let now = self.clock.now();
--- a/crates/node/src/gateway/control/lead.rs
+++ b/crates/node/src/gateway/control/lead.rs
@@ -21,16 +21,18 @@
 /// Returns the proposals that are due.
 pub(super) fn decide(state: &mut State, now: Time, wall_ms: u64) -> Vec<Event> {
     let mut events: Vec<_> = members(state, now).into_iter().collect();
-    events.extend(rollouts(state, wall_ms));
+    events.extend(rollouts(state, now, wall_ms));
     events
 }
 
-fn rollouts(state: &State, wall_ms: u64) -> Vec<Event> {
+fn rollouts(state: &State, now: Time, wall_ms: u64) -> Vec<Event> {
     let open = state.agreed.rollouts.iter();
     let open = open.filter(|r| r.phase == Phase::InProgress);
     open.filter_map(|rollout| {
-        let new = state.reports.trial(&rollout.service, &rollout.target);
-        let old = state.reports.control(&rollout.service, &rollout.target);
+        let new = state.reports.trial(&rollout.service, &rollout.target, now);
+        let old = state
+            .reports
+            .control(&rollout.service, &rollout.target, now);
         let step = canary::step(rollout, &new, &old, wall_ms)?;
         log::info!(
             event = "rollout", service = &*rollout.service, version = &*rollout.target,
--- a/crates/node/src/gateway/control/member.rs
+++ b/crates/node/src/gateway/control/member.rs
@@ -61,6 +61,7 @@
                 seen,
                 revision: None,
                 report: None,
+                services: Vec::new(),
                 control: Some(own.clone()),
             });
             let sent = self.clock.now();
@@ -68,7 +69,11 @@
                 Ok(Reply::News(news)) => {
                     seen = news.seen;
                     let now = self.clock.now();
-                    self.state.borrow_mut().take_news(address, *news, sent, now);
+                    let unknown = self.state.borrow_mut().take_news(address, *news, sent, now);
+                    if unknown {
+                        // Asks for all records: one was forgotten here and not there.
+                        seen.fleet = 0;
+                    }
                     self.changed.notify_waiters();
                 }
                 Ok(_) => log::warn!("{address} answers a poll with something else"),
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -13,7 +13,7 @@
 use crate::{
     control::disk::{Disk, Work},
     gateway::{
-        message::{Agreed, News, Poll, Refusal, Seen},
+        message::{Agreed, News, Poll, Refusal, Seen, Station},
         peers::Peers,
     },
 };
@@ -38,6 +38,9 @@
 /// Time without word from a leader after which a member asks whether it was removed.
 const SILENT: Span = Span::from_secs(2);
 
+/// Intervals of announcements after the start within which every upstream was heard.
+const HEARD_INTERVALS: u64 = 3;
+
 /// Who waits for a ticket of the log.
 #[derive(Debug)]
 pub struct Waiting(pub oneshot::Sender<Result<u64, Refusal>>);
@@ -46,6 +49,8 @@
 #[derive(Debug)]
 struct Contact {
     address: SocketAddr,
+    /// Failure domain; none before it has answered.
+    domain: Option<Arc<str>>,
     /// When it last answered a poll.
     heard: Option<Time>,
     /// Mark of this instance's directory that it has taken over.
@@ -72,6 +77,11 @@
     pub told: Vec<SocketAddr>,
     /// Random number of this process.
     process: u64,
+    started: Time,
+    /// Failure domain of this instance.
+    domain: Arc<str>,
+    /// Interval at which upstreams announce themselves.
+    interval: Span,
     contacts: Vec<Contact>,
     /// When each data folder's replica was last heard, sorted by identity.
     identities: Vec<(Identity, Time)>,
@@ -97,22 +107,17 @@
     /// # Errors
     ///
     /// Returns what is wrong with the snapshot.
-    pub fn new(image: Image, disk: Disk, now: Time) -> Result<Self, String> {
+    pub fn new(
+        settings: &super::Settings,
+        image: Image,
+        disk: Disk,
+        now: Time,
+    ) -> Result<Self, String> {
         let agreed = decode(&image.snapshot)?;
         let applied = image.snapshot.index;
         let snapshot_bytes = image.snapshot.data.as_bytes().len();
-        let limits = consensus::Limits {
-            payload_bytes: MAX_CONTENT + 1_024,
-            ..consensus::Limits::default()
-        };
-        let settings = Settings {
-            seed: super::random(),
-            limits,
-            pace: PACE,
-            fault: None,
-        };
         Ok(Self {
-            replica: Replica::new(&settings, image, now),
+            replica: replica(image, now),
             agreed: Arc::new(agreed),
             applied,
             fleet: fleet::Directory::default(),
@@ -123,6 +128,9 @@
             known_leader: None,
             told: Vec::new(),
             process: super::random(),
+            started: now,
+            domain: settings.domain.clone(),
+            interval: settings.announcements,
             contacts: Vec::new(),
             identities: Vec::new(),
             fresh: None,
@@ -143,7 +151,36 @@
     }
 
     pub fn leads(&self, now: Time) -> bool {
-        self.replica.may_act(now)
+        self.disk.is_some() && self.replica.may_act(now)
+    }
+
+    /// Takes no part in the log any more, because the disk takes no writes.
+    ///
+    /// The directory, the reports and the agreed state are served on, the latter only while another
+    /// instance's word shows that it is the newest.
+    pub fn stand_aside(&mut self) {
+        self.disk = None;
+        for (_, Waiting(reply)) in self.tickets.drain(..) {
+            // The caller may have given up.
+            let _gone = reply.send(Err(Refusal::Unknown));
+        }
+    }
+
+    /// Takes part in the log again, from what the disk holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the snapshot.
+    pub fn rejoin(&mut self, image: Image, disk: Disk, now: Time) -> Result<(), String> {
+        let agreed = decode(&image.snapshot)?;
+        self.applied = image.snapshot.index;
+        self.snapshot_bytes = image.snapshot.data.as_bytes().len();
+        self.bytes = 0;
+        self.replica = replica(image, now);
+        self.agreed = Arc::new(agreed);
+        (self.fresh, self.pending) = (None, None);
+        self.disk = Some(disk);
+        Ok(())
     }
 
     /// Returns whether no leader has been heard for a long time.
@@ -180,7 +217,12 @@
     }
 
     /// Steps the replica, carries out its actions and returns whether it has been stopped.
+    ///
+    /// An instance that stands aside says nothing and votes for nobody.
     pub fn step(&mut self, event: Event, now: Time) -> bool {
+        if self.disk.is_none() {
+            return false;
+        }
         let mut events = vec![event];
         let mut halted = false;
         while let Some(event) = events.pop() {
@@ -327,6 +369,7 @@
         let at = at.unwrap_or_else(|| {
             self.contacts.push(Contact {
                 address,
+                domain: None,
                 heard: None,
                 fleet_seen: 0,
             });
@@ -335,19 +378,27 @@
         &mut self.contacts[at]
     }
 
-    /// Takes over the news of another control instance that were asked for at `sent`.
-    pub fn take_news(&mut self, address: SocketAddr, news: News, sent: Time, now: Time) {
-        self.contact_mut(address).heard = Some(now);
+    /// Takes over the news of another control instance that were asked for at `sent`, and returns
+    /// whether it named an upstream that this instance has no record of.
+    pub fn take_news(&mut self, address: SocketAddr, news: News, sent: Time, now: Time) -> bool {
+        let contact = self.contact_mut(address);
+        contact.heard = Some(now);
+        contact.domain = Some(news.domain);
         self.heard(news.identity, now);
-        let told: Vec<SocketAddr> = news.control.iter().filter_map(|a| a.parse().ok()).collect();
+        let told = news.control.iter().filter_map(|s| s.address.parse().ok());
+        let told: Vec<SocketAddr> = told.collect();
         if !told.is_empty() {
             self.told = told;
         }
         for record in news.fleet {
             self.fleet.merge(record, now);
         }
-        for record in news.reports {
-            self.reports.merge(record, now, false);
+        let mut unknown = false;
+        for beat in &news.beats {
+            unknown |= !self.fleet.hear(beat, now);
+        }
+        if let Some(sum) = news.sum {
+            self.reports.take(sum, now);
         }
         if news.leads {
             self.known_leader = Some((address, now));
@@ -357,6 +408,7 @@
                 self.pending = Some((sent, news.index));
             }
         }
+        unknown
     }
 
     /// Answers a poll.
@@ -365,35 +417,46 @@
         if seen.process != self.process {
             seen = Seen::default();
         }
+        let whole = !seen.whole && now.since(self.started) >= self.interval.times(HEARD_INTERVALS);
+        let from = if whole { 0 } else { seen.fleet };
         let mut news = News {
             seen: Seen {
                 process: self.process,
                 fleet: self.fleet.mark(),
-                reports: self.reports.mark(),
+                whole: seen.whole || whole,
             },
             identity: self.id(),
             leads: self.leads(now),
             age: self.age(now),
             index: self.replica.commit(),
-            fleet: self.fleet.since(seen.fleet, now),
-            reports: Vec::new(),
+            domain: self.domain.clone(),
+            whole,
+            fleet: self.fleet.since(from, now),
+            beats: Vec::new(),
+            sum: None,
             totals: None,
             agreed: None,
-            control: self.members(),
+            control: Vec::new(),
         };
         if let Some(address) = poll.control.and_then(|a| a.parse().ok()) {
             self.contact_mut(address).fleet_seen = seen.fleet;
-            news.reports = self.reports.since(seen.reports, now);
+            news.beats = self.fleet.beats(seen.fleet, now);
+            news.sum = Some(self.reports.sum(self.process, now));
+            news.control = self.stations();
             return news;
         }
+        news.control = self.stations();
         if let Some(report) = poll.report {
-            let instance = report.instance;
-            let record = report::Record {
-                report,
-                age: Span::ZERO,
+            let (instance, domain) = (report.instance, report.domain.clone());
+            self.reports.merge(report, now);
+            let fleet = &self.fleet;
+            let wanted = |upstream: &str| {
+                fleet.get(upstream).is_some_and(|e| {
+                    let said = &e.announcement;
+                    said.domain == domain || poll.services.contains(&said.service)
+                })
             };
-            self.reports.merge(record, now, true);
-            news.totals = Some(self.reports.totals(instance, now));
+            news.totals = Some(self.reports.totals(instance, now, wanted));
         }
         let has = poll.revision == Some(self.agreed.revision);
         news.agreed = Some(Agreed {
@@ -405,11 +468,21 @@
         news
     }
 
-    /// Returns the internal addresses of all members.
-    fn members(&self) -> Vec<String> {
+    /// Returns all members with what is known of their failure domains.
+    fn stations(&self) -> Vec<Station> {
         let members = self.replica.members();
         let all = members.voters.iter().chain(&members.learners);
-        all.map(|m: &Member| m.address.clone()).collect()
+        let station = |m: &Member| Station {
+            address: m.address.clone(),
+            domain: if m.id == self.id() {
+                Some(self.domain.clone())
+            } else {
+                let parsed = m.address.parse().ok();
+                let contact = self.contacts.iter().find(|c| Some(c.address) == parsed);
+                contact.and_then(|c| c.domain.clone())
+            },
+        };
+        all.map(station).collect()
     }
 
     /// Returns the time since the agreed state was known to be the newest.
@@ -422,11 +495,26 @@
 
     /// Forgets what is old.
     pub fn expire(&mut self, now: Time) {
+        self.fleet.watch(now, self.interval);
         self.fleet.expire(now);
         self.reports.expire(now);
     }
 }
 
+fn replica(image: Image, now: Time) -> Replica {
+    let limits = consensus::Limits {
+        payload_bytes: MAX_CONTENT + 1_024,
+        ..consensus::Limits::default()
+    };
+    let settings = Settings {
+        seed: super::random(),
+        limits,
+        pace: PACE,
+        fault: None,
+    };
+    Replica::new(&settings, image, now)
+}
+
 fn decode(snapshot: &Snapshot) -> Result<agreed::State, String> {
     if snapshot.data.as_bytes().is_empty() {
         return Ok(agreed::State::default());
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -147,10 +147,10 @@
         dialect(),
         instance,
     ));
-    let seeds = settings.seeds.clone();
+    let (seeds, domain) = (settings.seeds.clone(), settings.domain.clone());
     thread::Builder::new()
         .name("control".into())
-        .spawn(move || control(Sync::new(board, clock, dialect(), instance, seeds)))?;
+        .spawn(move || control(Sync::new(board, clock, dialect(), instance, domain, seeds)))?;
     let (stage, staged) = watch::channel(Stage::Open);
     let reporter = traffic.clone();
     let reports = spawn_local(async move {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -77,9 +77,6 @@
 /// Upstreams that a request may have crashed before it is not sent any more.
 const MAX_CRASHES: u32 = 3;
 
-/// Requests that may be refused by upstreams before the router gives up.
-const MAX_REFUSALS: usize = 6;
-
 /// Head limits before the first configuration.
 const FIRST_LIMITS: Limits = Limits {
     head_bytes: 16_384,
@@ -100,6 +97,8 @@
     pool: RefCell<Pool>,
     /// Stamp of the view that the pool was updated from.
     stamp: Cell<u64>,
+    /// Stamp of the directory that the pool was updated from.
+    fleet_stamp: Cell<u64>,
     budgets: RefCell<Vec<(Arc<str>, Budget)>>,
     trials: RefCell<Vec<Trial>>,
     suspects: RefCell<Vec<(Suspect, Time)>>,
@@ -131,6 +130,7 @@
             held: Rc::default(),
             pool: RefCell::new(pool),
             stamp: Cell::new(0),
+            fleet_stamp: Cell::new(0),
             budgets: RefCell::default(),
             trials: RefCell::default(),
             suspects: RefCell::default(),
@@ -158,8 +158,10 @@
         if view.stamp != self.stamp.get() {
             self.stamp.set(view.stamp);
             let mut pool = self.pool.borrow_mut();
-            pool.update(view.fleet.entries(), self.now());
-            pool.update_totals(&view.totals);
+            if view.fleet_stamp != self.fleet_stamp.replace(view.fleet_stamp) {
+                pool.update(view.fleet.entries(), self.now());
+            }
+            pool.update_totals(&view.totals, self.now());
         }
         view
     }
@@ -356,11 +358,9 @@
             match self.clone().attempt(&job, &resolved, &target).await {
                 End::Answer(response) => return Ok(response),
                 End::Refused(refusal) => return Err(refusal),
+                End::Unreached => job.reject(&target.upstream)?,
                 End::NotRun => {
-                    job.tried.borrow_mut().push(target.upstream.clone());
-                    if job.tried.borrow().len() >= MAX_REFUSALS {
-                        return Err(job.give_up("refused by upstreams"));
-                    }
+                    job.reject(&target.upstream)?;
                     if !self.with_budget(&resolved.service.name, |b| b.withdraw(self.now())) {
                         return Err(job.give_up("no retry budget"));
                     }
--- a/crates/node/src/gateway/forward/evidence.rs
+++ b/crates/node/src/gateway/forward/evidence.rs
@@ -23,6 +23,7 @@
         // Brings the pool up to date even without requests.
         self.view();
         let loads = self.pool.borrow_mut().loads(now);
+        let pressed = self.pool.borrow().pressed();
         let mut suspects = self.suspects.borrow_mut();
         suspects.retain(|(_, seen)| now.since(*seen) < SUSPECT_KEPT);
         let suspects = suspects.iter().map(|(s, _)| *s).collect();
@@ -30,6 +31,7 @@
         // The control thread never panics while it holds the lock.
         let mut outbox = outbox.unwrap_or_else(std::sync::PoisonError::into_inner);
         outbox.loads = loads;
+        outbox.pressed = pressed;
         outbox.trials.clone_from(&self.trials.borrow());
         outbox.suspects = suspects;
     }
--- a/crates/node/src/gateway/forward/job.rs
+++ b/crates/node/src/gateway/forward/job.rs
@@ -19,6 +19,9 @@
     front::{Refusal, Resolved},
 };
 
+/// Upstreams that may refuse a request or take no connection before the router gives up.
+const MAX_REFUSALS: usize = 6;
+
 /// Time of an output token relative to that of a prompt token.
 const OUTPUT_WORK: u64 = 10;
 
@@ -80,6 +83,19 @@
         }
     }
 
+    /// Notes that an upstream has not run the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the request after too many of them.
+    pub(super) fn reject(&self, upstream: &Arc<str>) -> Result<(), Refusal> {
+        self.tried.borrow_mut().push(upstream.clone());
+        if self.tried.borrow().len() >= MAX_REFUSALS {
+            return Err(self.give_up("refused by upstreams"));
+        }
+        Ok(())
+    }
+
     /// Returns the refusal of a request whose time is over.
     pub(super) fn timed_out(&self) -> Refusal {
         if self.runs.get() > 0 {
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -17,8 +17,8 @@
         pub process: u64,
         /// Mark of the directory.
         pub fleet: u64,
-        /// Mark of the reports.
-        pub reports: u64,
+        /// Whether the whole directory was sent after the process had time to hear all upstreams.
+        pub whole: bool,
     }
 
     /// Asks a control instance for what is new.
@@ -31,6 +31,9 @@
         pub revision: Option<u64>,
         /// The sender's own report, if it is an entry instance.
         pub report: Option<report::Report>,
+        /// Services of which the loads in all failure domains are wanted. Of the others only those in
+        /// the sender's own failure domain are.
+        pub services: Vec<Arc<str>>,
         /// Internal address of the sender, if it is a control instance.
         pub control: Option<String>,
     }
@@ -48,6 +51,15 @@
         pub rollouts: Vec<Rollout>,
     }
 
+    /// A control instance as the others know it.
+    #[derive(Eq)]
+    pub struct Station {
+        /// Internal address.
+        pub address: String,
+        /// Failure domain; none before it has told.
+        pub domain: Option<Arc<str>>,
+    }
+
     /// What is new at a control instance.
     #[derive(Eq)]
     pub struct News {
@@ -61,16 +73,23 @@
         pub age: Option<Span>,
         /// Index of the log that the agreed state belongs to.
         pub index: u64,
+        /// Failure domain of the sender.
+        pub domain: Arc<str>,
+        /// Whether `fleet` has all upstreams and not only those whose records changed. A process that
+        /// has just started doesn't know them yet.
+        pub whole: bool,
         /// Upstreams whose records changed.
         pub fleet: Vec<fleet::Record>,
-        /// Reports that changed, for control instances.
-        pub reports: Vec<report::Record>,
+        /// Announcements that changed nothing, for control instances.
+        pub beats: Vec<fleet::Beat>,
+        /// The reports that the sender got itself, for control instances.
+        pub sum: Option<report::Sum>,
         /// Totals over the other entry instances, for an entry instance.
         pub totals: Option<report::Totals>,
         /// The agreed state, for an entry instance.
         pub agreed: Option<Agreed>,
-        /// Internal addresses of the control instances.
-        pub control: Vec<String>,
+        /// The control instances.
+        pub control: Vec<Station>,
     }
 
     /// A message to a control instance.
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -12,7 +12,7 @@
 use super::{
     caller::Caller,
     dialect::Dialect,
-    message::{Agreed, News, Poll, Reply, Request, Seen},
+    message::{Agreed, News, Poll, Reply, Request, Seen, Station},
     view::{Board, View},
 };
 use crate::clock::Clock;
@@ -29,22 +29,41 @@
 /// Age of the agreed state above which another control instance is asked.
 const STALE: Span = Span::from_millis(700);
 
+/// Time at a control instance of another failure domain after which one of the own is tried.
+const AWAY_LIMIT: Span = Span::from_secs(4);
+
 /// Everything that the control thread owns.
 pub struct Sync {
     board: Arc<Board>,
     clock: Clock,
     dialect: Box<dyn Dialect>,
     instance: u64,
+    domain: Arc<str>,
     sequence: u64,
     seeds: Vec<SocketAddr>,
+    /// Sorted by address.
     control: Vec<SocketAddr>,
-    /// Position in `control` of the instance that is polled.
-    at: usize,
+    /// Control instances of the own failure domain, sorted.
+    home: Vec<SocketAddr>,
+    /// Counts the control instances that were given up.
+    turns: usize,
     index: u64,
     view: View,
     directory: fleet::Directory,
 }
 
+/// Polls from the start within which a nearer control instance is taken at once.
+const FIRST_POLLS: u64 = 8;
+
+/// Why a control instance is not polled any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Left {
+    /// It is not reached, or it has no word from a leader.
+    Lost,
+    /// One of the own failure domain is tried.
+    ForHome,
+}
+
 impl Sync {
     /// Returns the state of a new process.
     pub fn new(
@@ -52,18 +71,21 @@
         clock: Clock,
         dialect: Box<dyn Dialect>,
         instance: u64,
+        domain: Arc<str>,
         seeds: Vec<SocketAddr>,
     ) -> Self {
-        let at = usize::try_from(instance % 1_024).unwrap_or_default();
+        let turns = usize::try_from(instance % 1_024).unwrap_or_default();
         Self {
             board,
             clock,
             dialect,
             instance,
+            domain,
             sequence: 0,
             control: seeds.clone(),
+            home: Vec::new(),
             seeds,
-            at,
+            turns,
             index: 0,
             view: View::default(),
             directory: fleet::Directory::default(),
@@ -72,31 +94,56 @@
 
     /// Polls for ever.
     pub async fn run(mut self) {
+        let mut lost = None;
         loop {
-            let address = self.control[self.at % self.control.len()];
-            log::info!(event = "control_chosen", address:% = address; "polls a control instance");
-            self.follow(Caller::new(address)).await;
-            self.at = self.at.wrapping_add(1);
-            sleep(PAUSE).await;
+            let address = self.next(lost);
+            log::info!(
+                event = "control_chosen", address:% = address, home = self.home.contains(&address);
+                "polls a control instance"
+            );
+            let left = self.follow(Caller::new(address)).await;
+            lost = (left == Left::Lost).then_some(address);
+            self.turns = self.turns.wrapping_add(1);
+            if lost.is_some() {
+                sleep(PAUSE).await;
+            }
         }
     }
 
-    /// Polls one control instance until it fails or falls behind.
-    async fn follow(&mut self, mut caller: Caller) {
+    /// Returns the control instance to poll next: one of the own failure domain, or any if the last
+    /// one tried was of that failure domain and could not be used.
+    fn next(&self, lost: Option<SocketAddr>) -> SocketAddr {
+        let usable = |a: &&SocketAddr| Some(**a) != lost;
+        let home: Vec<_> = self.home.iter().filter(usable).collect();
+        let was_home = lost.is_some_and(|a| self.home.contains(&a));
+        if !home.is_empty() && !was_home {
+            return *home[self.turns % home.len()];
+        }
+        let all: Vec<_> = self.control.iter().filter(usable).collect();
+        if all.is_empty() {
+            return self.control[self.turns % self.control.len()];
+        }
+        *all[self.turns % all.len()]
+    }
+
+    /// Polls one control instance until it fails, falls behind or another one is nearer.
+    async fn follow(&mut self, mut caller: Caller) -> Left {
         let mut seen = Seen::default();
+        let began = self.clock.now();
         loop {
             let sent = self.clock.now();
             let request = Request::Poll(Poll {
                 seen,
                 revision: self.view.table.as_ref().map(|t| t.revision()),
                 report: Some(self.report()),
+                services: self.pressed(),
                 control: None,
             });
             let news = match caller.call(&request, LIMIT).await {
                 Ok(Reply::News(news)) => *news,
                 Ok(_) => {
                     log::warn!("{} answers a poll with something else", caller.address());
-                    return;
+                    return Left::Lost;
                 }
                 Err(error) => {
                     let address = caller.address();
@@ -104,7 +151,7 @@
                         event = "control_lost", address:% = address, reason:% = error;
                         "a control instance is not reached"
                     );
-                    return;
+                    return Left::Lost;
                 }
             };
             seen = news.seen;
@@ -116,12 +163,36 @@
                     age_ms = age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX));
                     "a control instance has no word from a leader"
                 );
-                return;
+                return Left::Lost;
+            }
+            if self.is_away(caller.address(), began) {
+                return Left::ForHome;
             }
             sleep(INTERVAL).await;
         }
     }
 
+    /// Returns whether a control instance of the own failure domain is to be tried instead.
+    ///
+    /// At the start that is done at once, later only now and then: it may be out of reach.
+    fn is_away(&self, address: SocketAddr, began: Time) -> bool {
+        let limit = if self.sequence <= FIRST_POLLS {
+            Span::ZERO
+        } else {
+            AWAY_LIMIT
+        };
+        !self.home.is_empty()
+            && !self.home.contains(&address)
+            && self.clock.now().since(began) >= limit
+    }
+
+    fn pressed(&self) -> Vec<Arc<str>> {
+        let outbox = self.board.outbox.lock();
+        // The traffic thread never panics while it holds the lock.
+        let outbox = outbox.unwrap_or_else(std::sync::PoisonError::into_inner);
+        outbox.pressed.clone()
+    }
+
     fn report(&mut self) -> Report {
         self.sequence += 1;
         let outbox = self.board.outbox.lock();
@@ -129,6 +200,7 @@
         let outbox = outbox.unwrap_or_else(std::sync::PoisonError::into_inner);
         Report {
             instance: self.instance,
+            domain: self.domain.clone(),
             sequence: self.sequence,
             loads: outbox.loads.clone(),
             trials: outbox.trials.clone(),
@@ -139,12 +211,18 @@
     fn take(&mut self, news: News, sent: Time) {
         let now = self.clock.now();
         let mut changed = false;
-        for record in news.fleet {
-            changed |= self.directory.merge(record, now);
+        if news.whole {
+            self.directory.begin(news.fleet, now);
+            changed = true;
+        } else {
+            for record in news.fleet {
+                changed |= self.directory.follow(record, now);
+            }
         }
         self.directory.expire(now);
         if changed {
             self.view.fleet = Arc::new(self.directory.clone());
+            self.view.fleet_stamp += 1;
         }
         if let Some(totals) = news.totals {
             self.view.totals = Arc::new(totals);
@@ -160,28 +238,28 @@
                 self.view.fresh = self.view.fresh.max(Some(sent - age));
             }
         }
-        let control: Vec<SocketAddr> = news.control.iter().filter_map(|a| a.parse().ok()).collect();
-        if !control.is_empty() {
-            self.set_control(control);
-        }
+        self.set_control(&news.control);
         if changed {
             self.view.stamp += 1;
         }
         self.board.view.store(Arc::new(self.view.clone()));
     }
 
-    /// Replaces the list of control instances and stays with the one that is polled.
-    fn set_control(&mut self, mut control: Vec<SocketAddr>) {
+    /// Takes over the list of control instances.
+    fn set_control(&mut self, stations: &[Station]) {
+        if stations.is_empty() {
+            return;
+        }
+        let address = |s: &Station| s.address.parse().ok();
+        let mut control: Vec<SocketAddr> = stations.iter().filter_map(address).collect();
         control.extend(&self.seeds);
         control.sort_unstable();
         control.dedup();
-        if control == self.control {
-            return;
-        }
-        let current = self.control[self.at % self.control.len()];
-        let at = control.iter().position(|a| *a == current);
-        self.at = at.unwrap_or(self.at);
         self.control = control;
+        let near = |s: &&Station| s.domain.as_ref() == Some(&self.domain);
+        let mut home: Vec<_> = stations.iter().filter(near).filter_map(address).collect();
+        home.sort_unstable();
+        self.home = home;
     }
 
     fn take_agreed(&mut self, agreed: Agreed) -> bool {
--- a/crates/node/src/gateway/view.rs
+++ b/crates/node/src/gateway/view.rs
@@ -13,8 +13,10 @@
 /// What an entry instance believes, published by its control thread.
 #[derive(Clone, Debug, Default)]
 pub struct View {
-    /// Grows with each change of the agreed state or the directory.
+    /// Grows with each change of the agreed state, the directory or the totals.
     pub stamp: u64,
+    /// Grows with each change of the directory.
+    pub fleet_stamp: u64,
     /// Routes; none before the first configuration.
     pub table: Option<Arc<Table>>,
     /// Rollouts and failure domains out of service. Its configuration is in `table`.
@@ -32,6 +34,8 @@
 pub struct Outbox {
     /// Work by upstream.
     pub loads: Vec<report::Load>,
+    /// Services of which the loads in all failure domains are needed.
+    pub pressed: Vec<Arc<str>>,
     /// Outcomes by service and version.
     pub trials: Vec<Trial>,
     /// Requests that may have crashed upstreams.
