Send long shared prompts to one upstream from all failure domains

Cause: with requests kept in their failure domain each of the six read the long shared parts for itself.

A request whose shared part has 2,000 tokens or more goes to the upstream that rendezvous hashing names among all failure domains; a failure domain of which a connection failed is left for its announcement interval, doubled each time. Busy upstreams are known to all instances, so that a hot subject still spreads.

Ruled out by trial (small twin, and 57 s of logs): learning from a session or a client account which requests need a larger model.

The prefix caches are worth more than the bytes.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -2,8 +2,9 @@
 //!
 //! Requests about one subject go to the same upstream from every instance of a failure domain, by
 //! rendezvous hashing with bounded loads, so that its prefix cache holds what they share. Other
-//! failure domains are asked when the own one has too little room. The loads of other instances
-//! are known with a delay; the upstream's own queue absorbs what that delay hides.
+//! failure domains are asked when the own one has too little room, and for subjects so long that
+//! reading them again takes more than the way there. The loads of other instances are known with
+//! a delay; the upstream's own queue absorbs what that delay hides.
 
 use std::sync::Arc;
 
@@ -60,6 +61,12 @@
 /// Part of the slots of the own failure domain above which the loads of all others are asked for.
 const PRESSED_PART: f64 = 0.5;
 
+/// Tokens of a shared part of a prompt from which all failure domains send it to one upstream.
+///
+/// An engine reads some tens of tokens in a millisecond, so this many take longer than a request
+/// to another failure domain, and all requests that run beside them wait for as long.
+const WIDE_TOKENS: u64 = 2_000;
+
 /// How long an instance counts after it was last listed. Where a partition hides instances, the
 /// visible ones must not take over their part of a limit.
 const LISTED: Span = Span::from_secs(10);
@@ -71,6 +78,8 @@
     pub service: &'a str,
     /// Digest of the model and the shared part of the prompt, or none for plain services.
     pub subject: Option<u64>,
+    /// Tokens of the shared part.
+    pub shared: u64,
     /// Number from 0 to 999 that decides whether a canary takes the request.
     pub draw: u16,
     /// Prompt and output tokens.
@@ -162,6 +171,14 @@
     at: Time,
 }
 
+/// Another failure domain of which an upstream took no connection.
+#[derive(Clone, Debug)]
+struct Avoided {
+    domain: Arc<str>,
+    until: Time,
+    failures: u32,
+}
+
 /// All upstreams that an entry instance knows, sorted by identity.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -173,6 +190,8 @@
     instances: (usize, Time),
     /// Instances of the same failure domain, sorted.
     neighbours: Vec<Listed>,
+    /// Sorted by failure domain.
+    avoided: Vec<Avoided>,
     upstreams: Vec<Upstream>,
 }
 
@@ -186,6 +205,7 @@
             interval,
             instances: (1, Time::ZERO),
             neighbours: Vec::new(),
+            avoided: Vec::new(),
             upstreams: Vec::new(),
         }
     }
@@ -338,27 +358,39 @@
         } else {
             candidates = free;
         }
-        self.stay_near(&mut candidates);
+        self.narrow(&mut candidates, want, now);
         let chosen = match want.subject {
-            Some(subject) => preferred(&candidates, subject),
+            Some(subject) => preferred(&candidates, &self.domain, subject),
             None => self.least_loaded(&candidates, want.draw),
         };
         chosen.map_or(Choice::Full, |u| Choice::Upstream(u.target()))
     }
 
-    /// Keeps only the candidates of the own failure domain while they have enough room.
-    fn stay_near(&self, candidates: &mut Vec<&Upstream>) {
+    /// Keeps only the candidates of the own failure domain while they have enough room, and those
+    /// of all that are reached for subjects that are long to read.
+    fn narrow(&self, candidates: &mut Vec<&Upstream>, want: &Want<'_>, now: Time) {
         let near = candidates.iter().filter(|u| u.is_near(&self.domain));
         let count = near.clone().count();
         let has_room = |u: &&&Upstream| {
             let running = f64::from(u.running + u.others.running);
             running < f64::from(u.entry.announcement.slots) * NEAR_PART
         };
-        if count >= FEW_NEAR && near.clone().any(|u| has_room(&u)) {
+        if count < FEW_NEAR || !near.clone().any(|u| has_room(&u)) {
+            return;
+        }
+        if want.subject.is_some() && want.shared >= WIDE_TOKENS {
+            candidates.retain(|u| u.is_near(&self.domain) || !self.is_avoided(u, now));
+        } else {
             candidates.retain(|u| u.is_near(&self.domain));
         }
     }
 
+    fn is_avoided(&self, upstream: &Upstream, now: Time) -> bool {
+        let domain = &upstream.entry.announcement.domain;
+        let found = self.avoided.binary_search_by(|a| a.domain.cmp(domain));
+        found.is_ok_and(|at| now < self.avoided[at].until)
+    }
+
     /// Returns whether the request belongs to the new version of a rollout.
     fn canary(&self, want: &Want<'_>, state: &State) -> bool {
         let versions = self.upstreams.iter().map(|u| &u.entry.announcement);
@@ -474,23 +506,47 @@
             return;
         };
         let interval = self.interval;
+        let pause = |failures: u32| {
+            let intervals = DOWN_INTERVALS << failures.min(8);
+            interval.times(intervals.min(MAX_DOWN_INTERVALS))
+        };
         let upstream = &mut self.upstreams[at];
         if upstream.entry.announcement.incarnation != incarnation {
             return;
         }
         let failures = upstream.down.map_or(0, |d| d.failures);
-        let intervals = (DOWN_INTERVALS << failures.min(8)).min(MAX_DOWN_INTERVALS);
         upstream.down = Some(Down {
             incarnation,
-            until: now + interval.times(intervals),
+            until: now + pause(failures),
             failures: failures + 1,
         });
+        if upstream.is_near(&self.domain) {
+            return;
+        }
+        let domain = &upstream.entry.announcement.domain;
+        match self.avoided.binary_search_by(|a| a.domain.cmp(domain)) {
+            Ok(at) => {
+                let avoided = &mut self.avoided[at];
+                avoided.until = now + pause(avoided.failures);
+                avoided.failures += 1;
+            }
+            Err(at) => {
+                let avoided = Avoided {
+                    domain: domain.clone(),
+                    until: now + pause(0),
+                    failures: 1,
+                };
+                self.avoided.insert(at, avoided);
+            }
+        }
     }
 
     /// Notes that an upstream took a connection.
     pub fn reached(&mut self, upstream: &str) {
         if let Some(at) = self.find(upstream) {
             self.upstreams[at].down = None;
+            let domain = &self.upstreams[at].entry.announcement.domain;
+            self.avoided.retain(|a| a.domain != *domain);
         }
     }
 
@@ -594,7 +650,9 @@
 }
 
 /// Returns the first upstream in the subject's order whose load is not far above the mean.
-fn preferred<'a>(candidates: &[&'a Upstream], subject: u64) -> Option<&'a Upstream> {
+///
+/// The mean is that of the own failure domain, whose loads are always known.
+fn preferred<'a>(candidates: &[&'a Upstream], domain: &str, subject: u64) -> Option<&'a Upstream> {
     let mut order: Vec<_> = candidates
         .iter()
         .map(|u| {
@@ -605,9 +663,15 @@
         })
         .collect();
     order.sort_unstable_by_key(|(rank, _)| *rank);
-    let total: f64 = candidates.iter().map(|u| u.busy()).sum();
+    let near = candidates.iter().filter(|u| u.is_near(domain));
+    let near: Vec<f64> = near.map(|u| u.busy()).collect();
+    let loads = if near.len() < FEW_NEAR {
+        candidates.iter().map(|u| u.busy()).collect()
+    } else {
+        near
+    };
     #[expect(clippy::cast_precision_loss)]
-    let mean = total / candidates.len().max(1) as f64;
+    let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
     let bound = mean * LOAD_FACTOR + LOAD_SLACK;
     let within = order.iter().find(|(_, u)| u.busy() <= bound);
     within.or_else(|| order.first()).map(|(_, u)| *u)
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -14,6 +14,9 @@
 /// How long a report's counts stay part of the totals of a rollout.
 const KEPT: Span = Span::from_secs(60);
 
+/// Requests at an upstream from which every instance learns its load, wherever it is.
+const BUSY: u32 = 6;
+
 /// Age up to which sums are used again. Entry instances poll several times as often.
 const SUM_AGE: Span = Span::from_millis(80);
 
@@ -253,8 +256,8 @@
         self.remote.retain(|r| now.since(r.heard) < PRESENT);
     }
 
-    /// Returns what `instance` learns of the others: the work at the upstreams that `wanted` names,
-    /// the evidence of crashes and which instances are present in its failure domain.
+    /// Returns what `instance` learns of the others: the work at the upstreams that `wanted` names and
+    /// at busy ones, the evidence of crashes and which instances are present in its failure domain.
     pub fn totals<W>(&mut self, instance: u64, now: Time, wanted: W) -> Totals
     where
         W: Fn(&str) -> bool,
@@ -269,7 +272,8 @@
             .direct
             .binary_search_by_key(&instance, |e| e.report.instance);
         let own = own.ok().map(|at| &self.direct[at].report);
-        let loads = self.loads.iter().filter(|l| wanted(&l.upstream));
+        let loads = self.loads.iter();
+        let loads = loads.filter(|l| l.running >= BUSY || wanted(&l.upstream));
         let loads = loads.map(|sum| {
             let part = own.and_then(|r| r.loads.iter().find(|l| l.upstream == sum.upstream));
             part.map_or_else(|| sum.clone(), |part| sum.without(part))
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -320,14 +320,17 @@
 fn an_instance_learns_no_more_than_its_failure_domain_needs() {
     let mut board = Board::default();
     let mut other = Board::default();
-    board.merge(report(1, 1, 3), NOW);
+    board.merge(report(1, 1, 2), NOW);
     board.merge(report(2, 1, 3), NOW);
     for instance in 10..300 {
-        other.merge(report(instance, 1, 1), NOW);
+        other.merge(report(instance, 1, 0), NOW);
     }
     board.take(other.sum(7, NOW), NOW);
     let totals = board.totals(1, NOW, |upstream| upstream != "u");
     assert!(totals.loads.is_empty());
     assert_eq!(totals.neighbours, [1, 2]);
     assert_eq!(totals.instances, 292);
+    board.merge(report(1, 2, 30), NOW + Span::from_secs(1));
+    let totals = board.totals(2, NOW + Span::from_secs(1), |upstream| upstream != "u");
+    assert_eq!(totals.loads.len(), 1, "a busy upstream is known to all");
 }
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -55,6 +55,7 @@
     Want {
         service: "engines",
         subject,
+        shared: 0,
         draw: 500,
         tokens: 1_000,
         memory: 100_000,
@@ -282,6 +283,38 @@
     assert!(pool.pressed().is_empty());
 }
 
+/// Long prompts that clients of all failure domains share: each is read by one engine only, and a
+/// failure domain that is cut off is left after the first connection that failed.
+#[test]
+fn a_long_subject_goes_to_one_upstream_from_all_failure_domains() {
+    let all = warm(40);
+    let mut one = pool(1, &all);
+    let mut other = Pool::new("b".into(), 2, INTERVAL);
+    other.update(all.entries(), NOW);
+    let long = |subject| Want {
+        shared: 5_000,
+        ..want(Some(mix(subject)))
+    };
+    let mut far = 0;
+    for subject in 0..200 {
+        let first = one.choose(&long(subject), &State::default(), NOW);
+        assert_eq!(first, other.choose(&long(subject), &State::default(), NOW));
+        far += u32::from(domain_of(first).as_deref() == Some("b"));
+    }
+    assert!((70..=130).contains(&far), "{far} of 200");
+    one.fail("u01", 1, NOW);
+    for subject in 0..200 {
+        let choice = one.choose(&long(subject), &State::default(), NOW);
+        assert_eq!(domain_of(choice).as_deref(), Some("a"));
+    }
+    one.reached("u03");
+    let again = (0..200).filter(|subject| {
+        let choice = one.choose(&long(*subject), &State::default(), NOW);
+        domain_of(choice).as_deref() == Some("b")
+    });
+    assert!(again.count() >= 60, "it is reached again");
+}
+
 /// One failure domain with much more traffic than the others: it first asks for the loads of all,
 /// then its requests go to where there is room.
 #[test]
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -415,6 +415,7 @@
         let want = Want {
             service: &service.name,
             subject,
+            shared: job.shared_tokens(),
             // A remainder below 1,000 fits.
             draw: u16::try_from(draw % 1_000).unwrap_or_default(),
             tokens: job.tokens(),
--- a/crates/node/src/gateway/forward/job.rs
+++ b/crates/node/src/gateway/forward/job.rs
@@ -149,6 +149,12 @@
         parts.len().checked_sub(2).map(|at| parts[at].0)
     }
 
+    /// Returns the tokens of the parts of the prompt that requests share.
+    pub(super) fn shared_tokens(&self) -> u64 {
+        let shared = self.call.parts.split_last().map_or(&[][..], |(_, s)| s);
+        shared.iter().map(|(_, tokens)| tokens).sum()
+    }
+
     /// Returns a digest of the model and the part of the prompt that requests share.
     pub(super) fn subject(&self, route: &Route) -> u64 {
         let model = self.model(route).map_or(0, |m| digest::of(m.as_bytes()));
