--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod canary;
 pub mod cascade;
 pub mod claim;
+pub mod comeback;
 pub mod command;
 pub mod config;
 pub mod consensus;
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -6,6 +6,7 @@
     agreed::{Phase, Rollout},
     canary,
     cascade::{self, Answer, Pressure},
+    comeback::{self, Cause},
     report::{Board, Load, Report, Suspect, Trial},
     share::Budget,
     time::{Span, Time},
@@ -163,6 +164,45 @@
     assert!(rest >= 8, "{rest} are left for failures");
 }
 
+/// Power returns and 300 callers are refused in the same instant: they don't come back together,
+/// and each has time left to be served.
+#[test]
+fn callers_that_are_refused_together_come_back_one_after_the_other() {
+    for cause in [Cause::Full, Cause::Nothing, Cause::Unsure] {
+        let left = Span::from_secs(20);
+        let mut times: Vec<_> = (0..300)
+            .map(|caller| comeback::after(cause, left, caller).as_millis())
+            .collect();
+        times.sort_unstable();
+        let span = times[299] - times[0];
+        let most = times.iter().map(|start| {
+            times
+                .iter()
+                .filter(|t| (*start..start + span / 10).contains(t))
+                .count()
+        });
+        let most = most.max().unwrap();
+        assert!(most <= 60, "{most} of 300 in a tenth of the time");
+    }
+}
+
+/// Callers with different deadlines: nobody is told to come back when too little time is left.
+#[test]
+fn callers_with_little_time_left_come_back_first() {
+    for cause in [Cause::Full, Cause::Nothing, Cause::Unsure] {
+        for draw in 0..100 {
+            let times = [300, 1_500, 5_000, 20_000].map(|left| {
+                let left = Span::from_millis(left);
+                let after = comeback::after(cause, left, draw);
+                assert!(after.as_millis() <= left.as_millis() / 3);
+                after
+            });
+            assert!(times.is_sorted(), "{times:?}");
+        }
+        assert_eq!(comeback::after(cause, Span::ZERO, 1), Span::ZERO);
+    }
+}
+
 fn rollout(permille: u16) -> Rollout {
     Rollout {
         service: "engines".into(),
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -16,6 +16,7 @@
 use hyper::{Response, StatusCode};
 use masticlock_core::{
     cascade::Pressure,
+    comeback::Cause,
     digest,
     place::{Choice, Pool, Target, Want},
     plant::Plant,
@@ -58,22 +59,12 @@
 /// Longest pause until a waiting request looks for an upstream again.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
-/// Time after which a caller may come back when no upstream was free.
-const BUSY_RETRY: Span = Span::from_millis(300);
-
 /// Longest time that a request waits for the newest configuration: an election and two polls.
 const NEWS_PATIENCE: Span = Span::from_millis(1_800);
 
 /// Time from the start of the process within which the first configuration is expected.
 const START_LIMIT: Span = Span::from_secs(6);
 
-/// Time after which a caller may come back to an instance that does not know the newest
-/// configuration: an election and a poll.
-const UNSURE_RETRY: Span = Span::from_millis(2_200);
-
-/// Time after which a caller may come back when no upstream may be used.
-const NOTHING_RETRY: Span = Span::from_millis(600);
-
 /// Upstreams that a request may have crashed before it is not sent any more.
 const MAX_CRASHES: u32 = 3;
 
@@ -233,7 +224,10 @@
     /// A request that has waited is looked up again before it is sent, so that it is never sent by
     /// tables that are out of date.
     fn resolve(&self, job: &Job, view: &View) -> Result<Resolved, Refusal> {
-        let unsure = || Refusal::later(UNSURE_RETRY, "configuration not known to be current");
+        let unsure = || {
+            let reason = "configuration not known to be current";
+            job.later(Cause::Unsure, reason, self.now())
+        };
         let Some(table) = &view.table else {
             return Err(unsure());
         };
@@ -280,7 +274,7 @@
                 let left = job.deadline(&resolved.route).since(self.now());
                 let attempts = self.clone().attempts(job.clone());
                 let timely = timeout(left.to_std(), attempts).await;
-                timely.unwrap_or_else(|_| Err(job.timed_out()))
+                timely.unwrap_or_else(|_| Err(job.timed_out(self.now())))
             }
             Err(refusal) => Err(refusal),
         };
@@ -358,11 +352,11 @@
             match self.clone().attempt(&job, &resolved, &target).await {
                 End::Answer(response) => return Ok(response),
                 End::Refused(refusal) => return Err(refusal),
-                End::Unreached => job.reject(&target.upstream)?,
+                End::Unreached => job.reject(&target.upstream, self.now())?,
                 End::NotRun => {
-                    job.reject(&target.upstream)?;
+                    job.reject(&target.upstream, self.now())?;
                     if !self.with_budget(&resolved.service.name, |b| b.withdraw(self.now())) {
-                        return Err(job.give_up("no retry budget"));
+                        return Err(job.give_up("no retry budget", self.now()));
                     }
                 }
                 End::Again => job.tried.borrow_mut().push(target.upstream.clone()),
@@ -376,19 +370,19 @@
     /// After a wait the request is resolved anew, for which none is returned.
     async fn place(&self, job: &Job, resolved: &Resolved) -> Result<Option<Target>, Refusal> {
         if self.crashes(job.fingerprint) >= MAX_CRASHES {
-            return Err(job.give_up("quarantined"));
+            return Err(job.give_up("quarantined", self.now()));
         }
         let waited = self.now().since(job.arrived);
-        let (patience, retry, reason) = match self.choose(job, resolved) {
+        let (patience, cause, reason) = match self.choose(job, resolved) {
             Choice::Upstream(target) => return Ok(Some(target)),
-            Choice::Full => (patience(&resolved.route), BUSY_RETRY, "all upstreams full"),
-            Choice::Nothing => (NOTHING_PATIENCE, NOTHING_RETRY, "no usable upstream"),
+            Choice::Full => (patience(&resolved.route), Cause::Full, "all upstreams full"),
+            Choice::Nothing => (NOTHING_PATIENCE, Cause::Nothing, "no usable upstream"),
         };
         if waited >= patience {
             return Err(if job.runs.get() > 0 {
                 Refusal::of(StatusCode::BAD_GATEWAY, reason)
             } else {
-                Refusal::later(retry, reason)
+                job.later(cause, reason, self.now())
             });
         }
         tokio::select! {
--- a/crates/node/src/gateway/forward/job.rs
+++ b/crates/node/src/gateway/forward/job.rs
@@ -7,13 +7,13 @@
 
 use hyper::{HeaderMap, Method, StatusCode, body::Bytes};
 use masticlock_core::{
+    comeback::{self, Cause},
     digest,
     place::Size,
     route::{Kind, Route},
-    time::Time,
+    time::{Span, Time},
 };
 
-use super::{BUSY_RETRY, NOTHING_RETRY};
 use crate::gateway::{
     dialect::Call,
     front::{Refusal, Resolved},
@@ -22,6 +22,9 @@
 /// Upstreams that may refuse a request or take no connection before the router gives up.
 const MAX_REFUSALS: usize = 6;
 
+/// Time that a caller without a deadline is taken to wait.
+const DEADLINE: Span = Span::from_secs(10);
+
 /// Time of an output token relative to that of a prompt token.
 const OUTPUT_WORK: u64 = 10;
 
@@ -74,12 +77,21 @@
         self.arrived + limit
     }
 
+    /// Returns the refusal of a request that has not run, with the time to come back.
+    pub(super) fn later(&self, cause: Cause, reason: &'static str, now: Time) -> Refusal {
+        let limit = self.call.deadline.unwrap_or(DEADLINE);
+        let left = (self.arrived + limit).since(now);
+        // A caller's attempts have different identities.
+        let draw = digest::of(self.id().as_bytes());
+        Refusal::later(comeback::after(cause, left, draw), reason)
+    }
+
     /// Returns the refusal of a request that is given up.
-    pub fn give_up(&self, reason: &'static str) -> Refusal {
+    pub fn give_up(&self, reason: &'static str, now: Time) -> Refusal {
         if self.runs.get() > 0 {
             Refusal::of(StatusCode::BAD_GATEWAY, reason)
         } else {
-            Refusal::later(NOTHING_RETRY, reason)
+            self.later(Cause::Nothing, reason, now)
         }
     }
 
@@ -88,20 +100,20 @@
     /// # Errors
     ///
     /// Returns the refusal of the request after too many of them.
-    pub(super) fn reject(&self, upstream: &Arc<str>) -> Result<(), Refusal> {
+    pub(super) fn reject(&self, upstream: &Arc<str>, now: Time) -> Result<(), Refusal> {
         self.tried.borrow_mut().push(upstream.clone());
         if self.tried.borrow().len() >= MAX_REFUSALS {
-            return Err(self.give_up("refused by upstreams"));
+            return Err(self.give_up("refused by upstreams", now));
         }
         Ok(())
     }
 
     /// Returns the refusal of a request whose time is over.
-    pub(super) fn timed_out(&self) -> Refusal {
+    pub(super) fn timed_out(&self, now: Time) -> Refusal {
         if self.runs.get() > 0 {
             Refusal::of(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
         } else {
-            Refusal::later(BUSY_RETRY, "no upstream in time")
+            self.later(Cause::Full, "no upstream in time", now)
         }
     }
 
