--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -291,6 +291,19 @@
     ///
     /// Returns why it was not appended, or that this is not known.
     pub async fn submit(&self, command: Command) -> Result<(), Refusal> {
+        let kind = state::describe(&command);
+        let began = self.0.clock.now();
+        let outcome = self.append(command).await;
+        log::info!(
+            event = "submitted", command = kind,
+            outcome = outcome.map_or_else(|r| r.to_string(), |()| "confirmed".to_owned()),
+            took_ms = self.0.clock.now().since(began).as_millis();
+            "an operator's call is answered"
+        );
+        outcome
+    }
+
+    async fn append(&self, command: Command) -> Result<(), Refusal> {
         if let Command::Configure { revision, .. } = &command
             && *revision <= self.0.state.borrow().agreed.revision
             && !Plant::OldRevision.is_planted()
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -523,7 +523,7 @@
         .map_err(|e| format!("the snapshot can't be read: {e}"))
 }
 
-fn describe(command: &Command) -> String {
+pub(super) fn describe(command: &Command) -> String {
     match command {
         Command::Configure { revision, .. } => format!("configure {revision}"),
         Command::TakeOut(domain) => format!("take out {domain}"),
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -291,7 +291,7 @@
         let mut lease = match traffic.links.lease(&target, Duration::MAX).await {
             Ok(lease) => lease,
             Err(error) => {
-                traffic.unreachable(&target, &error.to_string());
+                traffic.unreachable(&target, &error);
                 continue;
             }
         };
