Heed what upstreams say in their answers: that they leave, and that they want quiet

Cause: two new rules of the users. An upstream that leaves says so in all its answers (Server-Leaving: 1), and nothing sent later than DrainMs after an instance has passed one on may reach it from there, also without contact to control. After a 503 with Retry-After an upstream wants nothing from that instance for so long. The gateway read neither.

core::notice keeps the word of each incarnation. A word is never taken back by an announcement of the same incarnation and never shortened by a later one; place and the check before a write ask it, also when a stream is continued. Departures go to control with the reports, and from there to all instances. When every upstream of a service wants quiet, callers are refused at once with the time at which the first is open again. Senseless times are none, long ones hold.

Found on the way: a farewell that reached one control instance before the number of the upstream's last announcement did was refused by the others for good. Merged now whatever its number.

Ruled out: telling other instances to keep quiet; the rule binds only the instance that was answered.

--- a/crates/core/src/comeback.rs
+++ b/crates/core/src/comeback.rs
@@ -18,6 +18,9 @@
 /// Least and most of the time that callers are told, in parts of a thousand.
 const SPREAD: (u64, u64) = (750, 1_250);
 
+/// The same for a time that is known, before which no caller can be served.
+const LATER_SPREAD: (u64, u64) = (1_000, 1_500);
+
 /// Parts of the time left of which one may pass until the caller comes back: it has to be served
 /// in the rest.
 const LEFT_PARTS: u64 = 3;
@@ -29,6 +32,8 @@
     Full,
     /// No upstream may be used.
     Nothing,
+    /// All upstreams have asked for quiet; the first one for this much longer.
+    Quiet(Span),
     /// The instance doesn't know whether its tables are current.
     Unsure,
 }
@@ -41,11 +46,15 @@
     let middle = match cause {
         Cause::Full => ROOM,
         Cause::Nothing => REPLACED,
+        Cause::Quiet(rest) => rest,
         Cause::Unsure => NEWS,
     };
     let latest = left.as_millis() / LEFT_PARTS;
     let middle = middle.as_millis().min(latest);
-    let (least, most) = SPREAD;
+    let (least, most) = match cause {
+        Cause::Quiet(_) => LATER_SPREAD,
+        Cause::Full | Cause::Nothing | Cause::Unsure => SPREAD,
+    };
     let part = least + digest::mix(draw) % (most - least + 1);
     Span::from_millis((middle * part / 1_000).min(latest))
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -156,7 +156,12 @@
             let old = &self.entries[at].announcement;
             let order = (old.incarnation, old.sequence)
                 .cmp(&(announcement.incarnation, announcement.sequence));
-            let left = old.incarnation == announcement.incarnation && old.phase == Phase::Leaving;
+            let same = old.incarnation == announcement.incarnation;
+            // A farewell is no announcement with a number of its own, so it may come with an old one.
+            if same && order.is_gt() && announcement.phase == Phase::Leaving {
+                return self.leave(&announcement.upstream, Some(announcement.incarnation));
+            }
+            let left = same && old.phase == Phase::Leaving;
             // An upstream that has said that it leaves never takes new work again.
             if order.is_gt()
                 || (order.is_eq() && old.phase == announcement.phase)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod limit;
 pub mod machine;
 pub mod name;
+pub mod notice;
 pub mod order;
 pub mod pick;
 pub mod place;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -12,6 +12,7 @@
     agreed::{Permit, State},
     digest,
     fleet::{Entry, Phase},
+    notice,
     report::{Load, Totals},
     time::{Span, Time},
 };
@@ -108,6 +109,9 @@
     Upstream(Target),
     /// All usable upstreams are full.
     Full,
+    /// All upstreams that could take the request have asked for quiet; the first one for this much
+    /// longer.
+    Quiet(Span),
     /// No upstream may be used.
     Nothing,
 }
@@ -206,13 +210,14 @@
     neighbours: Vec<Listed>,
     /// Sorted by failure domain.
     avoided: Vec<Avoided>,
+    notices: notice::Board,
     upstreams: Vec<Upstream>,
 }
 
 impl Pool {
     /// Returns an empty pool for an instance.
     #[must_use]
-    pub const fn new(domain: Arc<str>, instance: u64, interval: Span) -> Self {
+    pub fn new(domain: Arc<str>, instance: u64, interval: Span) -> Self {
         Self {
             domain,
             instance,
@@ -220,6 +225,7 @@
             instances: (1, Time::ZERO),
             neighbours: Vec::new(),
             avoided: Vec::new(),
+            notices: notice::Board::default(),
             upstreams: Vec::new(),
         }
     }
@@ -251,11 +257,14 @@
                 None => Upstream::new(entry.clone(), now),
             };
             let incarnation = upstream.entry.announcement.incarnation;
+            self.notices
+                .list(&entry.announcement.upstream, incarnation, now);
             if upstream.down.is_some_and(|d| d.incarnation != incarnation) {
                 upstream.down = None;
             }
             self.upstreams.push(upstream);
         }
+        self.notices.expire(now);
     }
 
     /// Takes over what the other instances report.
@@ -344,7 +353,7 @@
         let usable: Vec<_> = self
             .upstreams
             .iter()
-            .filter(|u| Self::is_usable(u, want, state, now))
+            .filter(|u| self.is_usable(u, want, state, now))
             .collect();
         let of = |new: bool| -> Vec<&Upstream> {
             let version = |u: &&&Upstream| {
@@ -359,7 +368,8 @@
             candidates = of(false);
         }
         if candidates.is_empty() {
-            return Choice::Nothing;
+            let rest = self.first_rest(want, state, now);
+            return rest.map_or(Choice::Nothing, Choice::Quiet);
         }
         let healthy = healthy(&candidates);
         let free: Vec<_> = healthy
@@ -417,16 +427,41 @@
         })
     }
 
-    fn is_usable(upstream: &Upstream, want: &Want<'_>, state: &State, now: Time) -> bool {
+    fn is_usable(&self, upstream: &Upstream, want: &Want<'_>, state: &State, now: Time) -> bool {
+        self.is_open(upstream, want, state, now) && self.rest(upstream, now).is_none()
+    }
+
+    /// Returns whether an upstream could take a request if it had not asked for quiet.
+    fn is_open(&self, upstream: &Upstream, want: &Want<'_>, state: &State, now: Time) -> bool {
         let said = &upstream.entry.announcement;
         &*said.service == want.service
             && upstream.is_up()
+            && !self.notices.is_leaving(&said.upstream, said.incarnation)
             && upstream.down.is_none_or(|d| now >= d.until)
             && !state.is_taken_out(&said.domain)
             && state.permit(want.service, &said.version) != Permit::Never
             && !want.tried.contains(&said.upstream)
     }
 
+    /// Returns how much longer an upstream wants no requests from this instance, if it does.
+    fn rest(&self, upstream: &Upstream, now: Time) -> Option<Span> {
+        let said = &upstream.entry.announcement;
+        self.notices.rest(&said.upstream, said.incarnation, now)
+    }
+
+    /// Returns the time until the first of the upstreams that have asked for quiet is open again.
+    ///
+    /// Those that have refused this request count: its caller may come back to them.
+    fn first_rest(&self, want: &Want<'_>, state: &State, now: Time) -> Option<Span> {
+        let want = Want {
+            tried: &[],
+            ..want.clone()
+        };
+        let open = self.upstreams.iter();
+        let open = open.filter(|u| self.is_open(u, &want, state, now));
+        open.filter_map(|u| self.rest(u, now)).min()
+    }
+
     fn has_room(&self, upstream: &Upstream, want: &Want<'_>, now: Time) -> bool {
         let running = upstream.running + upstream.others.running;
         let said = &upstream.entry.announcement;
@@ -577,12 +612,34 @@
         }
     }
 
+    /// Takes over the word of an upstream that it leaves, and returns whether that is news.
+    pub fn leave(&mut self, target: &Target, now: Time) -> bool {
+        self.notices
+            .leave(&target.upstream, target.incarnation, now)
+    }
+
+    /// Takes over the word of an upstream that it wants no requests for some time.
+    pub fn quiet(&mut self, target: &Target, time: Span, now: Time) {
+        self.notices
+            .quiet(&target.upstream, target.incarnation, time, now);
+    }
+
+    /// Returns the upstreams that have told this instance of late that they leave.
+    #[must_use]
+    pub fn departures(&self, now: Time) -> Vec<notice::Departure> {
+        self.notices.departures(now)
+    }
+
     /// Returns whether new requests may still be sent to the incarnation of the upstream.
     #[must_use]
-    pub fn is_current(&self, upstream: &str, incarnation: u64) -> bool {
+    pub fn is_current(&self, upstream: &str, incarnation: u64, now: Time) -> bool {
         self.find(upstream).is_some_and(|at| {
-            let said = &self.upstreams[at].entry.announcement;
-            said.incarnation == incarnation && said.phase == Phase::Ready
+            let known = &self.upstreams[at];
+            let said = &known.entry.announcement;
+            said.incarnation == incarnation
+                && said.phase == Phase::Ready
+                && !self.notices.is_leaving(upstream, incarnation)
+                && self.rest(known, now).is_none()
         })
     }
 }
--- a/crates/core/src/plant.rs
+++ b/crates/core/src/plant.rs
@@ -13,6 +13,10 @@
     OldRevision,
     /// The last write to a disk is acknowledged before it is done.
     NoSync,
+    /// What an upstream says in an answer of its leaving is passed over.
+    NoNotice,
+    /// An upstream's request for quiet is passed over.
+    NoQuiet,
 }
 
 impl Plant {
@@ -25,6 +29,8 @@
             Self::NoLease => "no-lease",
             Self::OldRevision => "old-revision",
             Self::NoSync => "no-sync",
+            Self::NoNotice => "no-notice",
+            Self::NoQuiet => "no-quiet",
         };
         std::env::var("MASTICLOCK_PLANT").is_ok_and(|planted| planted == name)
     }
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -6,7 +6,10 @@
 
 use std::sync::Arc;
 
-use crate::time::{Span, Time};
+use crate::{
+    notice::Departure,
+    time::{Span, Time},
+};
 
 /// How long an instance counts as present after its last report.
 pub const PRESENT: Span = Span::from_secs(3);
@@ -79,6 +82,8 @@
         pub trials: Vec<Trial>,
         /// Requests that may have crashed upstreams.
         pub suspects: Vec<Suspect>,
+        /// Upstreams that have told the instance of late that they leave.
+        pub departures: Vec<Departure>,
     }
 
     /// An instance whose latest report is part of a sum.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -53,6 +53,20 @@
     );
 }
 
+/// A farewell reaches one control instance while the last announcement reaches another: the first
+/// doesn't know the number of that announcement when it passes the farewell on.
+#[test]
+fn a_farewell_with_an_old_number_counts() {
+    let mut other = Directory::default();
+    other.merge(record(said("u", 5, 3, Phase::Ready)), NOW);
+    let mark = other.mark();
+    assert!(other.merge(record(said("u", 5, 2, Phase::Leaving)), NOW));
+    assert_eq!(phase(&other, "u"), Some(Phase::Leaving));
+    assert_eq!(other.since(mark, NOW).len(), 1, "it is passed on");
+    assert!(!other.merge(record(said("u", 5, 2, Phase::Leaving)), NOW));
+    assert!(!other.merge(record(said("u", 4, 9, Phase::Leaving)), NOW));
+}
+
 #[test]
 fn an_upstream_that_leaves_never_takes_new_work_again() {
     let mut directory = Directory::default();
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -298,6 +298,7 @@
             fingerprint: 42,
             crashes: 1,
         }],
+        departures: Vec::new(),
     }
 }
 
@@ -374,3 +375,17 @@
     let totals = board.totals(2, NOW + Span::from_secs(1), |upstream| upstream != "u");
     assert_eq!(totals.loads.len(), 1, "a busy upstream is known to all");
 }
+
+/// Every upstream of a service has asked for quiet: nobody comes back before the first is open.
+#[test]
+fn callers_come_back_after_the_quiet_that_upstreams_asked_for() {
+    let rest = Span::from_millis(2_400);
+    let mut times: Vec<_> = (0..100)
+        .map(|caller| comeback::after(Cause::Quiet(rest), Span::from_secs(20), caller))
+        .collect();
+    times.sort_unstable();
+    assert!(times[0] >= rest && times[99] <= Span::from_millis(3_600));
+    assert!(times[99].minus(times[0]) > Span::from_secs(1));
+    let short = comeback::after(Cause::Quiet(rest), Span::from_secs(3), 1);
+    assert!(short <= Span::from_secs(1), "a third of the time left");
+}
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -67,7 +67,7 @@
 fn chosen(choice: Choice) -> Option<Arc<str>> {
     match choice {
         Choice::Upstream(target) => Some(target.upstream),
-        Choice::Full | Choice::Nothing => None,
+        Choice::Full | Choice::Quiet(_) | Choice::Nothing => None,
     }
 }
 
@@ -268,7 +268,7 @@
 fn domain_of(choice: Choice) -> Option<Arc<str>> {
     match choice {
         Choice::Upstream(target) => Some(target.domain),
-        Choice::Full | Choice::Nothing => None,
+        Choice::Full | Choice::Quiet(_) | Choice::Nothing => None,
     }
 }
 
@@ -488,3 +488,40 @@
         assert_eq!(&*target.domain, "b");
     }
 }
+
+/// A service sheds load: one upstream after the other asks for quiet.
+#[test]
+fn upstreams_that_want_quiet_get_nothing_and_the_first_to_open_is_named() {
+    let mut pool = pool(1, &warm(3));
+    let state = State::default();
+    for times in [[3, 1, 2], [1, 1, 1]] {
+        for time in times {
+            let Choice::Upstream(target) = pool.choose(&want(None), &state, NOW) else {
+                continue;
+            };
+            pool.quiet(&target, Span::from_secs(time), NOW);
+            assert!(!pool.is_current(&target.upstream, target.incarnation, NOW));
+        }
+    }
+    let choice = pool.choose(&want(None), &state, NOW);
+    assert_eq!(choice, Choice::Quiet(Span::from_secs(1)));
+    let later = NOW + Span::from_secs(1);
+    assert!(chosen(pool.choose(&want(None), &state, later)).is_some());
+}
+
+/// The word of an upstream holds against whatever control instances list, until it starts anew.
+#[test]
+fn an_upstream_that_leaves_by_its_own_word_gets_nothing() {
+    let mut pool = pool(1, &warm(1));
+    let state = State::default();
+    let Choice::Upstream(target) = pool.choose(&want(None), &state, NOW) else {
+        panic!("it is free");
+    };
+    assert!(pool.leave(&target, NOW));
+    pool.update(warm(1).entries(), NOW);
+    assert_eq!(pool.choose(&want(None), &state, NOW), Choice::Nothing);
+    assert!(!pool.is_current(&target.upstream, target.incarnation, NOW));
+    pool.update(&[], NOW);
+    pool.update(warm(1).entries(), NOW + Span::from_secs(60));
+    assert_eq!(pool.choose(&want(None), &state, NOW), Choice::Nothing);
+}
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -5,7 +5,9 @@
     consensus::{
         self, Action, Event, Identity, Image, Member, Pace, Payload, Replica, Settings, Snapshot,
     },
-    fleet, report,
+    fleet,
+    notice::Departure,
+    report,
     time::{Span, Time},
 };
 use tokio::sync::oneshot;
@@ -448,6 +450,7 @@
         news.control = self.stations();
         if let Some(report) = poll.report {
             let (instance, domain) = (report.instance, report.domain.clone());
+            self.take_departures(&report.departures);
             self.reports.merge(report, now);
             let fleet = &self.fleet;
             let wanted = |upstream: &str| {
@@ -468,6 +471,23 @@
         news
     }
 
+    /// Takes over what upstreams have told an entry instance in their answers.
+    fn take_departures(&mut self, departures: &[Departure]) {
+        for departure in departures {
+            let Departure {
+                upstream,
+                incarnation,
+            } = departure;
+            if self.fleet.leave(upstream, Some(*incarnation)) {
+                log::info!(
+                    event = "upstream_leaving", upstream = &**upstream, incarnation,
+                    source = "answer";
+                    "an upstream has said in an answer that it leaves"
+                );
+            }
+        }
+    }
+
     /// Returns all members with what is known of their failure domains.
     fn stations(&self) -> Vec<Station> {
         let members = self.replica.members();
--- a/crates/node/src/gateway/dialect.rs
+++ b/crates/node/src/gateway/dialect.rs
@@ -56,6 +56,10 @@
     pub confidence: Option<u8>,
     /// How long the upstream keeps the connection open without a request.
     pub keep_alive: Option<Span>,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
+    /// How long the upstream wants no requests from this instance. It counts for a refusal only.
+    pub retry_after: Option<Span>,
 }
 
 /// Reads and writes a platform's headers and configurations.
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -376,6 +376,11 @@
         let (patience, cause, reason) = match self.choose(job, resolved) {
             Choice::Upstream(target) => return Ok(Some(target)),
             Choice::Full => (patience(&resolved.route), Cause::Full, "all upstreams full"),
+            Choice::Quiet(rest) => {
+                // A wait that ends before the upstreams are open again serves nobody.
+                let patience = patience(&resolved.route).minus(rest);
+                (patience, Cause::Quiet(rest), "all upstreams want quiet")
+            }
             Choice::Nothing => (NOTHING_PATIENCE, Cause::Nothing, "no usable upstream"),
         };
         if waited >= patience {
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -11,6 +11,7 @@
 use masticlock_core::{
     cascade,
     place::{Failure, Outcome, Target},
+    plant::Plant,
     route::Kind,
     time::Span,
 };
@@ -140,6 +141,7 @@
                 .lost(job, resolved, target, "the answer is another request's")
                 .await;
         }
+        self.heed(job, target, answer.status(), &said);
         if said.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
             self.count(resolved, target, "not_run");
             return self.not_run(job, target, answer, lease, &said).await;
@@ -188,13 +190,13 @@
     }
 
     /// Returns whether the tables still allow the upstream after a connection was opened.
-    fn is_allowed(&self, job: &Job, target: &Target) -> bool {
+    pub(super) fn is_allowed(&self, job: &Job, target: &Target) -> bool {
         let view = self.view();
         let state = &view.agreed;
-        let current = self
-            .pool
-            .borrow()
-            .is_current(&target.upstream, target.incarnation);
+        let current =
+            self.pool
+                .borrow()
+                .is_current(&target.upstream, target.incarnation, self.now());
         current && !state.is_taken_out(&target.domain) && self.resolve(job, &view).is_ok()
     }
 
@@ -293,6 +295,34 @@
             && self.with_budget(&resolved.service.name, |b| b.withdraw(self.now()))
     }
 
+    /// Takes over what an upstream says of itself in an answer.
+    pub(super) fn heed(&self, job: &Job, target: &Target, status: StatusCode, said: &Said) {
+        // The answer of another upstream, which has the address now.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let now = self.now();
+        let mut pool = self.pool.borrow_mut();
+        if said.leaving && !Plant::NoNotice.is_planted() && pool.leave(target, now) {
+            log::info!(
+                event = "upstream_leaving", request = job.id(), upstream = &*target.upstream,
+                incarnation = target.incarnation, source = "answer";
+                "an upstream says that it leaves"
+            );
+        }
+        let quiet = said
+            .retry_after
+            .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE && !Plant::NoQuiet.is_planted());
+        if let Some(quiet) = quiet {
+            pool.quiet(target, quiet, now);
+            log::info!(
+                event = "upstream_quiet", request = job.id(), upstream = &*target.upstream,
+                quiet_ms = quiet.as_millis();
+                "an upstream wants no requests for some time"
+            );
+        }
+    }
+
     /// Handles the word of an upstream that it has not run the request.
     async fn not_run(
         &self,
--- a/crates/node/src/gateway/forward/evidence.rs
+++ b/crates/node/src/gateway/forward/evidence.rs
@@ -24,6 +24,7 @@
         self.view();
         let loads = self.pool.borrow_mut().loads(now);
         let pressed = self.pool.borrow().pressed();
+        let departures = self.pool.borrow().departures(now);
         let mut suspects = self.suspects.borrow_mut();
         suspects.retain(|(_, seen)| now.since(*seen) < SUSPECT_KEPT);
         let suspects = suspects.iter().map(|(s, _)| *s).collect();
@@ -34,6 +35,7 @@
         outbox.pressed = pressed;
         outbox.trials.clone_from(&self.trials.borrow());
         outbox.suspects = suspects;
+        outbox.departures = departures;
     }
 
     pub(super) fn with_budget<F, T>(&self, service: &Arc<str>, act: F) -> T
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -280,7 +280,7 @@
             .map_err(|_| "the request is not allowed any more")?;
         let target = match traffic.choose(job, &resolved) {
             Choice::Upstream(target) => target,
-            Choice::Full | Choice::Nothing => {
+            Choice::Full | Choice::Quiet(_) | Choice::Nothing => {
                 sleep(LOOK_AGAIN).await;
                 continue;
             }
@@ -295,6 +295,9 @@
                 continue;
             }
         };
+        if !traffic.is_allowed(job, &target) {
+            continue;
+        }
         let running = Running::begin(
             traffic,
             &target,
@@ -325,6 +328,9 @@
         };
         let said = traffic.dialect().incoming(answer.headers());
         let own = said.id.as_deref() == job.call.id.as_deref();
+        if own {
+            traffic.heed(job, &target, answer.status(), &said);
+        }
         if own && said.signed && answer.status() == StatusCode::OK {
             log::info!(
                 event = "resumed", request = job.id(), upstream = &*target.upstream,
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -205,6 +205,7 @@
             loads: outbox.loads.clone(),
             trials: outbox.trials.clone(),
             suspects: outbox.suspects.clone(),
+            departures: outbox.departures.clone(),
         }
     }
 
--- a/crates/node/src/gateway/view.rs
+++ b/crates/node/src/gateway/view.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwap;
 use masticlock_core::{
     agreed, fleet,
+    notice::Departure,
     report::{self, Suspect, Trial},
     route::Table,
     time::Time,
@@ -40,6 +41,8 @@
     pub trials: Vec<Trial>,
     /// Requests that may have crashed upstreams.
     pub suspects: Vec<Suspect>,
+    /// Upstreams that have said in an answer that they leave.
+    pub departures: Vec<Departure>,
 }
 
 /// The blackboard.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     layout::{BOOKINGS, COLD_RATE, Layout, STEADY, route},
-    ledger::{End, Fact, Ledger, Part, Request, Run, Span},
+    ledger::{End, Fact, Ledger, Part, Request, Run, Span, Word},
 };
 
 /// Time without a disturbance after which a machine counts as in touch, in milliseconds.
@@ -23,6 +23,14 @@
 /// Time after which a leaving upstream gets no requests, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
 
+/// Time after which an answer has arrived unless its connection was harmed meanwhile, in
+/// milliseconds.
+const ARRIVED_MS: u64 = 1_000;
+
+/// Time after an upstream's word that it wants no requests from which the word counts, and the
+/// requests that may still reach it, in milliseconds and requests.
+const QUIET: (u64, usize) = (500, 2);
+
 /// Time after which a failure domain that is taken out gets no requests, in milliseconds.
 const TAKE_OUT_MS: u64 = 5_000;
 
@@ -53,6 +61,8 @@
     for (id, request) in &ledger.requests {
         judge.request(id, request, &mut broken);
     }
+    judge.departures(&mut broken);
+    judge.quiet(&mut broken);
     judge.cold(&mut broken);
     judge.budget(&mut broken);
     judge.reads(&mut broken);
@@ -173,6 +183,57 @@
         }
     }
 
+    /// Returns whether a word did not reach its entry instance, or the instance was restarted,
+    /// stopped, frozen or cut off until `to`.
+    fn is_excused(&self, word: &Word, to: u64) -> bool {
+        let (entry, from) = (word.entry, word.span.from);
+        let stops = &self.ledger.stops;
+        let stopped = stops.iter().any(|(e, s)| *e == entry && s.meets(from, to));
+        stopped
+            || self.is_disturbed(Part::Entry(entry), from, to)
+            || self.is_disturbed(Part::Upstream(word.upstream), from, from + ARRIVED_MS)
+    }
+
+    /// Judges requests to upstreams that had told the entry instance in an answer that they leave.
+    fn departures(&self, broken: &mut Vec<String>) {
+        for (id, request) in &self.ledger.requests {
+            let is_late = |run: &Run| {
+                self.ledger.departures.iter().any(|word| {
+                    (word.entry, word.upstream) == (request.entry, run.upstream)
+                        && request.sent > word.span.from + DRAIN_MS
+                        && word.span.meets(run.at, run.at)
+                        && !self.is_excused(word, run.at)
+                })
+            };
+            if request.runs.iter().any(is_late) {
+                broken.push(format!(
+                    "leaving: request {id} reached an upstream that had said so: {request:?}"
+                ));
+            }
+        }
+    }
+
+    /// Judges requests to upstreams that had told the entry instance that they want none.
+    fn quiet(&self, broken: &mut Vec<String>) {
+        let (from, most) = QUIET;
+        for word in &self.ledger.quiet {
+            let to = word.span.to.unwrap_or(u64::MAX);
+            let from = word.span.from + from;
+            let same = (word.entry, word.upstream);
+            let refused = self.ledger.refused.iter();
+            let refused = refused.filter(|r| (r.entry, r.upstream) == same);
+            let requests = self.ledger.requests.values();
+            let runs = requests.flat_map(|r| r.runs.iter().map(|run| (r.entry, run)));
+            let runs = runs.filter(|(entry, run)| (*entry, run.upstream) == same);
+            let arrived = refused.map(|r| r.at).chain(runs.map(|(_, run)| run.at));
+            let late: Vec<_> = arrived.filter(|at| (from..to).contains(at)).collect();
+            let last = late.iter().copied().max().unwrap_or(from);
+            if late.len() > most && !self.is_excused(word, last) {
+                broken.push(format!("quiet: {word:?} is passed over at {late:?} ms"));
+            }
+        }
+    }
+
     fn cold(&self, broken: &mut Vec<String>) {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let most = (COLD_RATE * COLD_OVER.0) as u64 + COLD_OVER.1;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -85,6 +85,28 @@
     pub span: Span,
 }
 
+/// A word of an upstream to one entry instance, for as long as it holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Word {
+    /// The entry instance that got it.
+    pub entry: usize,
+    /// The upstream.
+    pub upstream: usize,
+    /// From the answer with the word to its end.
+    pub span: Span,
+}
+
+/// A request that an upstream turned away.
+#[derive(Clone, Copy, Debug)]
+pub struct Refused {
+    /// The entry instance that sent it.
+    pub entry: usize,
+    /// The upstream.
+    pub upstream: usize,
+    /// When it arrived.
+    pub at: u64,
+}
+
 /// A read of the configuration.
 #[derive(Clone, Copy, Debug)]
 pub struct Read {
@@ -108,6 +130,12 @@
     pub cold: Vec<(usize, Span)>,
     /// Upstreams that have said that they leave.
     pub left: Vec<(usize, Span)>,
+    /// First words of upstreams to entry instances that they leave.
+    pub departures: Vec<Word>,
+    /// Words of upstreams to entry instances that they want no requests.
+    pub quiet: Vec<Word>,
+    /// Requests that upstreams turned away while they wanted none.
+    pub refused: Vec<Refused>,
     /// Failure domains that are taken out.
     pub taken_out: Vec<Fact>,
     /// Keys that were taken away.
@@ -135,6 +163,9 @@
             stops: Vec::new(),
             cold: Vec::new(),
             left: Vec::new(),
+            departures: Vec::new(),
+            quiet: Vec::new(),
+            refused: Vec::new(),
             taken_out: Vec::new(),
             revoked: Vec::new(),
             added: Vec::new(),
@@ -209,6 +240,55 @@
         Some(number)
     }
 
+    /// Records that an upstream tells the entry instance of a request that it leaves.
+    pub fn depart(&mut self, upstream: usize, id: &str) {
+        let span = Span {
+            from: self.now(),
+            to: None,
+        };
+        let Some(entry) = self.requests.get(id).map(|r| r.entry) else {
+            return;
+        };
+        let told = |w: &Word| w.entry == entry && w.upstream == upstream && w.span.to.is_none();
+        if !self.departures.iter().any(told) {
+            self.departures.push(Word {
+                entry,
+                upstream,
+                span,
+            });
+        }
+    }
+
+    /// Records the end of an upstream that has said that it leaves.
+    pub fn end_departure(&mut self, upstream: usize) {
+        let to = Some(self.now());
+        let words = self.departures.iter_mut();
+        for word in words.filter(|w| w.upstream == upstream && w.span.to.is_none()) {
+            word.span.to = to;
+        }
+    }
+
+    /// Records that an upstream turns a request away and wants no others for some milliseconds.
+    pub fn refuse(&mut self, upstream: usize, id: &str, quiet_ms: u64) {
+        let at = self.now();
+        let Some(entry) = self.requests.get(id).map(|r| r.entry) else {
+            return;
+        };
+        self.refused.push(Refused {
+            entry,
+            upstream,
+            at,
+        });
+        self.quiet.push(Word {
+            entry,
+            upstream,
+            span: Span {
+                from: at,
+                to: Some(at + quiet_ms),
+            },
+        });
+    }
+
     /// Records how a request ended.
     pub fn end(&mut self, id: &str, end: End) {
         let now = self.now();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -53,6 +53,10 @@
     Crash(usize, u64),
     /// An upstream leaves and comes back as a new process.
     Leave(usize, u64),
+    /// An upstream says only in its answers that it leaves, and comes back as a new process.
+    Depart(usize, u64),
+    /// An upstream turns requests away and wants none for a time.
+    Shed(usize, u64),
     /// A failure domain is taken out for a time.
     TakeOut(&'static str, u64),
     /// A key is taken away and one added.
@@ -93,7 +97,7 @@
             2 => Mode::MuteBackward,
             _ => Mode::Silent,
         };
-        let fault = match random.random_range(0..23) {
+        let fault = match random.random_range(0..26) {
             0 => Fault::Kill(Target::Entry(entry), time),
             // Longer than a revocation takes, so that a stale instance may wake up.
             1 => Fault::Pause(Target::Entry(entry), 3 * time),
@@ -128,6 +132,8 @@
             16..18 => Fault::Keys,
             18..21 => Fault::Older,
             21 => Fault::Read(control),
+            22 => Fault::Depart(upstream, 2_500 + time),
+            23 => Fault::Shed(upstream, 1_500 + time),
             // A fault that has to wait makes room for a change.
             _ => Fault::Routes,
         };
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -250,6 +250,8 @@
             Fault::ResetLink(at) => self.reset(&self.upstreams[at].proxy, Part::Upstream(at)),
             Fault::Crash(at, down) => self.upstreams[at].crash(time(down)).await,
             Fault::Leave(at, away) => self.upstreams[at].leave(time(away)).await,
+            Fault::Depart(at, away) => self.upstreams[at].depart(time(away)).await,
+            Fault::Shed(at, length) => self.upstreams[at].shed(time(length)).await,
             Fault::TakeOut(domain, length) => {
                 operator::take_out(self.layout, self.ledger.clone(), domain, time(length)).await;
             }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -8,7 +8,7 @@
     time::{Duration, SystemTime},
 };
 
-use masticlock_platform::outside::{self, Call, Fields};
+use masticlock_platform::outside::{self, Call, Fields, Word};
 use tokio::{
     io::{AsyncWriteExt, BufReader},
     net::TcpStream,
@@ -30,6 +30,9 @@
 /// Pause between two events of a stream.
 const EVENT: Duration = Duration::from_millis(40);
 
+/// Time for which an upstream that has said in its answers that it leaves is gone.
+const DEPARTED: Duration = Duration::from_millis(500);
+
 /// Length of a cold start in milliseconds.
 const COLD_MS: u64 = 1_500;
 
@@ -66,6 +69,10 @@
     incarnation: Cell<u64>,
     sequence: Cell<u64>,
     cold_until: Cell<u64>,
+    /// It says in its answers that it leaves.
+    departs: Cell<bool>,
+    /// It turns requests away until then.
+    sheds_until: Cell<u64>,
     connections: RefCell<JoinSet<()>>,
 }
 
@@ -100,6 +107,8 @@
             incarnation: Cell::new(wall_ms()),
             sequence: Cell::new(0),
             cold_until: Cell::new(0),
+            departs: Cell::new(false),
+            sheds_until: Cell::new(0),
             connections: RefCell::default(),
         });
         let accepting = upstream.clone();
@@ -155,7 +164,30 @@
         self.ledger.borrow_mut().calm(record);
     }
 
+    /// Says in its answers that it leaves, goes on serving and announcing itself for a time, and
+    /// comes back as a new process.
+    pub async fn depart(&self, away: Duration) {
+        if !self.alive.get() {
+            return;
+        }
+        self.departs.set(true);
+        sleep(away).await;
+        // It may have crashed or left meanwhile.
+        if self.alive.get() && self.departs.get() {
+            self.crash(DEPARTED).await;
+        }
+    }
+
+    /// Turns all requests away for a time, with the time that is left of it.
+    pub async fn shed(&self, length: Duration) {
+        let length = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+        let until = self.ledger.borrow().now() + length;
+        self.sheds_until.set(until);
+        sleep(Duration::from_millis(length)).await;
+    }
+
     fn stop(&self) {
+        self.ledger.borrow_mut().end_departure(self.at);
         self.alive.set(false);
         self.proxy.close();
         self.connections.borrow_mut().abort_all();
@@ -167,6 +199,8 @@
         }
         self.incarnation.set(wall_ms());
         self.sequence.set(0);
+        self.departs.set(false);
+        self.sheds_until.set(0);
         let mut ledger = self.ledger.borrow_mut();
         let now = ledger.now();
         self.cold_until.set(now + COLD_MS);
@@ -223,6 +257,12 @@
         }
     }
 
+    fn tell(&self, word: Word, id: &str) {
+        if word == Word::Leaving {
+            self.ledger.borrow_mut().depart(self.at, id);
+        }
+    }
+
     async fn answer<W>(
         &self,
         first: &str,
@@ -236,7 +276,16 @@
         let id = fields.id.clone().unwrap_or_default();
         if fields.upstream.as_deref() != Some(&self.id) {
             return out
-                .write_all(&outside::answer(421, &id, None, Some(0)))
+                .write_all(&outside::answer(421, &id, None, Some(0), Word::Nothing))
+                .await;
+        }
+        let now = self.ledger.borrow().now();
+        let quiet_ms = self.sheds_until.get().saturating_sub(now);
+        if quiet_ms > 0 {
+            self.ledger.borrow_mut().refuse(self.at, &id, quiet_ms);
+            let word = Word::Quiet(quiet_ms);
+            return out
+                .write_all(&outside::answer(503, &id, None, Some(0), word))
                 .await;
         }
         let path = first.split(' ').nth(1).unwrap_or_default();
@@ -245,15 +294,23 @@
             return Err(io::ErrorKind::InvalidData.into());
         }
         let proof = signature(&id);
+        let word = if self.departs.get() {
+            Word::Leaving
+        } else {
+            Word::Nothing
+        };
         if self.service == BOOKINGS {
             sleep(BOOKING).await;
             let text = format!("{id} done");
-            let mut answer = outside::answer(200, &id, Some(&proof), Some(text.len()));
+            let mut answer = outside::answer(200, &id, Some(&proof), Some(text.len()), word);
             answer.extend_from_slice(text.as_bytes());
-            return out.write_all(&answer).await;
+            out.write_all(&answer).await?;
+            self.tell(word, &id);
+            return Ok(());
         }
-        out.write_all(&outside::answer(200, &id, Some(&proof), None))
+        out.write_all(&outside::answer(200, &id, Some(&proof), None, word))
             .await?;
+        self.tell(word, &id);
         for number in fields.last_event.unwrap_or(0) + 1..=events(&id) {
             let text = event(&id, number);
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -7,7 +7,7 @@
 use masticlock_soak::{
     judge::judge,
     layout::{Layout, STEADY, STEADY_KEY},
-    ledger::{End, Fact, Ledger, Part, Read, Request, Run, Span},
+    ledger::{End, Fact, Ledger, Part, Read, Refused, Request, Run, Span, Word},
     process::guard,
 };
 
@@ -41,6 +41,22 @@
     }
 }
 
+fn word(from: u64, to: Option<u64>) -> Word {
+    Word {
+        entry: 0,
+        upstream: 0,
+        span: Span { from, to },
+    }
+}
+
+const fn refused(at: u64) -> Refused {
+    Refused {
+        entry: 0,
+        upstream: 0,
+        at,
+    }
+}
+
 /// Returns the first promise that is broken in a ledger.
 fn first<F>(change: F) -> Option<String>
 where
@@ -118,6 +134,17 @@
             "leaving",
             first(with(look(), |_, l| l.left.push((0, from(17_000))))),
         ),
+        (
+            "leaving",
+            first(with(look(), |_, l| l.departures.push(word(17_000, None)))),
+        ),
+        (
+            "quiet",
+            first(with(look(), |_, l| {
+                l.quiet.push(word(19_000, Some(21_000)));
+                l.refused = vec![refused(19_600), refused(20_900)];
+            })),
+        ),
         (
             "taken-out",
             first(with(look(), |_, l| l.taken_out.push(fact("a", 14_000)))),
@@ -177,6 +204,21 @@
         l.disturbed.push((Part::Upstream(0), from(19_000)));
     }));
     assert_eq!(cut, None);
+    let frozen = first(with(look(), |_, l| {
+        l.departures.push(word(15_000, None));
+        l.quiet.push(word(15_000, Some(21_000)));
+        l.refused = vec![refused(19_600), refused(19_700)];
+        let to = Some(18_000);
+        l.disturbed
+            .push((Part::Entry(0), Span { from: 16_000, to }));
+    }));
+    assert_eq!(frozen, None);
+    let soon = first(with(look(), |_, l| {
+        l.departures.push(word(18_500, None));
+        l.quiet.push(word(19_000, Some(21_000)));
+        l.refused = vec![refused(19_100), refused(19_300), refused(19_600)];
+    }));
+    assert_eq!(soon, None);
 }
 
 /// Guards against processes that a killed soak leaves behind.
