--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -134,17 +134,6 @@
             "leaving",
             first(with(look(), |_, l| l.left.push((0, from(17_000))))),
         ),
-        (
-            "leaving",
-            first(with(look(), |_, l| l.departures.push(word(17_000, None)))),
-        ),
-        (
-            "quiet",
-            first(with(look(), |_, l| {
-                l.quiet.push(word(19_000, Some(21_000)));
-                l.refused = vec![refused(19_600), refused(20_900)];
-            })),
-        ),
         (
             "taken-out",
             first(with(look(), |_, l| l.taken_out.push(fact("a", 14_000)))),
@@ -188,6 +177,27 @@
     }
 }
 
+#[test]
+fn each_word_of_an_upstream_that_is_passed_over_is_found() {
+    let look = || request(Kind::Repeatable, "look", 20_000);
+    let cases = [
+        (
+            "leaving",
+            first(with(look(), |_, l| l.departures.push(word(17_000, None)))),
+        ),
+        (
+            "quiet",
+            first(with(look(), |_, l| {
+                l.quiet.push(word(19_000, Some(21_000)));
+                l.refused = vec![refused(19_600), refused(20_900)];
+            })),
+        ),
+    ];
+    for (promise, found) in cases {
+        assert_eq!(found.as_deref(), Some(promise));
+    }
+}
+
 /// Guards against promises that count as broken where a fault allows it.
 #[test]
 fn disturbed_parts_excuse_late_changes_and_lost_answers() {
