Ask a larger model only while its answer is likely to be on time

Change: core::forecast learns how fast prompts are read from what was unread when a request was sent; entry instances report unread prompts.

--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -1,8 +1,9 @@
 //! When the answer of a small model is taken and when a larger model is asked.
 //!
 //! The smallest model answers first, because most requests are easy for it and its cost is a small
-//! part of the largest one's. Its confidence decides whether the answer is kept. The bars sink as
+//! part of the largest one's. Its confidence decides whether the answer is kept. The bar sinks as
 //! the upstreams become slow: what a larger model gains for one request it then takes from others.
+//! An answer that is there is never dropped for one that is likely to come too late.
 
 use std::sync::Arc;
 
@@ -27,25 +28,22 @@
 
 /// Confidence below which the largest model is asked.
 ///
-/// It answers nearly all requests that are too hard for the smallest, while the next larger one
-/// leaves many of them. It also takes the most time of an upstream, so this bar sinks first. The
-/// values come from the trials of round 11 in `docs/measurements.md`.
+/// It answers nearly all requests that are too hard for the smallest, while those in between leave
+/// many of them for half its cost. The values come from the rounds in
+/// `docs/deciding-under-load.md`.
 const LARGEST: Bar = Bar {
     calm: 50.0,
-    from: 0.02,
-    to: 0.15,
+    from: 0.1,
+    to: 0.4,
 };
 
-/// Confidence below which the next larger model is asked, from the same trials.
-const NEXT: Bar = Bar {
-    calm: 50.0,
-    from: 0.2,
-    to: 0.6,
-};
+/// Part of the objective within which the answer of a larger model must be likely to begin, in
+/// percent, from the same rounds. The rest covers what the forecast doesn't know.
+const TIMELY_PERCENT: u64 = 80;
 
 /// Time constant of the mean. An instance with few requests would otherwise keep the bar low for
 /// seconds after the upstreams have become fast again.
-const RECENT: Span = Span::from_secs(1);
+const RECENT: Span = Span::from_millis(700);
 
 /// Weight of the belief that the upstreams are fast, in answers.
 const CALM: f64 = 0.5;
@@ -135,8 +133,11 @@
         return None;
     }
     let confidence = f64::from(answer.confidence?);
-    if confidence < LARGEST.at(answer.pressure) {
-        return Some(largest);
-    }
-    (confidence < NEXT.at(answer.pressure)).then_some(1)
+    (confidence < LARGEST.at(answer.pressure)).then_some(largest)
+}
+
+/// Returns whether an answer that begins so long after the caller's request is likely to be on time.
+#[must_use]
+pub const fn is_timely(begin: Span, objective: Span) -> bool {
+    begin.as_millis() <= objective.as_millis() * TIMELY_PERCENT / 100
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod evidence;
 pub mod feed;
 pub mod fleet;
+pub mod forecast;
 pub mod gossip;
 pub mod inventory;
 pub mod ledger;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -100,6 +100,8 @@
     pub tokens: u64,
     /// Tokens weighted by the cost of their model and of their kind, which need time.
     pub work: u64,
+    /// Prompt tokens weighted by the cost of their model, which are read before the answer begins.
+    pub unread: u64,
 }
 
 /// A placement.
@@ -158,6 +160,7 @@
     running: u32,
     tokens: u64,
     work: u64,
+    unread: u64,
     others: Load,
     ok: f64,
     failed: f64,
@@ -529,13 +532,31 @@
             upstream.running += 1;
             upstream.tokens += size.tokens;
             upstream.work += size.work;
+            upstream.unread += size.unread;
             if now < upstream.entry.cold_until {
                 upstream.next_cold = now + COLD_INTERVAL;
             }
         }
     }
 
-    /// Counts a request as ended.
+    /// Counts the prompt of a request as read.
+    pub fn read(&mut self, upstream: &str, size: Size) {
+        if let Some(at) = self.find(upstream) {
+            let upstream = &mut self.upstreams[at];
+            upstream.unread = upstream.unread.saturating_sub(size.unread);
+        }
+    }
+
+    /// Returns the weighted prompt tokens that an upstream has to read for all instances.
+    #[must_use]
+    pub fn unread(&self, upstream: &str) -> u64 {
+        self.find(upstream).map_or(0, |at| {
+            let upstream = &self.upstreams[at];
+            upstream.unread + upstream.others.unread
+        })
+    }
+
+    /// Counts a request as ended, whose prompt was counted as read.
     pub fn end(&mut self, upstream: &str, size: Size, outcome: Outcome, now: Time) {
         if let Some(at) = self.find(upstream) {
             let upstream = &mut self.upstreams[at];
@@ -651,6 +672,7 @@
             running: 0,
             tokens: 0,
             work: 0,
+            unread: 0,
             others: Load::default(),
             ok: 0.0,
             failed: 0.0,
@@ -703,6 +725,7 @@
             running: self.running,
             tokens: self.tokens,
             work: self.work,
+            unread: self.unread,
             ok: self.ok.round() as u32,
             failed: self.failed.round() as u32,
         }
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -35,6 +35,8 @@
         pub tokens: u64,
         /// Weighted tokens of these requests, which tell how long they take.
         pub work: u64,
+        /// Weighted prompt tokens of the requests whose answers have not begun.
+        pub unread: u64,
         /// Recent requests that ended well.
         pub ok: u32,
         /// Recent requests that failed at the upstream.
@@ -381,6 +383,7 @@
         self.running += other.running;
         self.tokens += other.tokens;
         self.work += other.work;
+        self.unread += other.unread;
         self.ok += other.ok;
         self.failed += other.failed;
     }
@@ -392,6 +395,7 @@
             running: self.running.saturating_sub(part.running),
             tokens: self.tokens.saturating_sub(part.tokens),
             work: self.work.saturating_sub(part.work),
+            unread: self.unread.saturating_sub(part.unread),
             ok: self.ok.saturating_sub(part.ok),
             failed: self.failed.saturating_sub(part.failed),
         }
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -106,6 +106,7 @@
         let size = Size {
             tokens: 1_000,
             work: 4_000,
+            unread: 900,
         };
         pool.begin(&upstream, size, NOW);
         used.push(upstream);
@@ -525,3 +526,39 @@
     pool.update(warm(1).entries(), NOW + Span::from_secs(60));
     assert_eq!(pool.choose(&want(None), &state, NOW), Choice::Nothing);
 }
+
+/// Many instances send prompts to one upstream: each counts what it has not read yet, with the
+/// others' part as reported, until the answer begins.
+#[test]
+fn unread_prompts_count_until_the_answer_begins() {
+    let mut pool = pool(1, &warm(1));
+    let upstream = chosen(pool.choose(&want(Some(7)), &State::default(), NOW)).unwrap();
+    let size = Size {
+        tokens: 1_000,
+        work: 4_000,
+        unread: 900,
+    };
+    pool.begin(&upstream, size, NOW);
+    pool.begin(&upstream, size, NOW);
+    let others = Load {
+        upstream: upstream.clone(),
+        running: 1,
+        unread: 5_000,
+        ..Load::default()
+    };
+    let totals = Totals {
+        loads: vec![others],
+        ..Totals::default()
+    };
+    pool.update_totals(&totals, NOW);
+    assert_eq!(pool.unread(&upstream), 6_800);
+    pool.read(&upstream, size);
+    assert_eq!(pool.unread(&upstream), 5_900);
+    assert_eq!(
+        pool.loads(NOW)[0].unread,
+        900,
+        "only the own part is reported"
+    );
+    pool.end(&upstream, size, Outcome::Good, NOW);
+    assert_eq!(pool.unread(&upstream), 5_900, "it was counted as read");
+}
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -18,6 +18,7 @@
     cascade::Pressure,
     comeback::Cause,
     digest,
+    forecast::Forecast,
     place::{Choice, Pool, Target, Want},
     plant::Plant,
     report::{Suspect, Trial},
@@ -96,6 +97,7 @@
     /// Usual time until the head of an answer, by route.
     usual: RefCell<Vec<(Arc<str>, f64)>>,
     pressure: RefCell<Pressure>,
+    forecast: RefCell<Forecast>,
     /// A request has ended.
     room: Notify,
     started: Time,
@@ -127,6 +129,7 @@
             suspects: RefCell::default(),
             usual: RefCell::default(),
             pressure: RefCell::default(),
+            forecast: RefCell::default(),
             room: Notify::new(),
             started: clock.now(),
             metrics: metrics::Entry::default(),
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -10,7 +10,7 @@
 };
 use masticlock_core::{
     cascade,
-    place::{Failure, Outcome, Target},
+    place::{Choice, Failure, Outcome, Target},
     plant::Plant,
     route::Kind,
     time::Span,
@@ -91,7 +91,9 @@
         if !self.is_allowed(job, target) {
             return End::Unreached;
         }
-        let running = Running::begin(&self, target, &resolved.service.name, job.size(resolved));
+        let size = job.size(resolved);
+        let unread = self.pool.borrow().unread(&target.upstream) + size.unread;
+        let running = Running::begin(&self, target, &resolved.service.name, size);
         let sent = self.now();
         let request = self.request(job, resolved, target, job.call.last_event);
         job.runs.set(job.runs.get() + 1);
@@ -168,6 +170,7 @@
                 lease,
                 running,
                 took,
+                unread,
             },
         )
         .await
@@ -369,14 +372,18 @@
         target: &Target,
         arrived: Arrived,
     ) -> End {
+        arrived.running.read();
         let service = &resolved.service.name;
         let route = &resolved.route;
         let status = arrived.answer.status();
         let good = !status.is_server_error();
         let slow = self.is_slow(&route.name, arrived.took);
         if route.kind == Kind::Stream {
+            let now = self.now();
             let mut pressure = self.pressure.borrow_mut();
-            pressure.observe(service, arrived.took, route.objective, self.now());
+            pressure.observe(service, arrived.took, route.objective, now);
+            let mut forecast = self.forecast.borrow_mut();
+            forecast.observe(service, arrived.unread, arrived.took, now);
         }
         self.record(service, &target.version, good, slow);
         if !good && self.may_repeat(job, resolved) {
@@ -419,6 +426,21 @@
         }
     }
 
+    /// Returns how long after the caller's request the answer of a model is likely to begin, or none
+    /// if no upstream has room for it.
+    fn begin_of(&self, job: &Job, resolved: &Resolved, level: usize) -> Option<Span> {
+        let (choice, own) = job.as_if(level, || {
+            (self.choose(job, resolved), job.size(resolved).unread)
+        });
+        let Choice::Upstream(target) = choice else {
+            return None;
+        };
+        let unread = self.pool.borrow().unread(&target.upstream) + own;
+        let forecast = self.forecast.borrow();
+        let wait = forecast.begins_after(&resolved.service.name, unread);
+        Some(self.now().since(job.arrived).plus(wait))
+    }
+
     /// Returns the model that is to answer instead, if there is time and budget for it.
     fn larger(&self, job: &Job, resolved: &Resolved, said: &Said) -> Option<usize> {
         let route = &resolved.route;
@@ -435,6 +457,14 @@
                 .of(&resolved.service.name, self.now()),
         };
         let level = cascade::larger(&answer)?;
+        let begin = self.begin_of(job, resolved, level)?;
+        if !cascade::is_timely(begin, route.objective) {
+            log::debug!(
+                event = "cascade", request = job.id(), level, begin_ms = begin.as_millis();
+                "a larger model would answer too late"
+            );
+            return None;
+        }
         let allowed = self.with_budget(&resolved.service.name, |b| b.withdraw_optional(self.now()));
         log::debug!(
             event = "cascade", request = job.id(), level, allowed,
@@ -478,6 +508,8 @@
     pub running: Running,
     /// Time until the head.
     pub took: Span,
+    /// Weighted prompt tokens that the upstream had to read until then, the request's own included.
+    pub unread: u64,
 }
 
 /// Returns whether an answer belongs to the request.
--- a/crates/node/src/gateway/forward/job.rs
+++ b/crates/node/src/gateway/forward/job.rs
@@ -138,10 +138,12 @@
         let model = self.model(&resolved.route);
         let cost = model.and_then(|name| models.iter().find(|m| m.name == *name));
         let weight = cost.map_or(1.0, |m| m.cost / largest.max(f64::MIN_POSITIVE));
-        let tokens = self.call.prompt_tokens + OUTPUT_WORK * self.call.output_tokens;
+        let weighted = |tokens: u64| (tokens as f64 * weight.max(LEAST_WORK)) as u64;
+        let prompt = self.call.prompt_tokens;
         Size {
             tokens: self.tokens(),
-            work: (tokens as f64 * weight.max(LEAST_WORK)) as u64,
+            work: weighted(prompt + OUTPUT_WORK * self.call.output_tokens),
+            unread: weighted(prompt),
         }
     }
 
@@ -153,6 +155,17 @@
         route.models.get(self.level.get()).or(route.models.last())
     }
 
+    /// Returns what the act returns while another model is the one to answer.
+    pub(super) fn as_if<A, T>(&self, level: usize, act: A) -> T
+    where
+        A: FnOnce() -> T,
+    {
+        let level = self.level.replace(level);
+        let result = act();
+        self.level.set(level);
+        result
+    }
+
     /// Returns a digest of the longest part of the prompt that requests share, which requests of
     /// one session have in common.
     pub(super) fn session(&self) -> Option<u64> {
--- a/crates/node/src/gateway/forward/running.rs
+++ b/crates/node/src/gateway/forward/running.rs
@@ -11,6 +11,8 @@
     service: Arc<str>,
     size: Size,
     outcome: Cell<Outcome>,
+    /// Whether the answer has begun.
+    read: Cell<bool>,
 }
 
 impl Running {
@@ -29,6 +31,15 @@
             service: service.clone(),
             size,
             outcome: Cell::new(Outcome::Neutral),
+            read: Cell::new(false),
+        }
+    }
+
+    /// Notes that the answer has begun, so that its prompt is read.
+    pub(super) fn read(&self) {
+        if !self.read.replace(true) {
+            let mut pool = self.traffic.pool.borrow_mut();
+            pool.read(&self.target.upstream, self.size);
         }
     }
 
@@ -40,6 +51,7 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
+        self.read();
         let now = self.traffic.now();
         let mut pool = self.traffic.pool.borrow_mut();
         pool.end(&self.target.upstream, self.size, self.outcome.get(), now);
