--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -332,6 +332,7 @@
             traffic.heed(job, &target, answer.status(), &said);
         }
         if own && said.signed && answer.status() == StatusCode::OK {
+            running.read();
             log::info!(
                 event = "resumed", request = job.id(), upstream = &*target.upstream,
                 last_event = last_event.unwrap_or(0);
