--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -7,9 +7,11 @@
 
 mod lender;
 mod queue;
+mod rate;
 
 pub use lender::{Demand, Grant, Lender};
 pub use queue::{Item, Priority, Queue, Refusal};
+pub use rate::{Error as RateError, Rate, Statement};
 
 use crate::{
     error, name,
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -9,7 +9,10 @@
 
 use std::sync::Arc;
 
-use crate::time::{Span, Time};
+use crate::{
+    limit::Rate,
+    time::{Span, Time},
+};
 
 /// Time for which the notice of an upstream that is no longer listed is kept. An instance that was
 /// partitioned may list an upstream again after it has ended.
@@ -39,6 +42,8 @@
     leaving_since: Option<Time>,
     /// End of the backoff that it requested.
     backoff_until: Time,
+    /// Limit that it stated last.
+    limit: Option<Rate>,
     /// Time of its last listing or notice.
     last_seen: Time,
 }
@@ -65,6 +70,7 @@
             incarnation,
             leaving_since: None,
             backoff_until: Time::ZERO,
+            limit: None,
             last_seen: now,
         };
         let found = self.notices.binary_search_by(|n| n.upstream.cmp(upstream));
@@ -102,6 +108,37 @@
         }
     }
 
+    /// Records the limit that an upstream states, or that it states none, and returns whether that
+    /// is a change.
+    pub fn set_limit(
+        &mut self,
+        upstream: &Arc<str>,
+        incarnation: u64,
+        limit: Option<Rate>,
+        now: Time,
+    ) -> bool {
+        // Most upstreams never state a limit and need no notice.
+        if limit.is_none() && self.limit(upstream, incarnation).is_none() {
+            return false;
+        }
+        let Some(notice) = self.get_mut(upstream, incarnation, now) else {
+            return false;
+        };
+        std::mem::replace(&mut notice.limit, limit) != limit
+    }
+
+    /// Returns the limit that the incarnation of an upstream stated last, if it has one.
+    #[must_use]
+    pub fn limit(&self, upstream: &str, incarnation: u64) -> Option<Rate> {
+        self.get(upstream, incarnation)?.limit
+    }
+
+    /// Returns the number of upstreams that have stated a limit.
+    #[must_use]
+    pub fn limited(&self) -> usize {
+        self.notices.iter().filter(|n| n.limit.is_some()).count()
+    }
+
     /// Returns whether the incarnation of an upstream is leaving.
     #[must_use]
     pub fn is_leaving(&self, upstream: &str, incarnation: u64) -> bool {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::{
     digest,
     fleet::{Entry, Phase},
+    limit::Rate,
     notice,
     replicated::{Eligibility, State},
     report::{Load, Totals},
@@ -685,6 +686,24 @@
             .back_off(&target.upstream, target.incarnation, duration, now);
     }
 
+    /// Records the limit that an upstream states, and returns whether that is a change.
+    pub fn set_limit(&mut self, target: &Target, limit: Option<Rate>, now: Time) -> bool {
+        self.notices
+            .set_limit(&target.upstream, target.incarnation, limit, now)
+    }
+
+    /// Returns the limit of an upstream, if it has stated one.
+    #[must_use]
+    pub fn limit(&self, target: &Target) -> Option<Rate> {
+        self.notices.limit(&target.upstream, target.incarnation)
+    }
+
+    /// Returns the number of upstreams that have stated a limit.
+    #[must_use]
+    pub fn limited(&self) -> usize {
+        self.notices.limited()
+    }
+
     /// Returns the upstreams that have recently told this instance that they are leaving.
     #[must_use]
     pub fn departures(&self, now: Time) -> Vec<notice::Departure> {
--- a/crates/node/src/gateway/adapter.rs
+++ b/crates/node/src/gateway/adapter.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyper::HeaderMap;
-use masticlock_core::{route::Table, time::Span};
+use masticlock_core::{limit::Statement, route::Table, time::Span};
 
 /// Parsed headers of a client request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -61,6 +61,8 @@
     pub leaving: bool,
     /// How long the upstream wants no requests from this instance. It is used with status 503 only.
     pub retry_after: Option<Span>,
+    /// What the upstream states about the rate that it accepts from all instances together.
+    pub limit: Statement,
 }
 
 /// Translates a platform's headers and configurations.
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -231,6 +231,8 @@
             revision,
             view.directory.entries().len(),
         );
+        self.metrics
+            .set_limited_upstreams(self.pool.borrow().limited());
         self.metrics.text()
     }
 
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -11,6 +11,7 @@
 use masticlock_core::{
     cascade,
     fault::Fault,
+    limit::{Rate, Statement},
     placement::{Choice, Failure, Outcome, Target},
     route::Kind,
     time::Span,
@@ -97,15 +98,7 @@
         let sent_at = self.now();
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
         ctx.runs.set(ctx.runs.get() + 1);
-        log::info!(
-            event = "sent", request = ctx.id(), route = &*resolved.route.name,
-            account = resolved.account.as_ref().map_or("-", |a| &*a.name),
-            upstream = &*target.upstream, domain = &*target.domain, version = &*target.version,
-            model = ctx.model(&resolved.route).map_or("-", |m| &**m),
-            session = ctx.session_digest().unwrap_or_default(), runs = ctx.runs.get(),
-            waited_ms = sent_at.since(ctx.received_at).as_millis();
-            "a request is sent to an upstream"
-        );
+        self.log_sent(ctx, resolved, target);
         let deadline = self.send_deadline(resolved);
         let left = ctx.deadline(&resolved.route).since(sent_at);
         let retryable = resolved.route.is_repeatable() && ctx.runs.get() < resolved.route.attempts;
@@ -176,6 +169,20 @@
         .await
     }
 
+    /// Logs that a request is sent to an upstream.
+    pub(super) fn log_sent(&self, ctx: &RequestContext, resolved: &ResolvedRoute, target: &Target) {
+        log::info!(
+            event = "sent", request = ctx.id(), route = &*resolved.route.name,
+            account = resolved.account.as_ref().map_or("-", |a| &*a.name),
+            upstream = &*target.upstream, domain = &*target.domain, version = &*target.version,
+            model = ctx.model(&resolved.route).map_or("-", |m| &**m),
+            session = ctx.session_digest().unwrap_or_default(), runs = ctx.runs.get(),
+            limit_milli = limit_milli(self.pool.borrow().limit(target)),
+            waited_ms = self.now().since(ctx.received_at).as_millis();
+            "a request is sent to an upstream"
+        );
+    }
+
     fn count_attempt(&self, resolved: &ResolvedRoute, target: &Target, outcome: &str) {
         self.metrics
             .count_attempt(&resolved.service.name, &target.domain, outcome);
@@ -333,6 +340,7 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        self.record_limit(ctx, target, meta);
         let now = self.now();
         let mut pool = self.pool.borrow_mut();
         if meta.leaving && !Fault::NoNotice.is_injected() && pool.mark_leaving(target, now) {
@@ -355,6 +363,31 @@
         }
     }
 
+    /// Records what a response states about its upstream's limit.
+    fn record_limit(&self, ctx: &RequestContext, target: &Target, meta: &ResponseHeaders) {
+        let limit = match meta.limit {
+            Statement::Limited(rate) => Some(rate),
+            // Only the upstream's own word ends its limit.
+            Statement::Unlimited if meta.signed || meta.not_run => None,
+            Statement::Unlimited => return,
+            Statement::Unreadable => {
+                log::warn!(
+                    event = "limit_unreadable", request = ctx.id(), upstream = &*target.upstream;
+                    "an upstream states a limit that can't be read"
+                );
+                return;
+            }
+        };
+        if self.pool.borrow_mut().set_limit(target, limit, self.now()) {
+            log::info!(
+                event = "upstream_limit", request = ctx.id(), upstream = &*target.upstream,
+                incarnation = target.incarnation, source = "answer",
+                limit_milli = limit_milli(limit);
+                "an upstream states another limit"
+            );
+        }
+    }
+
     /// Handles the report of an upstream that it has not run the request.
     async fn on_not_run(
         &self,
@@ -555,6 +588,11 @@
     }
 }
 
+/// Returns a limit in thousandths of a request per second for a log line, or -1 if there is none.
+pub(super) fn limit_milli(limit: Option<Rate>) -> i64 {
+    limit.map_or(-1, |l| i64::try_from(l.as_milli()).unwrap_or(i64::MAX))
+}
+
 /// Removes the hop-by-hop headers and the body length.
 pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/node/src/gateway/forward/in_flight.rs
+++ b/crates/node/src/gateway/forward/in_flight.rs
@@ -27,6 +27,9 @@
     ) -> Self {
         let now = proxy.now();
         proxy.pool.borrow_mut().begin(&target.upstream, demand, now);
+        if proxy.pool.borrow().limit(target).is_some() {
+            proxy.metrics.count_limited_attempt();
+        }
         proxy.with_version_stats(service, &target.version, |t| t.running += 1);
         Self {
             proxy: proxy.clone(),
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -321,6 +321,7 @@
         );
         let request = proxy.build_request(ctx, &resolved, &target, last_event_id);
         ctx.runs.set(ctx.runs.get() + 1);
+        proxy.log_sent(ctx, &resolved, &target);
         let deadline = proxy.send_deadline(&resolved);
         let left = ctx.deadline(&resolved.route).since(proxy.now());
         let limit = Proxy::retry_timeout(&resolved, left).to_std();
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -72,6 +72,8 @@
     age: Gauge,
     revision: Gauge,
     upstreams: Gauge,
+    limited_upstreams: Gauge,
+    limited_attempts: Counter,
 }
 
 /// Returns the label value of a kind of route.
@@ -102,6 +104,17 @@
         );
         registry.register("revision", "Number of the configuration", revision.clone());
         registry.register("upstreams", "Known upstreams", upstreams.clone());
+        let (limited_upstreams, limited_attempts) = (Gauge::default(), Counter::default());
+        registry.register(
+            "limited_upstreams",
+            "Upstreams that have stated a limit",
+            limited_upstreams.clone(),
+        );
+        registry.register(
+            "limited_attempts",
+            "Requests sent to upstreams that have stated a limit",
+            limited_attempts.clone(),
+        );
         Self {
             registry,
             answers,
@@ -111,6 +124,8 @@
             age,
             revision,
             upstreams,
+            limited_upstreams,
+            limited_attempts,
         }
     }
 }
@@ -160,6 +175,16 @@
         self.upstreams.set(saturating_i64(upstreams));
     }
 
+    /// Counts a request sent to an upstream that has stated a limit.
+    pub fn count_limited_attempt(&self) {
+        self.limited_attempts.inc();
+    }
+
+    /// Sets the number of upstreams that have stated a limit.
+    pub fn set_limited_upstreams(&self, count: usize) {
+        self.limited_upstreams.set(saturating_i64(count));
+    }
+
     /// Returns all metrics as text.
     #[must_use]
     pub fn text(&self) -> String {
