Record when a share sent its last demand

Cause: Share::next_demand never set last_demand_at, so the shortest interval between two demands counted from the start of the clock and each refused request made the next demand due at once. Change: next_demand records its time. Result: 2,000 refusals in 2 s sent 2,000 demands to the lender before; the new test allows one each 100 ms and failed before. Callers of an account at its limit saw no difference; the lender got the calls.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -296,6 +296,7 @@
             BORROW_INTERVAL
         };
         self.next_demand_at = now + interval;
+        self.last_demand_at = now;
         self.last_demand += 1;
         self.confirmed_grant = self.latest_grant;
         Some(Demand {
--- a/crates/core/tests/limit.rs
+++ b/crates/core/tests/limit.rs
@@ -109,6 +109,25 @@
     assert_eq!(second.amount, Quota::default());
 }
 
+/// Guards against a demand to the lender for every refused request.
+#[test]
+fn a_share_that_refuses_sends_at_most_one_demand_each_100_ms() {
+    let mut share = Share::new(Quota::default(), Time::from_millis(1_000));
+    let mut demands = Vec::new();
+    for now in 1_000..3_000 {
+        let now = Time::from_millis(now);
+        share.admit(now).unwrap_err();
+        demands.extend(share.next_demand(now).map(|_| now));
+    }
+    let closest = demands.windows(2).map(|d| d[1].since(d[0])).min();
+    assert_eq!(
+        closest,
+        Some(Span::from_millis(100)),
+        "{} demands",
+        demands.len()
+    );
+}
+
 /// Guards against a `retry_after` after which the request is refused again.
 #[test]
 fn request_is_admitted_after_retry_after() {
