Keep the token bucket of a share in a type of its own

Cause: limits of upstreams need the same bucket, and Share rounds the tokens of each refill down to a thousandth of a request. Change: limit::Bucket counts millionths of a request, so a refill is exact.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -5,6 +5,7 @@
 //! a lender is replaced. A lender grants the other half to the instances that
 //! need it.
 
+mod bucket;
 mod lender;
 mod queue;
 mod rate;
@@ -13,6 +14,7 @@
 pub use queue::{Item, Priority, Queue, Refusal};
 pub use rate::{Error as RateError, Rate, Statement};
 
+use self::bucket::{Bucket, TOKENS_PER_REQUEST};
 use crate::{
     error, name,
     time::{Span, Time},
@@ -27,8 +29,8 @@
 /// Capacity of the token bucket in milliseconds of the rate: the burst that an idle client account
 /// may send.
 const BURST_MS: u64 = 1_000;
-/// Tokens that one request takes from the bucket; a token is a thousandth of a request.
-const TOKENS_PER_REQUEST: u64 = 1_000;
+/// Thousandths in one request per second.
+const MILLI: u64 = 1_000;
 
 plain! {
     /// A part of a client account's limits.
@@ -51,7 +53,7 @@
         let rest = concurrency % parts;
         let extra = u32::from(u32::try_from(rank).is_ok_and(|rank| rank < rest));
         Self {
-            rate: u64::from(rate) * TOKENS_PER_REQUEST / u64::from(parts),
+            rate: u64::from(rate) * MILLI / u64::from(parts),
             concurrency: concurrency / parts + extra,
         }
     }
@@ -100,9 +102,7 @@
     /// Number of the latest grant that a demand has confirmed to the lender.
     confirmed_grant: u64,
     in_flight: u32,
-    /// Level of the token bucket in thousandths of a request.
-    tokens: u64,
-    refilled_at: Time,
+    bucket: Bucket,
     /// Number of the last demand.
     last_demand: u64,
     next_demand_at: Time,
@@ -147,7 +147,7 @@
         let admitted = (self.received - self.refused).max(1);
         let in_flight = u64::from(self.max_in_flight) * self.received / admitted;
         Quota {
-            rate: self.received * TOKENS_PER_REQUEST * 1_250 / BORROW_INTERVAL.as_millis(),
+            rate: self.received * MILLI * 1_250 / BORROW_INTERVAL.as_millis(),
             concurrency: u32::try_from(in_flight * 5 / 4 + 1).unwrap_or(u32::MAX),
         }
     }
@@ -155,7 +155,7 @@
 
 /// Returns the tokens of a full bucket, enough for at least one request.
 const fn bucket_capacity(rate: u64) -> u64 {
-    let burst = rate * BURST_MS / 1_000;
+    let burst = rate.saturating_mul(BURST_MS);
     if burst > TOKENS_PER_REQUEST {
         burst
     } else {
@@ -179,8 +179,7 @@
             latest_grant: 0,
             confirmed_grant: 0,
             in_flight: 0,
-            tokens: bucket_capacity(base.rate),
-            refilled_at: now,
+            bucket: Bucket::new(bucket_capacity(base.rate), now),
             last_demand: 0,
             next_demand_at: now,
             last_demand_at: Time::ZERO,
@@ -217,12 +216,7 @@
     /// Adds the tokens of the time since the last refill.
     fn refill(&mut self, now: Time) {
         let rate = self.quota(now).rate;
-        let added = rate * now.since(self.refilled_at).as_millis() / 1_000;
-        // Time too short for a whole token counts towards the next refill.
-        if added > 0 || rate == 0 {
-            self.refilled_at = now;
-        }
-        self.tokens = (self.tokens + added).min(bucket_capacity(rate));
+        self.bucket.refill(rate, bucket_capacity(rate), now);
     }
 
     /// Admits a request, or refuses it with a time to retry after.
@@ -240,14 +234,13 @@
             let wait_ms = self.window.mean_completion_interval(now);
             return Err(rate_limited("too many requests are open", wait_ms));
         }
-        if self.tokens < TOKENS_PER_REQUEST {
+        if self.bucket.whole() == 0 {
             self.record_refusal(now);
-            let missing = TOKENS_PER_REQUEST - self.tokens;
-            let wait_ms = (missing * 1_000).checked_div(quota.rate);
+            let wait_ms = self.bucket.missing().checked_div(quota.rate);
             let wait_ms = wait_ms.unwrap_or(BORROW_INTERVAL.as_millis());
             return Err(rate_limited("the rate limit is reached", wait_ms + 1));
         }
-        self.tokens -= TOKENS_PER_REQUEST;
+        self.bucket.take(1);
         self.in_flight += 1;
         self.window.max_in_flight = self.window.max_in_flight.max(self.in_flight);
         Ok(())
