Hold the limit that an upstream states over all instances

Cause: no decision reads Server-Limit. It is a word of the upstream about all instances together, and placement knew only words about one instance (leaving, backoff) and limits that each instance holds alone. Change: statements about limits reach the directory with the reports and all instances with the records. The leader of the control instances fills one bucket for each limited upstream and hands out whole permits for single requests (limit::Issuer); control instances pass them on to the entry instances that poll them, which keep them in a limit::Stock. Every request to a limited upstream takes a pass when the upstream is chosen and checks it before it is written: first attempts, retries, larger models and resumed streams. Without contact to the leader an instance uses its own slots of a reserved eighth. An upstream that accepts nothing is asked by a health check. What no upstream can take is refused at once with a turn of its own. Why it works: a permit is handed out once, for one request, and ends after 1 s on its holder's clock, so a permit that is lost, late or held by a suspended process is not used, and a new leader with empty buckets adds nothing to what the old one gave. Messages between processes have new fields, so entry and control processes of the old and the new build do not understand each other.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,7 +8,10 @@
 
 use std::sync::Arc;
 
-use crate::time::{Span, Time};
+use crate::{
+    limit::Rate,
+    time::{Span, Time},
+};
 
 /// How long the record of a silent upstream is kept after its last announcement.
 const RETENTION: Span = Span::from_secs(30);
@@ -65,6 +68,17 @@
         pub age: Span,
         /// Whether the sender considers the upstream silent.
         pub silent: bool,
+        /// What the incarnation has stated last about its limit, if anything.
+        pub limit: Option<Statement>,
+    }
+
+    /// What an upstream has stated about its limit, as exchanged between instances.
+    #[derive(Copy, Eq)]
+    pub struct Statement {
+        /// Rate that it accepts from all instances together; `None` if it has no limit any more.
+        pub rate: Option<Rate>,
+        /// Time since the statement.
+        pub age: Span,
     }
 
     /// An announcement that repeats the previous one.
@@ -81,6 +95,15 @@
     }
 }
 
+/// What an upstream has stated about its limit, with the time on this instance's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limit {
+    /// Rate that it accepts from all instances together; `None` if it has no limit any more.
+    pub rate: Option<Rate>,
+    /// Time of the statement.
+    pub stated_at: Time,
+}
+
 /// A directory record with times on this instance's clock.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -93,6 +116,8 @@
     pub cold_until: Time,
     /// Whether it has not been heard for too long and gets no new requests.
     pub silent: bool,
+    /// What the incarnation has stated last about its limit, if anything.
+    pub limit: Option<Limit>,
     /// Revision of the latest change that readers need.
     change_revision: u64,
     /// Revision of the latest announcement.
@@ -153,8 +178,22 @@
     /// announcement.
     pub fn merge(&mut self, record: Record, now: Time) -> bool {
         let Record {
-            announcement, age, ..
+            announcement,
+            age,
+            limit,
+            ..
         } = record;
+        let (upstream, incarnation) = (announcement.upstream.clone(), announcement.incarnation);
+        let is_new = self.merge_announcement(announcement, age, now);
+        let limit = limit.map(|statement| Limit {
+            rate: statement.rate,
+            stated_at: now - statement.age,
+        });
+        let is_changed = limit.is_some_and(|l| self.set_limit(&upstream, incarnation, l));
+        is_new || is_changed
+    }
+
+    fn merge_announcement(&mut self, announcement: Announcement, age: Span, now: Time) -> bool {
         let found = self.find(&announcement.upstream);
         if let Ok(at) = found {
             let old = &self.entries[at].announcement;
@@ -186,10 +225,17 @@
             Ok(at) if is_repeat => self.entries[at].change_revision,
             Ok(_) | Err(_) => self.revision,
         };
+        // A limit belongs to one incarnation.
+        let limit = found.ok().and_then(|at| {
+            let known = &self.entries[at];
+            let is_same = known.announcement.incarnation == announcement.incarnation;
+            known.limit.filter(|_| is_same)
+        });
         let entry = Entry {
             cold_until: now + announcement.cold_left,
             last_heard: now - age,
             silent: false,
+            limit,
             change_revision,
             announcement_revision: self.revision,
             announcement,
@@ -315,6 +361,26 @@
         true
     }
 
+    /// Records what an incarnation of an upstream states about its limit, unless a later statement is
+    /// known, and returns whether its limit has changed.
+    pub fn set_limit(&mut self, upstream: &str, incarnation: u64, limit: Limit) -> bool {
+        let Ok(at) = self.find(upstream) else {
+            return false;
+        };
+        let known = &mut self.entries[at];
+        let is_old = known.limit.is_some_and(|l| l.stated_at >= limit.stated_at);
+        if known.announcement.incarnation != incarnation || is_old {
+            return false;
+        }
+        let before = known.limit.replace(limit);
+        if before.and_then(|l| l.rate) == limit.rate {
+            return false;
+        }
+        self.revision += 1;
+        known.change_revision = self.revision;
+        true
+    }
+
     /// Returns the records that changed after the revision.
     #[must_use]
     pub fn since(&self, revision: u64, now: Time) -> Vec<Record> {
@@ -326,6 +392,10 @@
                 announcement,
                 age: now.since(e.last_heard),
                 silent: e.silent,
+                limit: e.limit.map(|l| Statement {
+                    rate: l.rate,
+                    age: now.since(l.stated_at),
+                }),
             }
         };
         changed.map(record).collect()
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -1,18 +1,29 @@
-//! Distributed limits of client accounts, and fair queues.
+//! Distributed limits of client accounts and of upstreams, and fair queues.
 //!
-//! Half of a failure domain's limit is divided evenly between its instances.
+//! A limit of a client account is divided into rates and concurrencies:
+//! half of a failure domain's limit is divided evenly between its instances.
 //! They use it without a call to another instance, so it stays available while
 //! a lender is replaced. A lender grants the other half to the instances that
-//! need it.
+//! need it. A limit of an upstream is divided into permits for single requests
+//! (see [`Permit`]).
 
 mod bucket;
+mod issuer;
 mod lender;
+mod permit;
 mod queue;
 mod rate;
+mod stock;
+mod turn;
 
+pub use issuer::Issuer;
 pub use lender::{Demand, Grant, Lender};
+pub(crate) use permit::LEAD_TIME;
+pub use permit::{PERMIT_LIFETIME, Permit, Reserve, SEND_TIMEOUT, Want};
 pub use queue::{Item, Priority, Queue, Refusal};
 pub use rate::{Error as RateError, Rate, Statement};
+pub use stock::Stock;
+pub use turn::Turns;
 
 use self::bucket::{Bucket, TOKENS_PER_REQUEST};
 use crate::{
--- a/crates/core/src/limit/rate.rs
+++ b/crates/core/src/limit/rate.rs
@@ -36,6 +36,14 @@
         Self { milli }
     }
 
+    /// Returns the sum of two rates.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            milli: self.milli.saturating_add(other.milli),
+        }
+    }
+
     /// Returns the thousandths of a request per second.
     #[must_use]
     pub const fn as_milli(self) -> u64 {
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use crate::{
+    fleet,
     limit::Rate,
     time::{Span, Time},
 };
@@ -33,6 +34,19 @@
     }
 }
 
+/// What an upstream has stated about its limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limit {
+    /// Identity.
+    pub upstream: Arc<str>,
+    /// Incarnation of the upstream.
+    pub incarnation: u64,
+    /// Rate that it accepts from all instances together; `None` if it has no limit any more.
+    pub rate: Option<Rate>,
+    /// Time of the statement.
+    pub stated_at: Time,
+}
+
 /// The notices of one upstream.
 #[derive(Clone, Debug)]
 struct Notice {
@@ -42,8 +56,8 @@
     leaving_since: Option<Time>,
     /// End of the backoff that it requested.
     backoff_until: Time,
-    /// Limit that it stated last.
-    limit: Option<Rate>,
+    /// Its last statement about its limit.
+    limit: Option<fleet::Limit>,
     /// Time of its last listing or notice.
     last_seen: Time,
 }
@@ -108,35 +122,41 @@
         }
     }
 
-    /// Records the limit that an upstream states, or that it states none, and returns whether that
-    /// is a change.
+    /// Records the limit that an upstream states, or that it has none any more.
     pub fn set_limit(
         &mut self,
         upstream: &Arc<str>,
         incarnation: u64,
-        limit: Option<Rate>,
+        rate: Option<Rate>,
         now: Time,
-    ) -> bool {
-        // Most upstreams never state a limit and need no notice.
-        if limit.is_none() && self.limit(upstream, incarnation).is_none() {
-            return false;
+    ) {
+        if let Some(notice) = self.get_mut(upstream, incarnation, now) {
+            notice.limit = Some(fleet::Limit {
+                rate,
+                stated_at: now,
+            });
         }
-        let Some(notice) = self.get_mut(upstream, incarnation, now) else {
-            return false;
-        };
-        std::mem::replace(&mut notice.limit, limit) != limit
     }
 
-    /// Returns the limit that the incarnation of an upstream stated last, if it has one.
+    /// Returns the last statement of the incarnation of an upstream about its limit.
     #[must_use]
-    pub fn limit(&self, upstream: &str, incarnation: u64) -> Option<Rate> {
+    pub fn limit(&self, upstream: &str, incarnation: u64) -> Option<fleet::Limit> {
         self.get(upstream, incarnation)?.limit
     }
 
-    /// Returns the number of upstreams that have stated a limit.
+    /// Returns the last statements of all upstreams about their limits.
     #[must_use]
-    pub fn limited(&self) -> usize {
-        self.notices.iter().filter(|n| n.limit.is_some()).count()
+    pub fn limits(&self) -> Vec<Limit> {
+        let limit = |n: &Notice| {
+            let limit = n.limit?;
+            Some(Limit {
+                upstream: n.upstream.clone(),
+                incarnation: n.incarnation,
+                rate: limit.rate,
+                stated_at: limit.stated_at,
+            })
+        };
+        self.notices.iter().filter_map(limit).collect()
     }
 
     /// Returns whether the incarnation of an upstream is leaving.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -7,12 +7,15 @@
 //! trip. The loads from other instances are known with a delay; the upstream's own queue absorbs
 //! the resulting error.
 
+mod limit;
+
 use std::sync::Arc;
 
+use self::limit::Passes;
+pub use self::limit::{Pass, Shortage};
 use crate::{
     digest,
     fleet::{Entry, Phase},
-    limit::Rate,
     notice,
     replicated::{Eligibility, State},
     report::{Load, Totals},
@@ -119,6 +122,8 @@
     Full,
     /// All suitable upstreams have requested a backoff; the first one ends after this time.
     Backoff(Span),
+    /// The limits of all suitable upstreams allow no request of this instance now.
+    Limited(Shortage),
     /// No upstream is usable.
     Unavailable,
 }
@@ -226,6 +231,9 @@
     /// Sorted by failure domain.
     suspect_domains: Vec<SuspectDomain>,
     notices: notice::Store,
+    passes: Passes,
+    /// Whether an upstream may have a limit.
+    has_limits: bool,
     upstreams: Vec<Upstream>,
 }
 
@@ -241,6 +249,8 @@
             domain_instances: Vec::new(),
             suspect_domains: Vec::new(),
             notices: notice::Store::default(),
+            passes: Passes::default(),
+            has_limits: false,
             upstreams: Vec::new(),
         }
     }
@@ -266,6 +276,9 @@
                     if known.entry.silent && !entry.silent {
                         known.down = None;
                     }
+                    if known.entry.limit.and_then(|l| l.rate) > entry.limit.and_then(|l| l.rate) {
+                        self.passes.discard(&entry.announcement.upstream);
+                    }
                     known.entry = entry.clone();
                     known
                 }
@@ -280,6 +293,7 @@
             self.upstreams.push(upstream);
         }
         self.notices.expire(now);
+        self.has_limits = self.limited() > 0;
     }
 
     /// Updates the loads and the list of instances from the reports of the other instances.
@@ -367,11 +381,29 @@
     /// Chooses an upstream for a request.
     #[must_use]
     pub fn choose(&self, criteria: &Criteria<'_>, state: &State, now: Time) -> Choice {
+        self.choose_from(criteria, state, now, |u| self.is_passable(u, now))
+    }
+
+    /// Chooses an upstream for a request as if none had a limit.
+    fn choose_regardless(&self, criteria: &Criteria<'_>, state: &State, now: Time) -> Choice {
+        self.choose_from(criteria, state, now, |_| true)
+    }
+
+    fn choose_from<F>(
+        &self,
+        criteria: &Criteria<'_>,
+        state: &State,
+        now: Time,
+        is_passable: F,
+    ) -> Choice
+    where
+        F: Fn(&Upstream) -> bool,
+    {
         let is_canary = self.is_canary(criteria, state);
         let usable: Vec<_> = self
             .upstreams
             .iter()
-            .filter(|u| self.is_usable(u, criteria, state, now))
+            .filter(|u| self.is_usable(u, criteria, state, now) && is_passable(u))
             .collect();
         let of_version = |canary: bool| -> Vec<&Upstream> {
             let matches = |u: &&&Upstream| {
@@ -386,6 +418,9 @@
             candidates = of_version(false);
         }
         if candidates.is_empty() {
+            if let Some(shortage) = self.shortage(criteria, state, now) {
+                return Choice::Limited(shortage);
+            }
             let backoff = self.shortest_backoff(criteria, state, now);
             return backoff.map_or(Choice::Unavailable, Choice::Backoff);
         }
@@ -686,24 +721,6 @@
             .back_off(&target.upstream, target.incarnation, duration, now);
     }
 
-    /// Records the limit that an upstream states, and returns whether that is a change.
-    pub fn set_limit(&mut self, target: &Target, limit: Option<Rate>, now: Time) -> bool {
-        self.notices
-            .set_limit(&target.upstream, target.incarnation, limit, now)
-    }
-
-    /// Returns the limit of an upstream, if it has stated one.
-    #[must_use]
-    pub fn limit(&self, target: &Target) -> Option<Rate> {
-        self.notices.limit(&target.upstream, target.incarnation)
-    }
-
-    /// Returns the number of upstreams that have stated a limit.
-    #[must_use]
-    pub fn limited(&self) -> usize {
-        self.notices.limited()
-    }
-
     /// Returns the upstreams that have recently told this instance that they are leaving.
     #[must_use]
     pub fn departures(&self, now: Time) -> Vec<notice::Departure> {
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::{
+    fleet::Statement,
     notice::Departure,
     time::{Span, Time},
 };
@@ -70,6 +71,17 @@
         pub crashes: u32,
     }
 
+    /// A statement of an upstream about its limit.
+    #[derive(Eq)]
+    pub struct Limit {
+        /// The upstream.
+        pub upstream: Arc<str>,
+        /// Its incarnation.
+        pub incarnation: u64,
+        /// The statement.
+        pub statement: Statement,
+    }
+
     /// A report of one entry instance.
     #[derive(Eq, Default)]
     pub struct Report {
@@ -87,6 +99,8 @@
         pub suspects: Vec<Suspect>,
         /// Upstreams that have recently told the instance that they are leaving.
         pub departures: Vec<Departure>,
+        /// Statements of upstreams about their limits that the directory does not show yet.
+        pub limits: Vec<Limit>,
     }
 
     /// An instance whose latest report is included in a summary.
--- a/crates/core/src/retry_after.rs
+++ b/crates/core/src/retry_after.rs
@@ -37,6 +37,8 @@
     Unavailable,
     /// All upstreams have requested a backoff; the first one ends after this time.
     Backoff(Span),
+    /// The limits of all upstreams are reached; the caller may expect to be served after this time.
+    Limited(Span),
     /// The instance's tables may be stale.
     Stale,
 }
@@ -50,13 +52,15 @@
         Cause::Full => FULL_DELAY,
         Cause::Unavailable => UNAVAILABLE_DELAY,
         Cause::Backoff(backoff) => backoff,
+        // An earlier time would be wrong, even if it is too late for the caller.
+        Cause::Limited(turn) => return turn,
         Cause::Stale => STALE_DELAY,
     };
     let latest = left.as_millis() / TIME_LEFT_DIVISOR;
     let base = base.as_millis().min(latest);
     let (min, max) = match cause {
         Cause::Backoff(_) => BACKOFF_JITTER,
-        Cause::Full | Cause::Unavailable | Cause::Stale => JITTER,
+        Cause::Full | Cause::Unavailable | Cause::Limited(_) | Cause::Stale => JITTER,
     };
     let permille = min + digest::mix(draw) % (max - min + 1);
     Span::from_millis((base * permille / 1_000).min(latest))
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -85,6 +85,8 @@
         pub connections: u32,
         /// Maximum requests per second to an upstream during its cold start; 0 for no limit.
         pub cold_rate: f64,
+        /// Path of the health check of its upstreams, if they have one.
+        pub health: Option<Arc<str>>,
         /// Its model engines; `None` for plain services.
         pub engine: Option<Engine>,
     }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -27,6 +27,7 @@
         announcement,
         age: Span::ZERO,
         silent: false,
+        limit: None,
     }
 }
 
@@ -253,6 +254,7 @@
     directory.merge(record(announcement("u", 5, 1, Phase::Ready)), NOW);
     let silent = Record {
         silent: true,
+        limit: None,
         ..record(announcement("u", 5, 2, Phase::Ready))
     };
     directory.merge(silent, NOW);
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -387,6 +387,7 @@
             crashes: 1,
         }],
         departures: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -39,6 +39,7 @@
             announcement,
             age: Span::ZERO,
             silent: false,
+            limit: None,
         };
         directory.merge(record, NOW);
     }
@@ -67,7 +68,7 @@
 fn upstream_of(choice: Choice) -> Option<Arc<str>> {
     match choice {
         Choice::Upstream(target) => Some(target.upstream),
-        Choice::Full | Choice::Backoff(_) | Choice::Unavailable => None,
+        Choice::Full | Choice::Limited(_) | Choice::Backoff(_) | Choice::Unavailable => None,
     }
 }
 
@@ -252,6 +253,7 @@
             announcement: restarted,
             age: Span::ZERO,
             silent: false,
+            limit: None,
         },
         now,
     );
@@ -281,7 +283,7 @@
 fn domain_of(choice: Choice) -> Option<Arc<str>> {
     match choice {
         Choice::Upstream(target) => Some(target.domain),
-        Choice::Full | Choice::Backoff(_) | Choice::Unavailable => None,
+        Choice::Full | Choice::Limited(_) | Choice::Backoff(_) | Choice::Unavailable => None,
     }
 }
 
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -33,6 +33,7 @@
         name: name.into(),
         connections: 100,
         cold_rate: 0.0,
+        health: None,
         engine: None,
     }
 }
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -281,6 +281,7 @@
                 announcement,
                 age: Span::ZERO,
                 silent: false,
+                limit: None,
             };
             let merged = state.directory.merge(record, now);
             changed && merged
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -6,7 +6,8 @@
     consensus::{
         self, Action, Event, Identity, Image, Member, Payload, Replica, Settings, Snapshot, Timing,
     },
-    fleet,
+    digest, fleet,
+    limit::{Issuer, Rate, Want},
     notice::Departure,
     replicated::{self, Command},
     report,
@@ -18,6 +19,7 @@
     control::disk::{Disk, Work},
     gateway::{
         message::{AgreedState, ControlInstance, Cursor, Poll, Refusal, Update},
+        metrics::limit_milli,
         peers::Peers,
     },
 };
@@ -44,6 +46,9 @@
 /// whether it was removed.
 const LEADER_TIMEOUT: Span = Span::from_secs(2);
 
+/// Time since the last answer of the leader within which permits are known to be handed out.
+const LEADER_CONTACT_TTL: Span = Span::from_millis(700);
+
 /// Number of announcement intervals after the start within which every upstream has been heard.
 const DISCOVERY_INTERVALS: u64 = 3;
 
@@ -72,6 +77,8 @@
     applied_index: u64,
     pub directory: fleet::Directory,
     pub reports: report::Aggregator,
+    /// Permits for upstreams with limits.
+    issuer: Issuer,
     pub peers: Peers,
     /// `None` while the disk takes no writes or the data folder is being replaced.
     pub disk: Option<Disk>,
@@ -132,6 +139,7 @@
             applied_index: applied,
             directory: fleet::Directory::default(),
             reports: report::Aggregator::default(),
+            issuer: Issuer::default(),
             peers: Peers::default(),
             disk: Some(disk),
             halted: None,
@@ -436,6 +444,7 @@
             self.reports.merge_summary(summary, now);
         }
         if update.is_leader {
+            self.issuer.receive(&update.permits, sent, now);
             self.known_leader = Some((address, now));
             if self.replica.commit_index() >= update.commit_index {
                 self.confirmed_at = self.confirmed_at.max(Some(sent));
@@ -446,6 +455,57 @@
         has_unknown
     }
 
+    /// Returns the permits that this instance wants from the leader.
+    pub fn wants(&mut self, now: Time) -> Vec<Want> {
+        self.update_term(now);
+        self.issuer.wants(now)
+    }
+
+    /// Tells the issuer of permits whether this instance leads.
+    fn update_term(&mut self, now: Time) {
+        let term = self.is_leader(now).then(|| self.replica.status(now).term);
+        self.issuer.set_term(term, now);
+    }
+
+    /// Adds permits to the answer to a poll.
+    ///
+    /// Only the leader gives permits to control instances, so that none goes around in a circle.
+    fn add_permits(&mut self, update: &mut Update, holder: u64, wants: &[Want], now: Time) {
+        self.update_term(now);
+        let directory = &self.directory;
+        let limit = |want: &Want| -> Option<Rate> {
+            let known = directory.get(&want.upstream)?;
+            let is_same = known.announcement.incarnation == want.incarnation;
+            known.limit.filter(|_| is_same)?.rate
+        };
+        update.permits = self.issuer.lend(holder, wants, limit, now);
+        update.has_permits = update.is_leader
+            || self
+                .known_leader
+                .is_some_and(|(_, at)| now.since(at) < LEADER_CONTACT_TTL);
+    }
+
+    /// Records what upstreams have stated about their limits to an entry instance.
+    fn apply_limits(&mut self, limits: &[report::Limit], now: Time) {
+        for limit in limits {
+            let stated = fleet::Limit {
+                rate: limit.statement.rate,
+                stated_at: now - limit.statement.age,
+            };
+            if self
+                .directory
+                .set_limit(&limit.upstream, limit.incarnation, stated)
+            {
+                log::info!(
+                    event = "upstream_limit", upstream = &*limit.upstream,
+                    incarnation = limit.incarnation, source = "report",
+                    limit_milli = limit_milli(stated.rate);
+                    "an upstream has stated another limit to an entry instance"
+                );
+            }
+        }
+    }
+
     /// Answers a poll.
     pub fn answer_poll(&mut self, poll: Poll, now: Time) -> Update {
         let mut cursor = poll.cursor;
@@ -475,10 +535,19 @@
             heartbeats: Vec::new(),
             summary: None,
             totals: None,
+            permits: Vec::new(),
+            has_permits: false,
             agreed: None,
             control_instances: Vec::new(),
         };
-        if let Some(address) = poll.control_address.and_then(|a| a.parse().ok()) {
+        if let Some(address) = poll
+            .control_address
+            .and_then(|a| a.parse::<SocketAddr>().ok())
+        {
+            if update.is_leader {
+                let holder = digest::of(address.to_string().as_bytes());
+                self.add_permits(&mut update, holder, &poll.wants, now);
+            }
             self.contact_mut(address).acknowledged_revision = cursor.directory_revision;
             update.heartbeats = self.directory.heartbeats(cursor.directory_revision, now);
             update.summary = Some(self.reports.summary(self.process_id, now));
@@ -489,6 +558,7 @@
         if let Some(report) = poll.report {
             let (instance, domain) = (report.instance, report.domain.clone());
             self.apply_departures(&report.departures);
+            self.apply_limits(&report.limits, now);
             self.reports.merge_report(report, now);
             let directory = &self.directory;
             let wanted = |upstream: &str| {
@@ -499,6 +569,7 @@
                 })
             };
             update.totals = Some(self.reports.totals(instance, now, wanted));
+            self.add_permits(&mut update, instance, &poll.wants, now);
         }
         let is_current = poll.config_revision == Some(self.agreed.revision);
         update.agreed = Some(AgreedState {
@@ -558,6 +629,7 @@
         self.directory.mark_silent(now, self.announcement_interval);
         self.directory.expire(now);
         self.reports.expire(now);
+        self.issuer.expire(now);
     }
 }
 
--- a/crates/node/src/gateway/control/tasks.rs
+++ b/crates/node/src/gateway/control/tasks.rs
@@ -59,12 +59,14 @@
         let mut cursor = Cursor::default();
         let own_address = self.settings.address.to_string();
         loop {
+            let wants = self.state.borrow_mut().wants(self.clock.now());
             let request = Request::Poll(Poll {
                 cursor,
                 config_revision: None,
                 report: None,
                 spillover_services: Vec::new(),
                 control_address: Some(own_address.clone()),
+                wants,
             });
             let sent = self.clock.now();
             match client.call(&request, POLL_TIMEOUT).await {
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -156,6 +156,7 @@
     let reports = spawn_local(async move {
         loop {
             sleep(REPORT_INTERVAL).await;
+            reporter.send_inquiries();
             reporter.publish_report();
         }
     });
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -3,6 +3,8 @@
 mod attempt;
 mod context;
 mod in_flight;
+mod inquiry;
+mod pass;
 mod relay;
 mod stats;
 
@@ -32,7 +34,7 @@
 };
 
 pub use self::context::RequestContext;
-use self::{attempt::AttemptResult, in_flight::InFlightGuard};
+use self::{attempt::AttemptResult, in_flight::InFlightGuard, pass::PassGuard};
 use super::{
     adapter::Adapter,
     buffer::ResponseBuffer,
@@ -60,6 +62,10 @@
 /// Longest time that a request waits while no upstream is available.
 const MAX_UNAVAILABLE_WAIT: Span = Span::from_millis(250);
 
+/// Longest time that a request waits for a permit for an upstream with a limit: the way of a want to
+/// the leader of the control instances and back.
+const MAX_PERMIT_WAIT: Span = Span::from_millis(700);
+
 /// Longest delay before a waiting request tries again to select an upstream.
 const SELECTION_RETRY_DELAY: Duration = Duration::from_millis(25);
 
@@ -94,6 +100,8 @@
     view_version: Cell<u64>,
     /// Version of the directory from which the pool was last updated.
     directory_version: Cell<u64>,
+    /// Version of the inbox from which permits were last taken.
+    inbox_version: Cell<u64>,
     retry_budgets: RefCell<Vec<(Arc<str>, Budget)>>,
     version_stats: RefCell<Vec<VersionStats>>,
     suspects: RefCell<Vec<(Suspect, Time)>>,
@@ -131,6 +139,7 @@
             pool: RefCell::new(pool),
             view_version: Cell::new(0),
             directory_version: Cell::new(0),
+            inbox_version: Cell::new(0),
             retry_budgets: RefCell::default(),
             version_stats: RefCell::default(),
             suspects: RefCell::default(),
@@ -156,6 +165,9 @@
     /// Returns the latest view and updates the pool from it if it is new.
     fn view(&self) -> Arc<View> {
         let view = self.shared.view.load_full();
+        if view.inbox_version != self.inbox_version.replace(view.inbox_version) {
+            self.take_permits();
+        }
         if view.version != self.view_version.get() {
             self.view_version.set(view.version);
             let mut pool = self.pool.borrow_mut();
@@ -167,6 +179,18 @@
         view
     }
 
+    /// Takes over the permits that have arrived.
+    fn take_permits(&self) {
+        let inbox = self.shared.inbox.lock();
+        // The control thread never panics while it holds the lock.
+        let mut inbox = inbox.unwrap_or_else(std::sync::PoisonError::into_inner);
+        let permits = std::mem::take(&mut inbox.permits);
+        let contact_at = inbox.contact_at;
+        drop(inbox);
+        let mut pool = self.pool.borrow_mut();
+        pool.grant(&permits, contact_at, self.now());
+    }
+
     /// Returns the time since the replicated state was last known to be current.
     fn state_age(&self, view: &View) -> Option<Span> {
         view.confirmed_at.map(|at| self.now().since(at))
@@ -372,10 +396,11 @@
                 Err(refusal) if ctx.runs.get() == 0 => return Err(refusal),
                 Err(refusal) => return Err(Refusal::new(StatusCode::BAD_GATEWAY, refusal.reason)),
             };
-            let Some(target) = self.select_upstream(&ctx, &resolved).await? else {
+            let Some((target, pass)) = self.select_upstream(&ctx, &resolved).await? else {
                 continue;
             };
-            match self.clone().attempt(&ctx, &resolved, &target).await {
+            ctx.has_wanted.set(false);
+            match self.clone().attempt(&ctx, &resolved, &target, pass).await {
                 AttemptResult::Response(response) => return Ok(response),
                 AttemptResult::Refused(refusal) => return Err(refusal),
                 AttemptResult::ConnectFailed => ctx.mark_tried(&target.upstream, self.now())?,
@@ -398,16 +423,33 @@
     ///
     /// Returns the refusal of a request that has waited too long or is quarantined.
     async fn select_upstream(
-        &self,
+        self: &Rc<Self>,
         ctx: &RequestContext,
         resolved: &ResolvedRoute,
-    ) -> Result<Option<Target>, Refusal> {
+    ) -> Result<Option<(Target, PassGuard)>, Refusal> {
         if self.crash_count(ctx.fingerprint) >= MAX_CRASHES {
             return Err(ctx.give_up("quarantined", self.now()));
         }
+        self.want_permits(ctx, resolved);
         let waited = self.now().since(ctx.received_at);
         let (max_wait, cause, reason) = match self.choose(ctx, resolved) {
-            Choice::Upstream(target) => return Ok(Some(target)),
+            Choice::Upstream(target) => {
+                return Ok(PassGuard::take(self, &target).map(|pass| (target, pass)));
+            }
+            Choice::Limited(shortage) => {
+                let max_wait = if shortage.scarce {
+                    Span::ZERO
+                } else {
+                    max_wait(&resolved.route).min(MAX_PERMIT_WAIT)
+                };
+                let reason = "limits of all upstreams reached";
+                if waited >= max_wait {
+                    let mut pool = self.pool.borrow_mut();
+                    let turn = pool.next_turn(&resolved.service.name, shortage, self.now());
+                    return Err(ctx.refuse(Cause::Limited(turn), reason, self.now()));
+                }
+                (max_wait, Cause::Full, reason)
+            }
             Choice::Full => (max_wait(&resolved.route), Cause::Full, "all upstreams full"),
             Choice::Backoff(rest) => {
                 // A wait that ends before the backoff of the upstreams is useless.
@@ -421,11 +463,7 @@
             ),
         };
         if waited >= max_wait {
-            return Err(if ctx.runs.get() > 0 {
-                Refusal::new(StatusCode::BAD_GATEWAY, reason)
-            } else {
-                ctx.retry_later(cause, reason, self.now())
-            });
+            return Err(ctx.refuse(cause, reason, self.now()));
         }
         tokio::select! {
             () = self.capacity_freed.notified() => {}
@@ -446,6 +484,46 @@
         tried: &[Arc<str>],
     ) -> Choice {
         let view = self.view();
+        Self::with_criteria(ctx, resolved, tried, |criteria| {
+            let pool = self.pool.borrow();
+            pool.choose(criteria, &view.agreed, self.now())
+        })
+    }
+
+    /// Records once for each attempt that permits are wanted for upstreams with limits.
+    fn want_permits(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
+        if ctx.has_wanted.replace(true) {
+            return;
+        }
+        let view = self.view();
+        if !self.pool.borrow().has_limits() {
+            return;
+        }
+        let has_unmet = Self::with_criteria(ctx, resolved, &ctx.tried.borrow(), |criteria| {
+            let mut pool = self.pool.borrow_mut();
+            pool.want(criteria, &view.agreed, self.now())
+        });
+        if has_unmet {
+            let wants = self.pool.borrow_mut().wants(self.now());
+            let report = self.shared.report.lock();
+            // The control thread never panics while it holds the lock.
+            let mut report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
+            report.wants = wants;
+            drop(report);
+            self.shared.permit_wanted.notify_one();
+        }
+    }
+
+    /// Calls `act` with the placement criteria of a request.
+    fn with_criteria<A, T>(
+        ctx: &RequestContext,
+        resolved: &ResolvedRoute,
+        tried: &[Arc<str>],
+        act: A,
+    ) -> T
+    where
+        A: FnOnce(&Criteria<'_>) -> T,
+    {
         let service = &resolved.service;
         let affinity_key = service
             .engine
@@ -453,7 +531,7 @@
             .then(|| ctx.affinity_key(&resolved.route));
         let session = ctx.session_digest().unwrap_or(ctx.fingerprint);
         let draw = digest::mix(session ^ digest::of(service.name.as_bytes()));
-        let criteria = Criteria {
+        act(&Criteria {
             service: &service.name,
             affinity: affinity_key,
             shared_tokens: ctx.shared_tokens(),
@@ -463,10 +541,7 @@
             memory_tokens: service.engine.as_ref().map_or(0, |e| e.memory_tokens),
             cold_rate: service.cold_rate,
             excluded: tried,
-        };
-        self.pool
-            .borrow()
-            .choose(&criteria, &view.agreed, self.now())
+        })
     }
 }
 
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -11,19 +11,20 @@
 use masticlock_core::{
     cascade,
     fault::Fault,
-    limit::{Rate, Statement},
+    limit::Statement,
     placement::{Choice, Failure, Outcome, Target},
     route::Kind,
-    time::Span,
+    time::{Span, Time},
 };
 use tokio::{task::spawn_local, time::timeout};
 
-use super::{InFlightGuard, Proxy, RequestContext, relay};
+use super::{InFlightGuard, PassGuard, Proxy, RequestContext, relay};
 use crate::gateway::{
     adapter::{ForwardHeaders, ResponseHeaders},
     connection_pool::{Error, MAX_IDLE_NON_REPEATABLE, PooledConnection},
     entry::ResponseBody,
     handler::{Refusal, ResolvedRoute},
+    metrics::limit_milli,
 };
 
 /// Largest body, in bytes, of a response that reports that the request was not run. The connection
@@ -76,6 +77,7 @@
         ctx: &Rc<RequestContext>,
         resolved: &ResolvedRoute,
         target: &Target,
+        mut pass: PassGuard,
     ) -> AttemptResult {
         let max_idle = match resolved.route.kind {
             Kind::NonRepeatable => MAX_IDLE_NON_REPEATABLE,
@@ -89,17 +91,18 @@
             }
         };
         self.pool.borrow_mut().connected(&target.upstream);
-        if !self.is_still_allowed(ctx, target) {
+        if !self.is_still_allowed(ctx, target) || !pass.is_valid() {
             return AttemptResult::ConnectFailed;
         }
         let demand = ctx.demand(resolved);
         let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + demand.prefill;
+        let send_by = pass.consume();
         let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
         let sent_at = self.now();
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
         ctx.runs.set(ctx.runs.get() + 1);
         self.log_sent(ctx, resolved, target);
-        let deadline = self.send_deadline(resolved);
+        let deadline = earliest(self.send_deadline(resolved), send_by);
         let left = ctx.deadline(&resolved.route).since(sent_at);
         let retryable = resolved.route.is_repeatable() && ctx.runs.get() < resolved.route.attempts;
         let limit = if retryable {
@@ -588,9 +591,9 @@
     }
 }
 
-/// Returns a limit in thousandths of a request per second for a log line, or -1 if there is none.
-pub(super) fn limit_milli(limit: Option<Rate>) -> i64 {
-    limit.map_or(-1, |l| i64::try_from(l.as_milli()).unwrap_or(i64::MAX))
+/// Returns the earlier of two times; `None` stands for no limit.
+pub(super) fn earliest(a: Option<Time>, b: Option<Time>) -> Option<Time> {
+    a.into_iter().chain(b).min()
 }
 
 /// Removes the hop-by-hop headers and the body length.
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -61,6 +61,8 @@
     pub level: Cell<usize>,
     /// Upstreams that were tried and are not chosen again.
     pub tried: RefCell<Vec<Arc<str>>>,
+    /// Whether permits are wanted for the current attempt.
+    pub has_wanted: Cell<bool>,
 }
 
 impl RequestContext {
@@ -88,15 +90,20 @@
         Refusal::retryable(retry_after::delay(cause, left, draw), reason)
     }
 
-    /// Returns the refusal of a request that is given up.
-    pub fn give_up(&self, reason: &'static str, now: Time) -> Refusal {
+    /// Returns the refusal of a request for which no upstream was chosen in time.
+    pub(super) fn refuse(&self, cause: Cause, reason: &'static str, now: Time) -> Refusal {
         if self.runs.get() > 0 {
             Refusal::new(StatusCode::BAD_GATEWAY, reason)
         } else {
-            self.retry_later(Cause::Unavailable, reason, now)
+            self.retry_later(cause, reason, now)
         }
     }
 
+    /// Returns the refusal of a request that is given up.
+    pub fn give_up(&self, reason: &'static str, now: Time) -> Refusal {
+        self.refuse(Cause::Unavailable, reason, now)
+    }
+
     /// Records that an upstream has not run the request.
     ///
     /// # Errors
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -15,8 +15,8 @@
 };
 
 use super::{
-    InFlightGuard, Proxy, RequestContext,
-    attempt::{ReceivedResponse, strip_hop_headers},
+    InFlightGuard, PassGuard, Proxy, RequestContext,
+    attempt::{ReceivedResponse, earliest, strip_hop_headers},
 };
 use crate::gateway::{
     connection_pool::PooledConnection, entry::ResponseBody, handler::ResolvedRoute,
@@ -293,13 +293,19 @@
         let resolved = proxy
             .resolve(ctx, &view)
             .map_err(|_| "the request is no longer allowed")?;
+        proxy.want_permits(ctx, &resolved);
         let target = match proxy.choose(ctx, &resolved) {
             Choice::Upstream(target) => target,
-            Choice::Full | Choice::Backoff(_) | Choice::Unavailable => {
+            Choice::Full | Choice::Limited(_) | Choice::Backoff(_) | Choice::Unavailable => {
                 sleep(SELECTION_RETRY_DELAY).await;
                 continue;
             }
         };
+        let Some(mut pass) = PassGuard::take(proxy, &target) else {
+            sleep(SELECTION_RETRY_DELAY).await;
+            continue;
+        };
+        ctx.has_wanted.set(false);
         if !proxy.with_budget(&resolved.service.name, |b| b.withdraw(proxy.now())) {
             return Err("the retry budget is used up".into());
         }
@@ -310,9 +316,10 @@
                 continue;
             }
         };
-        if !proxy.is_still_allowed(ctx, &target) {
+        if !proxy.is_still_allowed(ctx, &target) || !pass.is_valid() {
             continue;
         }
+        let send_by = pass.consume();
         let guard = InFlightGuard::begin(
             proxy,
             &target,
@@ -322,7 +329,7 @@
         let request = proxy.build_request(ctx, &resolved, &target, last_event_id);
         ctx.runs.set(ctx.runs.get() + 1);
         proxy.log_sent(ctx, &resolved, &target);
-        let deadline = proxy.send_deadline(&resolved);
+        let deadline = earliest(proxy.send_deadline(&resolved), send_by);
         let left = ctx.deadline(&resolved.route).since(proxy.now());
         let limit = Proxy::retry_timeout(&resolved, left).to_std();
         let response = match timeout(limit, conn.send(request, deadline)).await {
--- a/crates/node/src/gateway/forward/stats.rs
+++ b/crates/node/src/gateway/forward/stats.rs
@@ -25,6 +25,8 @@
         let loads = self.pool.borrow_mut().loads(now);
         let spillover_services = self.pool.borrow().spillover_services();
         let departures = self.pool.borrow().departures(now);
+        let limits = self.pool.borrow().limit_statements();
+        let wants = self.pool.borrow_mut().wants(now);
         let mut suspects = self.suspects.borrow_mut();
         suspects.retain(|(_, seen)| now.since(*seen) < SUSPECT_RETENTION);
         let suspects = suspects.iter().map(|(s, _)| *s).collect();
@@ -38,6 +40,8 @@
             .clone_from(&self.version_stats.borrow());
         report.suspects = suspects;
         report.departures = departures;
+        report.limits = limits;
+        report.wants = wants;
     }
 
     /// Calls `act` with the retry budget of the service, which is created if it is new.
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -4,7 +4,9 @@
 
 use masticlock_core::{
     consensus::{Identity, Member, Message, Payload},
-    fleet, plain,
+    fleet,
+    limit::{Permit, Want},
+    plain,
     replicated::{Command, Rollout},
     report,
     time::Span,
@@ -37,6 +39,8 @@
         pub spillover_services: Vec<Arc<str>>,
         /// Internal address of the sender, if it is a control instance.
         pub control_address: Option<String>,
+        /// Permits that the sender wants for upstreams with limits.
+        pub wants: Vec<Want>,
     }
 
     /// Agreed state as sent to entry instances.
@@ -87,6 +91,10 @@
         pub summary: Option<report::Summary>,
         /// Totals of the reports of the other entry instances, for an entry instance.
         pub totals: Option<report::Totals>,
+        /// Permits for upstreams with limits.
+        pub permits: Vec<Permit>,
+        /// Whether the sender is in contact with the leader, which hands out the permits.
+        pub has_permits: bool,
         /// Agreed state, for an entry instance.
         pub agreed: Option<AgreedState>,
         /// Members of the replica set.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of the gateway's processes in the Prometheus text format.
 
 use hyper::StatusCode;
-use masticlock_core::{plain, route::Kind, time::Span};
+use masticlock_core::{limit::Rate, plain, route::Kind, time::Span};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{
@@ -260,6 +260,12 @@
     }
 }
 
+/// Returns a limit in thousandths of a request per second for a log line, or -1 if there is none.
+#[must_use]
+pub fn limit_milli(limit: Option<Rate>) -> i64 {
+    limit.map_or(-1, |l| saturating_i64(l.as_milli()))
+}
+
 /// Converts to a gauge value, at most `i64::MAX`.
 fn saturating_i64<N>(number: N) -> i64
 where
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -3,8 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use masticlock_core::{
-    fleet, replicated,
-    report::Report,
+    fleet,
+    limit::{Permit, Want},
+    notice, replicated,
+    report::{self, Report},
     time::{Span, Time},
 };
 use tokio::time::sleep;
@@ -20,6 +22,9 @@
 /// Interval between polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Shortest time between two polls while requests wait for permits.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Longest time that a poll may take before another control instance is polled.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -145,6 +150,7 @@
                 report: Some(self.next_report()),
                 spillover_services: self.spillover_services(),
                 control_address: None,
+                wants: self.wants(),
             });
             let update = match client.call(&request, POLL_TIMEOUT).await {
                 Ok(Reply::Update(update)) => *update,
@@ -175,7 +181,11 @@
             if self.should_try_local(client.address(), began) {
                 return SwitchReason::PreferLocal;
             }
-            sleep(POLL_INTERVAL).await;
+            sleep(MIN_POLL_INTERVAL).await;
+            tokio::select! {
+                () = self.shared.permit_wanted.notified() => {}
+                () = sleep(POLL_INTERVAL.saturating_sub(MIN_POLL_INTERVAL)) => {}
+            }
         }
     }
 
@@ -201,9 +211,25 @@
         report.spillover_services.clone()
     }
 
+    fn wants(&self) -> Vec<Want> {
+        let report = self.shared.report.lock();
+        // The traffic thread never panics while it holds the lock.
+        let report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
+        report.wants.clone()
+    }
+
     /// Returns the next report with the data of the traffic thread.
     fn next_report(&mut self) -> Report {
         self.sequence += 1;
+        let now = self.clock.now();
+        let limit = |l: &notice::Limit| report::Limit {
+            upstream: l.upstream.clone(),
+            incarnation: l.incarnation,
+            statement: fleet::Statement {
+                rate: l.rate,
+                age: now.since(l.stated_at),
+            },
+        };
         let report = self.shared.report.lock();
         // The traffic thread never panics while it holds the lock.
         let report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -215,6 +241,7 @@
             stats: report.version_stats.clone(),
             suspects: report.suspects.clone(),
             departures: report.departures.clone(),
+            limits: report.limits.iter().map(limit).collect(),
         }
     }
 
@@ -239,6 +266,9 @@
             self.view.totals = Arc::new(totals);
             changed = true;
         }
+        if update.has_permits {
+            self.deliver_permits(update.permits, sent);
+        }
         // The agreed state never goes back, whichever control instance is polled.
         if update.commit_index >= self.commit_index {
             self.commit_index = update.commit_index;
@@ -256,6 +286,16 @@
         self.shared.view.store(Arc::new(self.view.clone()));
     }
 
+    /// Hands permits over to the traffic thread.
+    fn deliver_permits(&mut self, permits: Vec<Permit>, sent: Time) {
+        let inbox = self.shared.inbox.lock();
+        // The traffic thread never panics while it holds the lock.
+        let mut inbox = inbox.unwrap_or_else(std::sync::PoisonError::into_inner);
+        inbox.permits.extend(permits.into_iter().map(|p| (p, sent)));
+        inbox.contact_at = Some(sent);
+        self.view.inbox_version += 1;
+    }
+
     /// Replaces the control instances and keeps the seeds among them.
     fn set_control_instances(&mut self, instances: &[ControlInstance]) {
         if instances.is_empty() {
--- a/crates/node/src/gateway/view.rs
+++ b/crates/node/src/gateway/view.rs
@@ -5,12 +5,14 @@
 use arc_swap::ArcSwap;
 use masticlock_core::{
     fleet,
-    notice::Departure,
+    limit::{Permit, Want},
+    notice::{self, Departure},
     replicated,
     report::{self, Suspect, VersionStats},
     route::Table,
     time::Time,
 };
+use tokio::sync::Notify;
 
 /// Routing state of an entry instance, published by its control thread.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +29,8 @@
     pub directory: Arc<fleet::Directory>,
     /// Load and suspected requests reported by the other entry instances.
     pub totals: Arc<report::Totals>,
+    /// Number of answers whose permits are in the inbox or were taken from it.
+    pub inbox_version: u64,
     /// Latest time at which the agreed state was known to be the newest.
     pub confirmed_at: Option<Time>,
 }
@@ -44,6 +48,20 @@
     pub suspects: Vec<Suspect>,
     /// Upstreams that have announced in a response that they are leaving.
     pub departures: Vec<Departure>,
+    /// Statements of upstreams about their limits that the directory does not show yet.
+    pub limits: Vec<notice::Limit>,
+    /// Permits that are wanted for upstreams with limits.
+    pub wants: Vec<Want>,
+}
+
+/// Permits that have arrived and that the traffic thread has not taken over.
+#[derive(Debug, Default)]
+pub struct Inbox {
+    /// Permits, each with the time when its poll was sent.
+    pub permits: Vec<(Permit, Time)>,
+    /// Time when the last poll was sent that was answered by a control instance in contact with the
+    /// leader.
+    pub contact_at: Option<Time>,
 }
 
 /// State that each thread writes for the other one.
@@ -53,4 +71,8 @@
     pub view: ArcSwap<View>,
     /// Written by the traffic thread.
     pub report: Mutex<TrafficReport>,
+    /// Filled by the control thread and emptied by the traffic thread.
+    pub inbox: Mutex<Inbox>,
+    /// Wakes the control thread when a request waits for a permit.
+    pub permit_wanted: Notify,
 }
