Judge a rollout by the pace of its streams

Cause: lateness was the time until the head of an answer above four times its mean. Ruled out: the share, the test's threshold and the reports. Change: core::rollout::lateness. A stream is judged by its first events, or by the time that has passed once it is late for them, and a plain answer by its head. It is late above 2.5 times the median of the stable versions at the same load or a higher one; at a load that they have not had it is no evidence. A third of a version's upstreams is left out, those that look slowest. The canary is held while nothing is known of its times or they look late, and reverted if that lasts.

--- a/crates/core/src/canary.rs
+++ b/crates/core/src/canary.rs
@@ -11,6 +11,7 @@
     report::VersionStats,
     rollout::{
         FALSE_ALARM_PROBABILITY,
+        lateness::{self, MIN_JUDGED},
         sequential_test::{Sample, log_e_value},
     },
 };
@@ -69,7 +70,7 @@
             &Sample::binary(old.ended(), old.slow),
             SLOW_MARGIN,
         ) > threshold;
-    failures || latency
+    failures || latency || lateness::is_slower(&new.timings, &old.timings)
 }
 
 /// Returns the next change of a rollout in progress, if one is due.
@@ -111,6 +112,15 @@
     if new.ended() < MIN_ANSWERS {
         return (percent >= COMPLETE_PERCENT).then_some(reverted);
     }
+    let can_judge = lateness::total(&old.timings).judged >= MIN_JUDGED;
+    let is_unjudged = can_judge && lateness::total(&new.timings).judged < MIN_JUDGED;
+    let is_suspect = lateness::is_suspect(&new.timings, &old.timings);
+    if percent < COMPLETE_PERCENT && (is_unjudged || is_suspect) {
+        return None;
+    }
+    if is_suspect {
+        return Some(reverted);
+    }
     Some(Step {
         permille: 1_000,
         phase: Phase::InProgress,
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -615,6 +615,15 @@
         }
     }
 
+    /// Returns the running requests of all instances at an upstream.
+    #[must_use]
+    pub fn running(&self, upstream: &str) -> u32 {
+        self.find(upstream).map_or(0, |at| {
+            let upstream = &self.upstreams[at];
+            upstream.running + upstream.others.running
+        })
+    }
+
     /// Returns the weighted prompt tokens of all instances whose prefill is pending at an upstream.
     #[must_use]
     pub fn pending_prefill(&self, upstream: &str) -> u64 {
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -9,6 +9,7 @@
 use crate::{
     fleet::Statement,
     notice::Departure,
+    rollout::lateness::{self, Timing},
     time::{Span, Time},
 };
 
@@ -60,6 +61,9 @@
         pub slow: u64,
         /// Requests that were sent and not yet answered.
         pub running: u64,
+        /// Answers whose times were compared with those of the stable versions, by group of
+        /// upstreams.
+        pub timings: Vec<Timing>,
     }
 
     /// Evidence that a request crashes upstreams.
@@ -432,6 +436,7 @@
         self.failed += other.failed;
         self.slow += other.slow;
         self.running += other.running;
+        lateness::add(&mut self.timings, &other.timings);
     }
 
     /// Returns the number of requests that have ended.
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -15,6 +15,7 @@
     time::{Span, Time},
 };
 
+pub mod lateness;
 pub mod regression;
 pub mod sequential_test;
 
--- a/crates/node/src/gateway/control/leader.rs
+++ b/crates/node/src/gateway/control/leader.rs
@@ -4,6 +4,7 @@
     canary,
     consensus::{Event, Member},
     replicated::{Command, Phase},
+    rollout::lateness,
     time::{Span, Time},
 };
 
@@ -38,11 +39,15 @@
                 .reports
                 .baseline_stats(&rollout.service, &rollout.target, now);
             let step = canary::step(rollout, &new, &old, wall_ms)?;
+            let (new_timing, old_timing) =
+                (lateness::total(&new.timings), lateness::total(&old.timings));
             log::info!(
                 event = "rollout", service = &*rollout.service, version = &*rollout.target,
                 phase:? = step.phase, permille = step.permille, new_ok = new.ok,
                 new_failed = new.failed, new_slow = new.slow, old_ok = old.ok,
-                old_failed = old.failed, old_slow = old.slow, old_running = old.running;
+                old_failed = old.failed, old_slow = old.slow, old_running = old.running,
+                new_judged = new_timing.judged, new_late = new_timing.late,
+                old_judged = old_timing.judged, old_late = old_timing.late;
                 "proposing the next step of a rollout"
             );
             Some(Event::Propose {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -25,6 +25,7 @@
     report::{Suspect, VersionStats},
     retry_after::Cause,
     retry_budget::Budget,
+    rollout::lateness::Reference,
     route::{Kind, Route},
     time::{Span, Time},
 };
@@ -109,6 +110,8 @@
     mean_head_times: RefCell<Vec<(Arc<str>, f64)>>,
     pressure: RefCell<Pressure>,
     forecast: RefCell<Forecast>,
+    /// Answers of the stable versions.
+    reference: RefCell<Reference>,
     /// Wakes waiting requests when another request has ended.
     capacity_freed: Notify,
     started_at: Time,
@@ -146,6 +149,7 @@
             mean_head_times: RefCell::default(),
             pressure: RefCell::default(),
             forecast: RefCell::default(),
+            reference: RefCell::default(),
             capacity_freed: Notify::new(),
             started_at: clock.now(),
             metrics: metrics::EntryMetrics::default(),
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -13,6 +13,7 @@
     fault::Fault,
     limit::Statement,
     placement::{Choice, Failure, Outcome, Target},
+    rollout::lateness::{Measure, micros},
     route::Kind,
     time::{Span, Time},
 };
@@ -441,6 +442,10 @@
             forecast.observe(service, received.queued_prefill, received.head_time, now);
         }
         self.record_outcome(service, &target.version, good, slow);
+        if good && route.kind != Kind::Stream {
+            let measure = Measure::Head(route.name.clone());
+            self.record_timing(service, target, &measure, micros(received.head_time));
+        }
         if !good && self.withdraw_retry(ctx, resolved) {
             received.guard.set_outcome(Outcome::Failed);
             return AttemptResult::Retry;
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -7,7 +7,10 @@
     Response, StatusCode,
     body::{Bytes, Incoming},
 };
-use masticlock_core::placement::{Choice, Outcome, Target};
+use masticlock_core::{
+    placement::{Choice, Outcome, Target},
+    rollout::lateness::Pace,
+};
 use tokio::{
     sync::mpsc,
     task::spawn_local,
@@ -196,6 +199,7 @@
         .map_or(DEFAULT_MAX_GAP, masticlock_core::time::Span::to_std);
     let stall = max_gap.mul_f64(STALL_FRACTION);
     let mut stalls = 0;
+    let mut pace = Pace::default();
     let mut stall_at = Instant::now() + stall;
     loop {
         if Instant::now() >= stall_at {
@@ -224,11 +228,17 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
+        let before = events.last_id().unwrap_or(0);
         let complete = match events.push(&data) {
             Ok(Some(complete)) => complete,
             Ok(None) => continue,
             Err(error) => return StreamEnd::Broken(error.to_string()),
         };
+        if complete.progress {
+            let count = events.last_id().unwrap_or(0).saturating_sub(before);
+            let service = &resolved.service.name;
+            proxy.record_events(service, &source.target, ctx.level.get(), &mut pace, count);
+        }
         if sender.send(Ok(complete.bytes)).await.is_err() {
             return StreamEnd::ClientClosed;
         }
--- a/crates/node/src/gateway/forward/stats.rs
+++ b/crates/node/src/gateway/forward/stats.rs
@@ -3,8 +3,11 @@
 use std::sync::Arc;
 
 use masticlock_core::{
+    placement::Target,
+    replicated::Eligibility,
     report::{Suspect, VersionStats},
     retry_budget::Budget,
+    rollout::lateness::{self, Measure, Pace},
     time::Span,
 };
 
@@ -121,6 +124,46 @@
         });
     }
 
+    /// Records the time of an answer of an upstream, by which the rollout of its version is judged.
+    pub(super) fn record_timing(
+        &self,
+        service: &Arc<str>,
+        target: &Target,
+        measure: &Measure,
+        micros: u64,
+    ) {
+        let load = self.pool.borrow().running(&target.upstream);
+        let mut reference = self.reference.borrow_mut();
+        if let Some(late_above) = reference.late_above(measure, load) {
+            self.with_version_stats(service, &target.version, |stats| {
+                let is_late = micros > late_above;
+                lateness::judge(&mut stats.timings, &target.upstream, is_late);
+            });
+        }
+        let view = self.shared.view.load();
+        let eligibility = view.agreed.eligibility(service, &target.version);
+        if eligibility == Eligibility::Stable {
+            reference.observe(measure, load, micros);
+        }
+    }
+
+    /// Records events of a stream that arrived together.
+    pub(super) fn record_events(
+        &self,
+        service: &Arc<str>,
+        target: &Target,
+        level: usize,
+        pace: &mut Pace,
+        events: u64,
+    ) {
+        let measure = Measure::Pace(service.clone(), level);
+        let load = self.pool.borrow().running(&target.upstream);
+        let late_above = self.reference.borrow().late_above(&measure, load);
+        if let Some(micros) = pace.record(events, late_above, self.now()) {
+            self.record_timing(service, target, &measure, micros);
+        }
+    }
+
     /// Calls `act` with the statistics of the version, which are created if they are new.
     pub(super) fn with_version_stats<F>(&self, service: &Arc<str>, version: &Arc<str>, act: F)
     where
