Let the soak's upstreams state limits

Change: a fault that lets an upstream state 0, 0.5, 1, 1.3 or 4 requests a second for 6 to 14 s, drawn from numbers of its own, so that the other faults of a seed stay as they were; the promise `limit` with the rule's bound; the planted fault no-limit; tests of the judge for either side.

--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -18,6 +18,8 @@
     NoNotice,
     /// Ignores an upstream's backoff request.
     NoQuiet,
+    /// Ignores the limits that upstreams state.
+    NoLimit,
 }
 
 impl Fault {
@@ -32,6 +34,7 @@
             Self::NoSync => "no-sync",
             Self::NoNotice => "no-notice",
             Self::NoQuiet => "no-quiet",
+            Self::NoLimit => "no-limit",
         };
         std::env::var("MASTICLOCK_PLANT").is_ok_and(|selected| selected == name)
     }
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -369,6 +369,9 @@
 
     /// Records what a response states about its upstream's limit.
     fn record_limit(&self, ctx: &RequestContext, target: &Target, meta: &ResponseHeaders) {
+        if Fault::NoLimit.is_injected() {
+            return;
+        }
         let limit = match meta.limit {
             Statement::Limited(rate) => Some(rate),
             // Only the upstream's own word ends its limit.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -31,6 +31,11 @@
 /// requests that may still reach it, in milliseconds and requests.
 const QUIET: (u64, usize) = (500, 2);
 
+/// Time after an answer with a limit from which its entry instance counts, the window in which
+/// requests are counted, and the requests allowed beside one and a half times what the limit allows,
+/// in milliseconds and requests.
+const LIMIT: (u64, u64, u64) = (500, 4_000, 5);
+
 /// Time after which a failure domain that is taken out gets no requests, in milliseconds.
 const TAKE_OUT_MS: u64 = 5_000;
 
@@ -63,6 +68,7 @@
     }
     judge.departures(&mut broken);
     judge.quiet(&mut broken);
+    judge.limits(&mut broken);
     judge.cold(&mut broken);
     judge.budget(&mut broken);
     judge.reads(&mut broken);
@@ -234,6 +240,59 @@
         }
     }
 
+    /// Judges requests to upstreams with limits, summed over the entry instances that were told.
+    fn limits(&self, broken: &mut Vec<String>) {
+        let (told_after, window, extra) = LIMIT;
+        for limit in &self.ledger.limits {
+            let from = limit.span.from + CONTACT_MS;
+            let to = limit.span.to.unwrap_or(u64::MAX);
+            let is_counted = |entry: usize, at: u64| {
+                let told = limit.told.iter().find(|(e, _)| *e == entry);
+                told.is_some_and(|(_, told)| {
+                    let word = Word {
+                        entry,
+                        upstream: limit.upstream,
+                        span: Span {
+                            from: *told,
+                            to: None,
+                        },
+                    };
+                    at >= told + told_after && !self.is_excused(&word, at)
+                })
+            };
+            let requests = self.ledger.requests.values();
+            let runs = requests.flat_map(|r| r.runs.iter().map(|run| (r.entry, *run)));
+            let runs = runs.filter(|(_, run)| run.upstream == limit.upstream);
+            let refused = self.ledger.refused.iter();
+            let refused = refused.filter(|r| r.upstream == limit.upstream);
+            let arrivals = runs
+                .map(|(entry, run)| (entry, run.at))
+                .chain(refused.map(|r| (r.entry, r.at)));
+            let is_late = |(entry, at): &(usize, u64)| {
+                let harmed = Part::Upstream(limit.upstream);
+                (from..to).contains(at)
+                    && is_counted(*entry, *at)
+                    // The link may have held requests back.
+                    && !self.is_disturbed(harmed, at.saturating_sub(CONTACT_MS), *at)
+            };
+            let mut late: Vec<u64> = arrivals.filter(is_late).map(|(_, at)| at).collect();
+            late.sort_unstable();
+            let allowed = limit.milli * window * 3 / 2_000_000 + extra;
+            let count = |n: usize| {
+                late[n..]
+                    .iter()
+                    .take_while(|t| **t < late[n] + window)
+                    .count()
+            };
+            let most = (0..late.len()).map(count).max().unwrap_or_default() as u64;
+            if most > allowed {
+                broken.push(format!(
+                    "limit: {most} requests in {window} ms, allowed {allowed}: {limit:?}, {late:?}"
+                ));
+            }
+        }
+    }
+
     fn cold(&self, broken: &mut Vec<String>) {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let most = (COLD_RATE * COLD_OVER.0) as u64 + COLD_OVER.1;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -96,6 +96,19 @@
     pub span: Span,
 }
 
+/// A limit that an upstream has stated.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// The upstream.
+    pub upstream: usize,
+    /// Thousandths of a request per second.
+    pub milli: u64,
+    /// From the first answer with the limit to the first one without it.
+    pub span: Span,
+    /// Entry instances that got an answer with the limit, and when they got the first.
+    pub told: Vec<(usize, u64)>,
+}
+
 /// A request that an upstream turned away.
 #[derive(Clone, Copy, Debug)]
 pub struct Refused {
@@ -134,6 +147,8 @@
     pub departures: Vec<Word>,
     /// Words of upstreams to entry instances that they want no requests.
     pub quiet: Vec<Word>,
+    /// Limits that upstreams have stated.
+    pub limits: Vec<Limit>,
     /// Requests that upstreams turned away while they wanted none.
     pub refused: Vec<Refused>,
     /// Failure domains that are taken out.
@@ -165,6 +180,7 @@
             left: Vec::new(),
             departures: Vec::new(),
             quiet: Vec::new(),
+            limits: Vec::new(),
             refused: Vec::new(),
             taken_out: Vec::new(),
             revoked: Vec::new(),
@@ -289,6 +305,40 @@
         });
     }
 
+    /// Records that an upstream states a limit to the entry instance of a request.
+    pub fn limit(&mut self, upstream: usize, id: &str, milli: u64) {
+        let now = self.now();
+        let Some(entry) = self.requests.get(id).map(|r| r.entry) else {
+            return;
+        };
+        let is_open = |l: &&mut Limit| l.upstream == upstream && l.span.to.is_none();
+        let open = self.limits.iter_mut().find(is_open);
+        if let Some(limit) = open {
+            if limit.told.iter().all(|(e, _)| *e != entry) {
+                limit.told.push((entry, now));
+            }
+            return;
+        }
+        self.limits.push(Limit {
+            upstream,
+            milli,
+            span: Span {
+                from: now,
+                to: None,
+            },
+            told: vec![(entry, now)],
+        });
+    }
+
+    /// Records that an upstream has no limit any more.
+    pub fn end_limit(&mut self, upstream: usize) {
+        let to = Some(self.now());
+        let limits = self.limits.iter_mut();
+        for limit in limits.filter(|l| l.upstream == upstream && l.span.to.is_none()) {
+            limit.span.to = to;
+        }
+    }
+
     /// Records how a request ended.
     pub fn end(&mut self, id: &str, end: End) {
         let now = self.now();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -19,6 +19,15 @@
 /// Time that the control instances are left alone after a fault of one of them, in milliseconds.
 const CONTROL_REST_MS: u64 = 4_500;
 
+/// Limits that upstreams state, in thousandths of a request per second.
+const LIMITS: [u64; 5] = [0, 500, 1_000, 1_300, 4_000];
+
+/// Time for which a limit is stated, in milliseconds.
+const LIMIT_MS: std::ops::Range<u64> = 6_000..14_000;
+
+/// Pause between the starts of two limits in milliseconds.
+const LIMIT_PAUSE_MS: std::ops::Range<u64> = 2_000..7_000;
+
 /// A process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -57,6 +66,8 @@
     Depart(usize, u64),
     /// An upstream turns requests away and wants none for a time.
     Shed(usize, u64),
+    /// An upstream states a limit in thousandths of a request per second for a time.
+    Limit(usize, u64, u64),
     /// A failure domain is taken out for a time.
     TakeOut(&'static str, u64),
     /// A key is taken away and one added.
@@ -140,5 +151,22 @@
         steps.push((at, fault));
         at += random.random_range(0..PAUSE_MS);
     }
+    steps.extend(draw_limits(seed, length_ms, layout));
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
+/// Draws the limits that upstreams state, from numbers of their own.
+fn draw_limits(seed: u64, length_ms: u64, layout: Layout) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let mut steps = Vec::new();
+    let mut at = random.random_range(0..CALM_MS);
+    while at < length_ms {
+        let upstream = random.random_range(0..2 * layout.upstreams);
+        let milli = LIMITS[random.random_range(0..LIMITS.len())];
+        let length = random.random_range(LIMIT_MS);
+        steps.push((at, Fault::Limit(upstream, milli, length)));
+        at += random.random_range(LIMIT_PAUSE_MS);
+    }
     steps
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -252,6 +252,9 @@
             Fault::Leave(at, away) => self.upstreams[at].leave(time(away)).await,
             Fault::Depart(at, away) => self.upstreams[at].depart(time(away)).await,
             Fault::Shed(at, length) => self.upstreams[at].shed(time(length)).await,
+            Fault::Limit(at, milli, length) => {
+                self.upstreams[at].limit(milli, time(length)).await;
+            }
             Fault::TakeOut(domain, length) => {
                 operator::take_out(self.layout, self.ledger.clone(), domain, time(length)).await;
             }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -73,6 +73,8 @@
     departs: Cell<bool>,
     /// It turns requests away until then.
     sheds_until: Cell<u64>,
+    /// Limit that it states in its answers, in thousandths of a request per second.
+    limit: Cell<Option<u64>>,
     connections: RefCell<JoinSet<()>>,
 }
 
@@ -109,6 +111,7 @@
             cold_until: Cell::new(0),
             departs: Cell::new(false),
             sheds_until: Cell::new(0),
+            limit: Cell::new(None),
             connections: RefCell::default(),
         });
         let accepting = upstream.clone();
@@ -186,8 +189,18 @@
         sleep(Duration::from_millis(length)).await;
     }
 
+    /// States a limit in its answers for a time.
+    pub async fn limit(&self, milli: u64, length: Duration) {
+        self.limit.set(Some(milli));
+        sleep(length).await;
+        self.limit.set(None);
+        self.ledger.borrow_mut().end_limit(self.at);
+    }
+
     fn stop(&self) {
         self.ledger.borrow_mut().end_departure(self.at);
+        self.ledger.borrow_mut().end_limit(self.at);
+        self.limit.set(None);
         self.alive.set(false);
         self.proxy.close();
         self.connections.borrow_mut().abort_all();
@@ -258,8 +271,14 @@
     }
 
     fn tell(&self, word: Notice, id: &str) {
+        let mut ledger = self.ledger.borrow_mut();
         if word == Notice::Leaving {
-            self.ledger.borrow_mut().depart(self.at, id);
+            ledger.depart(self.at, id);
+        }
+        match word {
+            Notice::Limited(milli) => ledger.limit(self.at, id, milli),
+            // Without a limit in its answer it has none.
+            Notice::None | Notice::Leaving | Notice::RetryAfter(_) => ledger.end_limit(self.at),
         }
     }
 
@@ -290,6 +309,7 @@
         if quiet_ms > 0 {
             self.ledger.borrow_mut().refuse(self.at, &id, quiet_ms);
             let word = Notice::RetryAfter(quiet_ms);
+            self.tell(word, &id);
             return out
                 .write_all(&testing::encode_response_head(
                     503,
@@ -309,7 +329,7 @@
         let word = if self.departs.get() {
             Notice::Leaving
         } else {
-            Notice::None
+            self.limit.get().map_or(Notice::None, Notice::Limited)
         };
         if self.service == BOOKINGS {
             sleep(BOOKING).await;
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -7,7 +7,7 @@
 use masticlock_soak::{
     judge::judge,
     layout::{Layout, STEADY, STEADY_KEY},
-    ledger::{End, Fact, Ledger, Part, Read, Refused, Request, Run, Span, Word},
+    ledger::{End, Fact, Ledger, Limit, Part, Read, Refused, Request, Run, Span, Word},
     process::guard,
 };
 
@@ -57,6 +57,16 @@
     }
 }
 
+/// Returns a limit that was stated at `from`.
+fn limit(milli: u64, from: u64) -> Limit {
+    Limit {
+        upstream: 0,
+        milli,
+        span: self::from(from),
+        told: vec![(0, from)],
+    }
+}
+
 /// Returns the first promise that is broken in a ledger.
 fn first<F>(change: F) -> Option<String>
 where
@@ -192,6 +202,13 @@
                 l.refused = vec![refused(19_600), refused(20_900)];
             })),
         ),
+        (
+            "limit",
+            first(|l| {
+                l.limits.push(limit(1_000, 10_000));
+                l.refused = (0..12).map(|n| refused(14_000 + 300 * n)).collect();
+            }),
+        ),
     ];
     for (promise, found) in cases {
         assert_eq!(found.as_deref(), Some(promise));
@@ -229,6 +246,32 @@
         l.refused = vec![refused(19_100), refused(19_300), refused(19_600)];
     }));
     assert_eq!(soon, None);
+    let many = |from: u64| (0..40).map(|n| refused(from + 100 * n)).collect();
+    for allowed in [
+        first(|l| {
+            l.limits.push(limit(1_000, 10_000));
+            l.refused = (0..12).map(|n| refused(14_000 + 400 * n)).collect();
+        }),
+        first(|l| {
+            // Within the time to be in touch, and after the limit has ended.
+            l.limits.push(limit(1_000, 10_000));
+            l.limits[0].span.to = Some(13_000);
+            l.refused = many(10_500);
+        }),
+        first(|l| {
+            // The entry instance was not told.
+            l.limits.push(limit(1_000, 10_000));
+            l.limits[0].told[0].0 = 1;
+            l.refused = many(14_000);
+        }),
+        first(|l| {
+            l.limits.push(limit(1_000, 10_000));
+            l.refused = many(14_000);
+            l.disturbed.push((Part::Entry(0), from(11_000)));
+        }),
+    ] {
+        assert_eq!(allowed, None);
+    }
 }
 
 /// Guards against processes that a killed soak leaves behind.
