Add limits of upstreams to the fault matrix

Cause: the simulation of permits under faults was in a test of core only, and the matrix had no line about limits of upstreams.

--- a/scenario/src/lib.rs
+++ b/scenario/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 pub mod invariant;
+pub mod limit;
 pub mod matrix;
 pub mod run;
 pub mod script;
