Compare a version's answers with those at the nearest load

Cause: the reference was the median of all answers at the same load or a higher one. Upstreams of the stable version at the canary's load take 18 to 30 ms. Change: the nearest class of loads with enough answers is the reference, and an answer is late above twice its median.

--- a/crates/core/src/rollout/lateness.rs
+++ b/crates/core/src/rollout/lateness.rs
@@ -1,8 +1,9 @@
 //! Evidence that a version answers more slowly than the others.
 //!
 //! Lateness is told from load by comparing answers at like loads: an answer is late if it takes a
-//! multiple of the median of the stable versions' answers at the same load or a higher one. An
-//! answer at a load that the stable versions have not had is no evidence. It is told from slow
+//! multiple of the median of the stable versions' answers at the same load, or at the next higher
+//! ones if there are too few. An answer at a load that the stable versions have not had is no
+//! evidence. It is told from slow
 //! upstreams by leaving out the part of a version's upstreams that looks slowest.
 //!
 //! Evidence counts as soon as it is certain: the pace of a stream after some events, or once it is
@@ -32,7 +33,7 @@
 const MIN_REFERENCE: usize = 8;
 
 /// Multiple of the median from which an answer is late.
-const LATE_FACTOR: f64 = 2.5;
+const LATE_FACTOR: f64 = 2.0;
 
 /// Time above the median up to which an answer is never late, in microseconds.
 const LATE_FLOOR_MICROS: u64 = 10_000;
@@ -136,8 +137,13 @@
     )]
     pub fn late_above(&self, measure: &Measure, load: u32) -> Option<u64> {
         let found = self.rings.binary_search_by(|(m, _)| m.cmp(measure));
-        let rings = &self.rings[found.ok()?].1[load_class(load)..];
-        let mut times: Vec<u64> = rings.iter().flat_map(|r| &r.times).copied().collect();
+        let mut times = Vec::new();
+        for ring in &self.rings[found.ok()?].1[load_class(load)..] {
+            times.extend_from_slice(&ring.times);
+            if times.len() >= MIN_REFERENCE {
+                break;
+            }
+        }
         if times.len() < MIN_REFERENCE {
             return None;
         }
--- a/crates/core/tests/lateness.rs
+++ b/crates/core/tests/lateness.rs
@@ -77,6 +77,7 @@
     };
     for case in [
         case("equal", good(), good(), 2, false),
+        case("3 times slower", good(), vec![90_000; 12], 2, true),
         case("4 times slower", good(), vec![120_000; 12], 2, true),
         case("8 times slower", good(), vec![240_000; 12], 2, true),
         case("loaded", good(), good(), 12, false),
