--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -11,6 +11,7 @@
 
 mod evidence;
 mod feed;
+mod limits;
 mod log;
 mod membership;
 mod meter;
@@ -32,6 +33,7 @@
         log: log::measure(seed),
         plan: plan::measure(),
     };
+    limits::print();
     role::compare(&slopes, &mut report);
     report.finish()
 }
