Skip the checks of limits and paces that can't change anything

Cause: with no limit stated, each placement still looked for one at every upstream, and each event of a stream sorted the reference times although a stream is judged once. Change: placement asks for a pass only while an upstream may have a limit; a judged stream is not looked at again.

--- a/crates/core/src/placement/limit.rs
+++ b/crates/core/src/placement/limit.rs
@@ -239,6 +239,9 @@
 
     /// Returns whether an upstream has no limit or a pass for it is available.
     pub(super) fn is_passable(&self, upstream: &Upstream, now: Time) -> bool {
+        if !self.has_limits {
+            return true;
+        }
         let Some(limit) = self.limit_of(upstream) else {
             return true;
         };
--- a/crates/core/src/rollout/lateness.rs
+++ b/crates/core/src/rollout/lateness.rs
@@ -155,6 +155,12 @@
 }
 
 impl Pace {
+    /// Returns whether the stream is judged already.
+    #[must_use]
+    pub const fn is_judged(&self) -> bool {
+        self.is_judged
+    }
+
     /// Records events that arrived together, and returns the time between two events in microseconds
     /// once it can be judged.
     ///
--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -10,8 +10,6 @@
     report::Totals,
     time::{Span, Time},
 };
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 
 const START: Time = Time::from_millis(100_000);
 const INTERVAL: Span = Span::from_millis(1_200);
--- a/crates/node/src/gateway/forward/stats.rs
+++ b/crates/node/src/gateway/forward/stats.rs
@@ -156,6 +156,9 @@
         pace: &mut Pace,
         events: u64,
     ) {
+        if pace.is_judged() {
+            return;
+        }
         let measure = Measure::Pace(service.clone(), level);
         let load = self.pool.borrow().running(&target.upstream);
         let late_above = self.reference.borrow().late_above(&measure, load);
