Treat an upstream that refused a connection as cold

Cause: after a refused connection an upstream is tried again after one announcement interval. A new process at its address accepts connections before its announcement has reached the entry instances, and its listed record is that of the earlier incarnation, which is not cold. Ruled out: limits, none was stated by these upstreams at that time. Change: from a refused connection until a later incarnation is listed, or two intervals after the first accepted connection, the upstream gets what one in its cold start gets.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -59,6 +59,10 @@
 /// Maximum backoff after a failed connection, in announcement intervals.
 const MAX_DOWN_INTERVALS: u64 = 8;
 
+/// Number of announcement intervals after which an upstream that accepts connections again has
+/// announced its new incarnation, if it has one.
+const RESTART_INTERVALS: u64 = 2;
+
 /// Number of a service's upstreams in the local failure domain below which its requests go to all
 /// failure domains.
 const MIN_LOCAL_UPSTREAMS: usize = 4;
@@ -182,10 +186,20 @@
     decayed_at: Time,
     /// State after failed connections; `None` if the upstream accepts connections.
     down: Option<Down>,
+    /// Set after a refused connection, until a later incarnation is listed.
+    refused: Option<Refused>,
     /// Earliest time of this instance's next request during the cold start.
     next_cold_request: Time,
 }
 
+/// A refused connection: the process has ended, and the next one at its address may be cold.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    incarnation: u64,
+    /// Time of the first connection that was accepted again.
+    accepted_at: Option<Time>,
+}
+
 /// The backoff after failed connections to an upstream.
 #[derive(Clone, Copy, Debug)]
 struct Down {
@@ -550,7 +564,8 @@
         if criteria.memory_tokens > 0 && tokens > 0 && !fits(tokens + criteria.tokens) {
             return false;
         }
-        now >= upstream.entry.cold_until || self.may_send_cold(upstream, criteria.cold_rate, now)
+        !upstream.may_be_cold(self.interval, now)
+            || self.may_send_cold(upstream, criteria.cold_rate, now)
     }
 
     /// Returns whether this instance may send a request to an upstream in its cold start.
@@ -574,7 +589,12 @@
             .count();
         #[expect(clippy::cast_precision_loss)]
         let fits = (ahead as f64) < rate.floor();
-        fits && domain_instances.into_iter().any(|i| i == self.instance)
+        let is_listed = self
+            .domain_instances
+            .iter()
+            .any(|l| l.instance == self.instance);
+        let is_known_cold = now < upstream.entry.cold_until;
+        fits && (is_listed || (self.domain_instances.is_empty() && !is_known_cold))
     }
 
     fn least_loaded<'a>(&self, candidates: &[&'a Upstream], salt: u16) -> Option<&'a Upstream> {
@@ -595,13 +615,14 @@
 
     /// Records the start of a request.
     pub fn begin(&mut self, upstream: &str, demand: Demand, now: Time) {
+        let interval = self.interval;
         if let Some(at) = self.find(upstream) {
             let upstream = &mut self.upstreams[at];
             upstream.running += 1;
             upstream.tokens += demand.tokens;
             upstream.work += demand.work;
             upstream.prefill += demand.prefill;
-            if now < upstream.entry.cold_until {
+            if upstream.may_be_cold(interval, now) {
                 upstream.next_cold_request = now + COLD_START_INTERVAL;
             }
         }
@@ -675,6 +696,12 @@
             until: now + connection_backoff(interval, failures),
             failures: failures + 1,
         });
+        if failure == Failure::Refused {
+            upstream.refused = Some(Refused {
+                incarnation,
+                accepted_at: None,
+            });
+        }
         if failure == Failure::Refused || upstream.is_local(&self.domain) {
             return;
         }
@@ -710,9 +737,12 @@
     }
 
     /// Records that an upstream accepted a connection.
-    pub fn connected(&mut self, upstream: &str) {
+    pub fn connected(&mut self, upstream: &str, now: Time) {
         if let Some(at) = self.find(upstream) {
             self.upstreams[at].down = None;
+            if let Some(refused) = &mut self.upstreams[at].refused {
+                refused.accepted_at.get_or_insert(now);
+            }
             let domain = &self.upstreams[at].entry.announcement.domain;
             self.suspect_domains.retain(|s| s.domain != *domain);
         }
@@ -763,10 +793,23 @@
             failed: 0.0,
             decayed_at: now,
             down: None,
+            refused: None,
             next_cold_request: Time::ZERO,
         }
     }
 
+    /// Returns whether it is in its cold start, or may be because its process has ended and a new one
+    /// is not listed yet.
+    fn may_be_cold(&self, interval: Span, now: Time) -> bool {
+        let is_unlisted = self.refused.is_some_and(|refused| {
+            let accepted = refused.accepted_at;
+            let limit = interval.times(RESTART_INTERVALS);
+            refused.incarnation == self.entry.announcement.incarnation
+                && accepted.is_none_or(|at| now.since(at) < limit)
+        });
+        now < self.entry.cold_until || is_unlisted
+    }
+
     fn is_local(&self, domain: &str) -> bool {
         *self.entry.announcement.domain == *domain
     }
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -243,7 +243,7 @@
         now += Span::from_millis(1);
         assert!(is_chosen(&pool, now), "after {intervals} intervals");
     }
-    pool.connected("u00");
+    pool.connected("u00", now);
     pool.connect_failed("u00", 1, Failure::Refused, now);
     assert!(is_chosen(&pool, now + INTERVAL), "a connection succeeded");
     let mut restarted = announcement(0, "v1", Span::ZERO);
@@ -266,6 +266,45 @@
     );
 }
 
+/// Guards against a burst of requests to an upstream that has just started again and whose new
+/// incarnation is not listed yet, as in seeds 1010 and 2301 of the soak.
+#[test]
+fn an_upstream_that_refused_a_connection_counts_as_cold_until_it_is_listed_again() {
+    let all = warm_upstreams(1);
+    let mut pool = pool(1, &all);
+    let totals = Totals {
+        instances: 1,
+        domain_instances: vec![1],
+        ..Totals::default()
+    };
+    pool.update_totals(&totals, NOW);
+    pool.connect_failed("u00", 1, Failure::Refused, NOW);
+    let sent = |pool: &mut Pool, now| {
+        let choose = |pool: &Pool| pool.choose(&criteria(None), &State::default(), now);
+        let mut sent = 0;
+        while sent < 20 && matches!(choose(pool), Choice::Upstream(_)) {
+            pool.connected("u00", now);
+            pool.begin("u00", Demand::default(), now);
+            pool.end("u00", Demand::default(), Outcome::Good, now);
+            sent += 1;
+        }
+        sent
+    };
+    let back = NOW + INTERVAL;
+    assert_eq!(sent(&mut pool, back), 1);
+    assert_eq!(sent(&mut pool, back + Span::from_millis(300)), 0);
+    assert_eq!(sent(&mut pool, back + INTERVAL), 1);
+    assert_eq!(
+        sent(&mut pool, back + INTERVAL.times(2)),
+        20,
+        "it has announced itself since"
+    );
+    let later = back + INTERVAL.times(4);
+    pool.connect_failed("u00", 1, Failure::Unresponsive, later);
+    pool.connected("u00", later);
+    assert_eq!(sent(&mut pool, later), 20, "only its link was broken");
+}
+
 /// Guards against new requests to an upstream that sends no announcements any more.
 #[test]
 fn silent_upstreams_get_no_requests() {
@@ -323,7 +362,7 @@
         let choice = one.choose(&long(affinity), &State::default(), NOW);
         assert_eq!(domain_of(choice).as_deref(), Some("a"));
     }
-    one.connected("u05");
+    one.connected("u05", NOW);
     let remote = (0..200).filter(|affinity| {
         let choice = one.choose(&long(*affinity), &State::default(), NOW);
         domain_of(choice).as_deref() == Some("b")
@@ -356,7 +395,7 @@
     pool.connect_failed("u03", 1, Failure::Unresponsive, now);
     assert_eq!(remote(&pool, now + INTERVAL), 0, "the backoff has doubled");
     now += INTERVAL.times(2);
-    pool.connected("u01");
+    pool.connected("u01", NOW);
     assert!(remote(&pool, now) > 30, "the partition has ended");
 }
 
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -91,7 +91,9 @@
                 return AttemptResult::ConnectFailed;
             }
         };
-        self.pool.borrow_mut().connected(&target.upstream);
+        self.pool
+            .borrow_mut()
+            .connected(&target.upstream, self.now());
         if !self.is_still_allowed(ctx, target) || !pass.is_valid() {
             return AttemptResult::ConnectFailed;
         }
