--- a/crates/core/src/limit/permit.rs
+++ b/crates/core/src/limit/permit.rs
@@ -29,7 +29,7 @@
 /// Part of a limit that is not handed out, but used by instances without contact to the leader.
 const RESERVE_DIVISOR: u64 = 8;
 
-/// Largest share of a second for which the rate of an instance without contact accumulates.
+/// Longest slot of an instance without contact.
 const MAX_SLOT: Span = Span::from_secs(2);
 
 /// Time for which permits are kept in advance: two polls and the way to the leader.
