--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -182,7 +182,8 @@
             account = resolved.account.as_ref().map_or("-", |a| &*a.name),
             upstream = &*target.upstream, domain = &*target.domain, version = &*target.version,
             model = ctx.model(&resolved.route).map_or("-", |m| &**m),
-            session = ctx.session_digest().unwrap_or_default(), runs = ctx.runs.get(),
+            session = ctx.session_digest().unwrap_or_default(), parts = ctx.part_list(),
+            runs = ctx.runs.get(),
             limit_milli = limit_milli(self.pool.borrow().limit(target)),
             waited_ms = self.now().since(ctx.received_at).as_millis();
             "a request is sent to an upstream"
@@ -299,10 +300,18 @@
     /// not wait longer for a machine that does not respond.
     pub(super) async fn check_crash(self: &Rc<Self>, ctx: &RequestContext, target: &Target) {
         let (this, target, fingerprint) = (self.clone(), target.clone(), ctx.fingerprint);
+        let (id, parts) = (ctx.id().to_owned(), ctx.part_list());
         let probe = spawn_local(async move {
             match this.connections.open(&target).await {
                 Ok(conn) => conn.release(None),
                 Err(error) => {
+                    log::info!(
+                        event = "crash", request = id, fingerprint = format!("{fingerprint:016x}"),
+                        parts, upstream = &*target.upstream, incarnation = target.incarnation,
+                        reason:% = error;
+                        "an upstream may have crashed while it ran a request"
+                    );
+                    this.metrics.count_crash();
                     this.record_crash(fingerprint);
                     this.mark_unreachable(&target, &error);
                 }
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -175,6 +175,19 @@
         result
     }
 
+    /// Returns the digests of the shared parts of the prompt for logs, separated by commas.
+    pub(super) fn part_list(&self) -> String {
+        let shared = self.shared_parts().iter();
+        let digests: Vec<_> = shared.map(|(part, _)| format!("{part:016x}")).collect();
+        digests.join(",")
+    }
+
+    /// Returns the parts of the prompt that other requests may have too.
+    pub(super) fn shared_parts(&self) -> &[(u64, u64)] {
+        let parts = self.meta.prompt_parts.split_last();
+        parts.map_or(&[][..], |(_, shared)| shared)
+    }
+
     /// Returns the digest that identifies the longest shared prefix of the prompt, which the
     /// requests of a session have in common.
     pub(super) fn session_digest(&self) -> Option<u64> {
@@ -185,12 +198,7 @@
 
     /// Returns the number of tokens in the shared parts of the prompt.
     pub(super) fn shared_tokens(&self) -> u64 {
-        let shared = self
-            .meta
-            .prompt_parts
-            .split_last()
-            .map_or(&[][..], |(_, s)| s);
-        shared.iter().map(|(_, tokens)| tokens).sum()
+        self.shared_parts().iter().map(|(_, tokens)| tokens).sum()
     }
 
     /// Returns a digest of the model and the shared prefix of the prompt, or of the request if its
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -74,6 +74,7 @@
     upstreams: Gauge,
     limited_upstreams: Gauge,
     limited_attempts: Counter,
+    crashes: Counter,
 }
 
 /// Returns the label value of a kind of route.
@@ -115,6 +116,12 @@
             "Requests sent to upstreams that have stated a limit",
             limited_attempts.clone(),
         );
+        let crashes = Counter::default();
+        registry.register(
+            "crashes",
+            "Requests under which an upstream may have crashed",
+            crashes.clone(),
+        );
         Self {
             registry,
             answers,
@@ -126,6 +133,7 @@
             upstreams,
             limited_upstreams,
             limited_attempts,
+            crashes,
         }
     }
 }
@@ -180,6 +188,11 @@
         self.limited_attempts.inc();
     }
 
+    /// Counts a request under which an upstream may have crashed.
+    pub fn count_crash(&self) {
+        self.crashes.inc();
+    }
+
     /// Sets the number of upstreams that have stated a limit.
     pub fn set_limited_upstreams(&self, count: usize) {
         self.limited_upstreams.set(saturating_i64(count));
