--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -20,6 +20,8 @@
     NoQuiet,
     /// Ignores the limits that upstreams state.
     NoLimit,
+    /// Sends requests although they crash upstreams.
+    NoBan,
 }
 
 impl Fault {
@@ -35,6 +37,7 @@
             Self::NoNotice => "no-notice",
             Self::NoQuiet => "no-quiet",
             Self::NoLimit => "no-limit",
+            Self::NoBan => "no-ban",
         };
         std::env::var("MASTICLOCK_PLANT").is_ok_and(|selected| selected == name)
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -760,6 +760,45 @@
             .back_off(&target.upstream, target.incarnation, duration, now);
     }
 
+    /// Returns whether the incarnation of the upstream has announced that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, target: &Target) -> bool {
+        let listed = self.find(&target.upstream).is_some_and(|at| {
+            let announcement = &self.upstreams[at].entry.announcement;
+            announcement.incarnation == target.incarnation && announcement.phase != Phase::Ready
+        });
+        listed
+            || self
+                .notices
+                .is_leaving(&target.upstream, target.incarnation)
+    }
+
+    /// Returns whether a later incarnation of an upstream is listed.
+    #[must_use]
+    pub fn has_restarted(&self, upstream: &str, incarnation: u64) -> bool {
+        self.find(upstream)
+            .is_some_and(|at| self.upstreams[at].entry.announcement.incarnation > incarnation)
+    }
+
+    /// Returns up to `count` other upstreams that are expected to accept connections, those of other
+    /// failure domains first.
+    #[must_use]
+    pub fn witnesses(&self, target: &Target, count: usize, now: Time) -> Vec<Target> {
+        let is_witness = |u: &&Upstream| {
+            u.is_ready()
+                && u.down.is_none_or(|d| now >= d.until)
+                && u.entry.announcement.upstream != target.upstream
+        };
+        let mut others: Vec<_> = self.upstreams.iter().filter(is_witness).collect();
+        let rank = |u: &&Upstream| {
+            let id = digest::of(u.entry.announcement.upstream.as_bytes());
+            let is_near = u.entry.announcement.domain == target.domain;
+            (is_near, digest::mix(id ^ now.as_millis()))
+        };
+        others.sort_by_cached_key(rank);
+        others.iter().take(count).map(|u| u.target()).collect()
+    }
+
     /// Returns the upstreams that have recently told this instance that they are leaving.
     #[must_use]
     pub fn departures(&self, now: Time) -> Vec<notice::Departure> {
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -66,15 +66,6 @@
         pub timings: Vec<Timing>,
     }
 
-    /// Evidence that a request crashes upstreams.
-    #[derive(Copy, Eq)]
-    pub struct Suspect {
-        /// Digest of account, path and body.
-        pub fingerprint: u64,
-        /// Number of times that an upstream ended while it ran the request.
-        pub crashes: u32,
-    }
-
     /// A statement of an upstream about its limit.
     #[derive(Eq)]
     pub struct Limit {
@@ -99,8 +90,6 @@
         pub loads: Vec<Load>,
         /// Statistics by service and version.
         pub stats: Vec<VersionStats>,
-        /// Requests that may have crashed upstreams.
-        pub suspects: Vec<Suspect>,
         /// Upstreams that have recently told the instance that they are leaving.
         pub departures: Vec<Departure>,
         /// Statements of upstreams about their limits that the directory does not show yet.
@@ -118,15 +107,6 @@
         pub sequence: u64,
     }
 
-    /// Crash evidence from one instance.
-    #[derive(Copy, Eq)]
-    pub struct Evidence {
-        /// The instance.
-        pub instance: u64,
-        /// The request and its crashes.
-        pub suspect: Suspect,
-    }
-
     /// The aggregated reports that one control instance received directly.
     #[derive(Eq, Default)]
     pub struct Summary {
@@ -136,8 +116,6 @@
         pub loads: Vec<Load>,
         /// Statistics, sorted by service and version.
         pub stats: Vec<VersionStats>,
-        /// Crash evidence, by instance and fingerprint.
-        pub evidence: Vec<Evidence>,
         /// Failure domains of the instances.
         pub domains: Vec<Arc<str>>,
         /// Present instances, sorted by instance.
@@ -149,8 +127,6 @@
     pub struct Totals {
         /// Loads from all other instances, sorted by upstream.
         pub loads: Vec<Load>,
-        /// Crash evidence from all other instances, sorted by fingerprint.
-        pub suspects: Vec<Suspect>,
         /// Number of present instances, including this one.
         pub instances: u64,
         /// Present instances of the same failure domain, sorted.
@@ -254,12 +230,6 @@
             for stats in entry.stats(now) {
                 add_stats(&mut summary.stats, &stats);
             }
-            for suspect in &report.suspects {
-                summary.evidence.push(Evidence {
-                    instance: report.instance,
-                    suspect: *suspect,
-                });
-            }
             if !entry.is_present(now) {
                 continue;
             }
@@ -302,7 +272,7 @@
     }
 
     /// Returns the totals for `instance`: the loads of busy upstreams and of those that `wanted`
-    /// selects, the crash evidence, and the present instances of its failure domain.
+    /// selects, and the present instances of its failure domain.
     pub fn totals<W>(&mut self, instance: u64, now: Time, wanted: W) -> Totals
     where
         W: Fn(&str) -> bool,
@@ -346,39 +316,9 @@
         }
         totals.domain_instances.sort_unstable();
         totals.domain_instances.dedup();
-        totals.suspects = self.suspects(instance, now);
         totals
     }
 
-    /// Returns the crash evidence of all instances but one, counted once for each instance.
-    fn suspects(&self, except: u64, now: Time) -> Vec<Suspect> {
-        let direct = self.direct.iter().flat_map(|e| {
-            let instance = e.report.instance;
-            let suspects = e.report.suspects.iter();
-            suspects.map(move |s| (s.fingerprint, instance, s.crashes))
-        });
-        let remote = self.summaries(now).flat_map(|s| &s.evidence);
-        let remote = remote.map(|e| (e.suspect.fingerprint, e.instance, e.suspect.crashes));
-        let mut all: Vec<_> = direct
-            .chain(remote)
-            .filter(|(_, instance, _)| *instance != except)
-            .collect();
-        all.sort_unstable();
-        let mut suspects: Vec<Suspect> = Vec::new();
-        for of_instance in all.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)) {
-            // The chunk is sorted, so its last element has the most crashes.
-            let (fingerprint, _, crashes) = of_instance[of_instance.len() - 1];
-            match suspects.last_mut() {
-                Some(last) if last.fingerprint == fingerprint => last.crashes += crashes,
-                _ => suspects.push(Suspect {
-                    fingerprint,
-                    crashes,
-                }),
-            }
-        }
-        suspects
-    }
-
     /// Returns the sum of the statistics that pass the filter over all instances.
     fn sum_stats<F>(&self, now: Time, filter: F) -> VersionStats
     where
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -19,6 +19,12 @@
         Self::finish(blake3::Hasher::new().update(bytes))
     }
 
+    /// Returns the fingerprint that stands for a digest of a request.
+    #[must_use]
+    pub fn of_digest(digest: u64) -> Self {
+        Self::of_bytes(&digest.to_be_bytes())
+    }
+
     fn finish(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; 16];
         hasher.finalize_xof().fill(&mut bytes);
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -1,19 +1,31 @@
-//! Suspect requests: requests that may have crashed an upstream.
+//! Suspects: requests and parts of prompts that may crash upstreams.
 //!
-//! The state is a grow-only set of evidence, from which the status of each
-//! request is derived. Evidence that is merged in any order and any number of
-//! times therefore gives the same status.
+//! Each crash names what ran on the upstream; complete answers clear what they are about. The
+//! judgement follows from the [`EvidenceSet`] alone. The [`Screen`] of an entry instance of the
+//! gateway applies it to requests and their prompt parts, the [`Tracker`] of a peer to requests.
+//!
+//! The load pattern: requests with one part in common, otherwise all different, arrive dozens of
+//! times a second at hundreds of instances, beside sound requests that share all their other parts,
+//! and each of them crashes the upstream that begins to answer it.
+
+mod evidence;
+mod screen;
 
 use serde::{Deserialize, Serialize};
 
+pub use self::{
+    evidence::{
+        Answer, Ban, Charge, Crash, EvidenceSet, Message, PART_CRASHES, REQUEST_CRASHES, Standing,
+        Subject, is_permit_name,
+    },
+    screen::{Probe, Screen, Trial, is_crash},
+};
 use crate::{
     name,
     request::Fingerprint,
     time::{Span, Time},
 };
 
-/// Number of crashed upstreams at which a request is refused for good.
-pub const QUARANTINE_CRASHES: usize = 2;
 /// Longest time for which a request waits until the evidence about it has reached the other
 /// instances.
 pub const PROPAGATION_TIMEOUT: Span = Span::from_secs(1);
@@ -61,66 +73,42 @@
     Alone,
     /// It has to wait until the evidence about it has reached the other instances.
     Pending,
-    /// It is refused: [`QUARANTINE_CRASHES`] upstreams crashed while it ran on them.
+    /// It is refused: [`REQUEST_CRASHES`] upstreams crashed while it ran on them.
     Quarantined,
 }
 
-/// All evidence that an instance has, sorted by id.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct EvidenceSet {
-    evidence: Vec<(Id, Evidence)>,
-}
-
-impl EvidenceSet {
-    /// Adds evidence. Returns whether it was new.
-    pub fn add(&mut self, id: Id, evidence: Evidence) -> bool {
-        match self.evidence.binary_search_by(|(other, _)| other.cmp(&id)) {
-            Ok(_) => false,
-            Err(at) => {
-                self.evidence.insert(at, (id, evidence));
-                true
-            }
-        }
-    }
-
-    /// Adds all evidence of another set.
-    pub fn merge(&mut self, other: &Self) {
-        for (id, evidence) in &other.evidence {
-            self.add(id.clone(), evidence.clone());
-        }
-    }
-
-    /// Returns the upstreams and incarnations that crashed while the request ran
-    /// on them, without those crashes of which it was cleared.
+impl Evidence {
+    /// Returns the evidence of a report with this id as a message to an [`EvidenceSet`].
     #[must_use]
-    pub fn crashes(&self, fingerprint: Fingerprint) -> Vec<(name::Upstream, u64)> {
-        let mut crashes = Vec::new();
-        let mut cleared = Vec::new();
-        for (id, evidence) in &self.evidence {
-            match evidence {
-                Evidence::Crash { running } if running.binary_search(&fingerprint).is_ok() => {
-                    crashes.push((id.upstream.clone(), id.incarnation));
-                }
-                Evidence::Cleared {
-                    fingerprint: other,
-                    crashes: of,
-                } if *other == fingerprint => cleared.extend_from_slice(of),
-                Evidence::Crash { .. } | Evidence::Cleared { .. } => {}
+    pub fn message(&self, id: &Id) -> Message {
+        let crash = |upstream: &name::Upstream, incarnation: u64, charges: Vec<Charge>| Crash {
+            upstream: upstream.as_str().into(),
+            incarnation,
+            age: Span::ZERO,
+            charges,
+        };
+        let charge = |fingerprint: Fingerprint, answer: Answer| Charge {
+            subject: Subject::Request(fingerprint),
+            answer,
+        };
+        let crashes = match self {
+            Self::Crash { running } => {
+                let charges = running.iter().map(|f| charge(*f, Answer::Missing));
+                vec![crash(&id.upstream, id.incarnation, charges.collect())]
             }
-        }
-        crashes.dedup();
-        crashes.retain(|crash| !cleared.contains(crash));
-        crashes
-    }
-
-    /// Returns the status of a request. Crashes of two upstreams quarantine it
-    /// even if other requests ran there too, because it must not crash a third.
-    #[must_use]
-    pub fn status(&self, fingerprint: Fingerprint) -> Status {
-        match self.crashes(fingerprint).len() {
-            0 => Status::Clear,
-            count if count < QUARANTINE_CRASHES => Status::Alone,
-            _ => Status::Quarantined,
+            Self::Cleared {
+                fingerprint,
+                crashes,
+            } => {
+                let cleared = || vec![charge(*fingerprint, Answer::After)];
+                let of = crashes.iter();
+                of.map(|(upstream, incarnation)| crash(upstream, *incarnation, cleared()))
+                    .collect()
+            }
+        };
+        Message {
+            crashes,
+            bans: Vec::new(),
         }
     }
 }
@@ -137,6 +125,8 @@
 #[derive(Clone, Debug)]
 struct Propagation {
     id: Id,
+    /// Requests that ran on the upstream, sorted.
+    running: Vec<Fingerprint>,
     /// When the wait for the other instances ends.
     until: Time,
 }
@@ -155,14 +145,12 @@
 impl Tracker {
     /// Returns the state of a process that runs nothing.
     #[must_use]
-    pub const fn new(origin: name::Instance, boot: u64) -> Self {
+    pub fn new(origin: name::Instance, boot: u64) -> Self {
         Self {
             origin,
             boot,
             number: 0,
-            set: EvidenceSet {
-                evidence: Vec::new(),
-            },
+            set: EvidenceSet::default(),
             runs: Vec::new(),
             propagating: Vec::new(),
         }
@@ -175,14 +163,18 @@
     }
 
     /// Merges evidence of another instance.
-    pub fn merge(&mut self, id: Id, evidence: Evidence) {
-        self.set.add(id, evidence);
+    pub fn merge(&mut self, id: &Id, evidence: &Evidence) {
+        self.set.merge(&evidence.message(id), Time::ZERO);
     }
 
     /// Returns the status of a request that is about to run.
     #[must_use]
     pub fn status(&self, fingerprint: Fingerprint, now: Time) -> Status {
-        let status = self.set.status(fingerprint);
+        let status = match self.set.standing(Subject::Request(fingerprint)) {
+            Standing::Clear => Status::Clear,
+            Standing::Suspect => Status::Alone,
+            Standing::Guilty => Status::Quarantined,
+        };
         if status == Status::Alone && self.is_propagating(fingerprint, now) {
             return Status::Pending;
         }
@@ -197,17 +189,9 @@
 
     /// Returns whether evidence against the request may not have reached all other instances.
     fn is_propagating(&self, fingerprint: Fingerprint, now: Time) -> bool {
-        self.propagating.iter().any(|propagation| {
-            let evidence = self
-                .set
-                .evidence
-                .binary_search_by(|(id, _)| id.cmp(&propagation.id));
-            now < propagation.until
-                && evidence.is_ok_and(|at| match &self.set.evidence[at].1 {
-                    Evidence::Crash { running } => running.binary_search(&fingerprint).is_ok(),
-                    Evidence::Cleared { .. } => false,
-                })
-        })
+        let is_charged = |p: &Propagation| p.running.binary_search(&fingerprint).is_ok();
+        let mut open = self.propagating.iter().filter(|p| now < p.until);
+        open.any(is_charged)
     }
 
     /// Records that a request starts on an upstream.
@@ -240,10 +224,17 @@
                 && run.incarnation == incarnation
         })?;
         self.runs.swap_remove(run);
-        let crashes = self.set.crashes(fingerprint);
-        if !completed || crashes.is_empty() || crashes.len() >= QUARANTINE_CRASHES {
+        let is_suspect = self.set.standing(Subject::Request(fingerprint)) == Standing::Suspect;
+        if !completed || !is_suspect {
             return None;
         }
+        let crashes = self.set.crashes(Subject::Request(fingerprint));
+        let named = |(upstream, incarnation): (std::sync::Arc<str>, u64)| {
+            let upstream = name::Upstream::try_from(&*upstream).ok()?;
+            Some((upstream, incarnation))
+        };
+        // All of them come from evidence that names valid upstreams.
+        let crashes = crashes.into_iter().filter_map(named).collect();
         let evidence = Evidence::Cleared {
             fingerprint,
             crashes,
@@ -272,9 +263,13 @@
         if running.is_empty() {
             return None;
         }
-        let report = self.report(upstream.clone(), incarnation, Evidence::Crash { running });
+        let evidence = Evidence::Crash {
+            running: running.clone(),
+        };
+        let report = self.report(upstream.clone(), incarnation, evidence);
         self.propagating.push(Propagation {
             id: report.0.clone(),
+            running,
             until: now + PROPAGATION_TIMEOUT,
         });
         Some(report)
@@ -300,7 +295,7 @@
             boot: self.boot,
             number: self.number,
         };
-        self.set.add(id.clone(), evidence.clone());
+        self.merge(&id, &evidence);
         (id, evidence)
     }
 }
--- /dev/null
+++ b/crates/core/src/suspect/evidence.rs
@@ -0,0 +1,603 @@
+//! Crash evidence and the judgement that follows from it.
+
+use std::sync::Arc;
+
+use crate::{
+    limit::Rate,
+    request::Fingerprint,
+    time::{Span, Time},
+};
+
+/// Crashes at which a request is guilty.
+pub const REQUEST_CRASHES: u32 = 2;
+
+/// Crashes at which a part of a prompt is guilty.
+pub const PART_CRASHES: u32 = 3;
+
+/// Crashes that don't count against a part that was answered shortly before the first of them.
+const CRASHES_AFTER_ANSWER: u32 = 3;
+
+/// Time for which a crash counts.
+const RETENTION: Span = Span::from_secs(120);
+
+/// Maximum number of crashes that are kept.
+const MAX_CRASHES: usize = 64;
+
+/// Maximum number of charges of one crash.
+const MAX_CHARGES: usize = 512;
+
+/// Maximum number of bans that are kept.
+const MAX_BANS: usize = 256;
+
+/// Time for which a subject has to be guilty until it is banned beyond the retention of the
+/// evidence. Answers that clear it arrive meanwhile.
+const BAN_DELAY: Span = Span::from_secs(2);
+
+/// Time from a ban until its first trial. It doubles with each trial.
+const TRIAL_DELAY: Span = Span::from_secs(60);
+
+/// Maximum number of times that [`TRIAL_DELAY`] doubles.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Rate at which requests with a suspect part run over all instances. A crash and the evidence about
+/// it take less than a second to reach the leader of the control instances.
+const SUSPECT_RATE: Rate = Rate::from_milli(1_000);
+
+/// Prefix of the names under which permits for subjects are requested.
+const PERMIT_PREFIX: &str = "suspect/";
+
+plain! {
+    /// What a crash may be due to.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub enum Subject {
+        /// A part of the prompt, by its digest.
+        Part(u64),
+        /// A request and its copies.
+        Request(Fingerprint),
+    }
+
+    /// Which complete answer speaks for a subject.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub enum Answer {
+        /// None.
+        Missing,
+        /// One shortly before the crash.
+        Before,
+        /// One after the crash, which clears the subject.
+        After,
+    }
+
+    /// A subject that ran on an upstream when it crashed.
+    #[derive(Copy, Eq)]
+    pub struct Charge {
+        /// The subject.
+        pub subject: Subject,
+        /// The answer that speaks for it.
+        pub answer: Answer,
+    }
+
+    /// The end of an upstream's process under the requests that it ran.
+    #[derive(Eq)]
+    pub struct Crash {
+        /// The upstream.
+        pub upstream: Arc<str>,
+        /// Incarnation of the upstream.
+        pub incarnation: u64,
+        /// Time since the crash.
+        pub age: Span,
+        /// What ran there, sorted by subject.
+        pub charges: Vec<Charge>,
+    }
+
+    /// The ban of a guilty subject.
+    #[derive(Copy, Eq)]
+    pub struct Ban {
+        /// The subject.
+        pub subject: Subject,
+        /// Number of trials since the first ban.
+        pub round: u32,
+        /// Whether a complete answer has ended the ban.
+        pub lifted: bool,
+    }
+
+    /// Evidence and bans that an instance sends to another one.
+    #[derive(Eq, Default)]
+    pub struct Message {
+        /// Crashes.
+        pub crashes: Vec<Crash>,
+        /// Bans.
+        pub bans: Vec<Ban>,
+    }
+}
+
+/// What the evidence says about a subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Nothing that an answer has not refuted.
+    Clear,
+    /// It may have caused a crash.
+    Suspect,
+    /// It crashes upstreams.
+    Guilty,
+}
+
+/// A crash with the time and the revision of the set in which it last changed.
+#[derive(Clone, Debug)]
+struct KnownCrash {
+    crash: Crash,
+    at: Time,
+    revision: u64,
+}
+
+/// A ban with the time of its next trial and the revision of the set in which it last changed.
+#[derive(Clone, Debug)]
+struct KnownBan {
+    ban: Ban,
+    due: Time,
+    revision: u64,
+}
+
+/// The judgement about a subject that is not clear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Judgement {
+    subject: Subject,
+    standing: Standing,
+    since: Time,
+}
+
+/// The unexplained crashes of a subject.
+#[derive(Clone, Debug)]
+struct Count {
+    subject: Subject,
+    missing: u32,
+    before: u32,
+    /// Positions of the crashes.
+    crashes: Vec<usize>,
+}
+
+/// All crash evidence that an instance has, and the bans.
+///
+/// Crashes are merged by upstream and incarnation, charges by subject and bans by round, each to the
+/// stronger statement. Evidence that is merged in any order and any number of times therefore gives
+/// the same judgement.
+#[derive(Clone, Debug, Default)]
+pub struct EvidenceSet {
+    /// Sorted by upstream and incarnation.
+    crashes: Vec<KnownCrash>,
+    /// Sorted by subject.
+    bans: Vec<KnownBan>,
+    /// Sorted by subject.
+    judgements: Vec<Judgement>,
+    /// Number of changes.
+    revision: u64,
+}
+
+impl Subject {
+    /// Returns the name under which permits for the subject are requested.
+    #[must_use]
+    pub fn permit_name(self) -> Arc<str> {
+        match self {
+            Self::Part(part) => format!("{PERMIT_PREFIX}part/{part:016x}").into(),
+            Self::Request(fingerprint) => format!("{PERMIT_PREFIX}request/{fingerprint}").into(),
+        }
+    }
+
+    /// Returns the number of crashes at which the subject is guilty.
+    const fn limit(self) -> u32 {
+        match self {
+            Self::Part(_) => PART_CRASHES,
+            Self::Request(_) => REQUEST_CRASHES,
+        }
+    }
+}
+
+/// Returns whether permits are requested for a subject under this name.
+#[must_use]
+pub fn is_permit_name(name: &str) -> bool {
+    name.starts_with(PERMIT_PREFIX)
+}
+
+impl Ban {
+    /// Returns how late in the history of the subject the ban is.
+    const fn order(self) -> (u32, bool) {
+        (self.round, self.lifted)
+    }
+
+    /// Returns the time until its next trial.
+    fn trial_delay(self) -> Span {
+        TRIAL_DELAY.times(1 << self.round.min(MAX_DOUBLINGS))
+    }
+}
+
+impl Count {
+    /// Returns the number of crashes that count.
+    const fn total(&self) -> u32 {
+        self.missing + self.before.saturating_sub(CRASHES_AFTER_ANSWER)
+    }
+}
+
+impl EvidenceSet {
+    /// Returns the number of changes of the set.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    fn find(&self, upstream: &str, incarnation: u64) -> Result<usize, usize> {
+        let key = |k: &KnownCrash| (*k.crash.upstream).cmp(upstream);
+        self.crashes
+            .binary_search_by(|k| key(k).then(k.crash.incarnation.cmp(&incarnation)))
+    }
+
+    /// Returns whether a crash of the incarnation of the upstream is known.
+    #[must_use]
+    pub fn has_crash(&self, upstream: &str, incarnation: u64) -> bool {
+        self.find(upstream, incarnation).is_ok()
+    }
+
+    /// Merges a crash and returns whether anything is new.
+    pub fn add(&mut self, crash: &Crash, now: Time) -> bool {
+        let is_new = self.merge_crash(crash, now);
+        if is_new {
+            self.judge(now);
+        }
+        is_new
+    }
+
+    fn merge_crash(&mut self, crash: &Crash, now: Time) -> bool {
+        if crash.age >= RETENTION {
+            return false;
+        }
+        let next = self.revision + 1;
+        let at = match self.find(&crash.upstream, crash.incarnation) {
+            Ok(at) => at,
+            Err(at) => {
+                let known = KnownCrash {
+                    crash: Crash {
+                        charges: Vec::new(),
+                        ..crash.clone()
+                    },
+                    at: now - crash.age,
+                    revision: next,
+                };
+                self.crashes.insert(at, known);
+                at
+            }
+        };
+        let known = &mut self.crashes[at];
+        let mut is_new = known.crash.charges.is_empty();
+        for charge in &crash.charges {
+            let charges = &mut known.crash.charges;
+            match charges.binary_search_by_key(&charge.subject, |c| c.subject) {
+                Ok(at) if charges[at].answer < charge.answer => charges[at].answer = charge.answer,
+                Err(at) if charges.len() < MAX_CHARGES => charges.insert(at, *charge),
+                Ok(_) | Err(_) => continue,
+            }
+            is_new = true;
+        }
+        if is_new {
+            known.revision = next;
+            self.revision = next;
+        }
+        if self.crashes.len() > MAX_CRASHES {
+            let oldest = (0..self.crashes.len()).min_by_key(|at| self.crashes[*at].at);
+            oldest.map(|at| self.crashes.remove(at));
+        }
+        is_new
+    }
+
+    /// Merges the evidence and bans of another instance and returns whether anything is new.
+    pub fn merge(&mut self, message: &Message, now: Time) -> bool {
+        let mut is_new = false;
+        for crash in &message.crashes {
+            is_new |= self.merge_crash(crash, now);
+        }
+        for ban in &message.bans {
+            is_new |= self.merge_ban(*ban, now);
+        }
+        if is_new {
+            self.judge(now);
+        }
+        is_new
+    }
+
+    fn merge_ban(&mut self, ban: Ban, now: Time) -> bool {
+        let known = KnownBan {
+            ban,
+            due: now + ban.trial_delay(),
+            revision: self.revision + 1,
+        };
+        match self
+            .bans
+            .binary_search_by_key(&ban.subject, |b| b.ban.subject)
+        {
+            Ok(at) if self.bans[at].ban.order() >= ban.order() => return false,
+            Ok(at) => self.bans[at] = known,
+            Err(at) => {
+                if self.bans.len() >= MAX_BANS {
+                    return false;
+                }
+                self.bans.insert(at, known);
+            }
+        }
+        self.revision += 1;
+        true
+    }
+
+    /// Returns what changed after a revision of this set.
+    #[must_use]
+    pub fn since(&self, revision: u64, now: Time) -> Message {
+        let crashes = self.crashes.iter().filter(|k| k.revision > revision);
+        let crash = |k: &KnownCrash| Crash {
+            age: now.since(k.at),
+            ..k.crash.clone()
+        };
+        let bans = self.bans.iter().filter(|b| b.revision > revision);
+        Message {
+            crashes: crashes.map(crash).collect(),
+            bans: bans.map(|b| b.ban).collect(),
+        }
+    }
+
+    /// Applies what is known about complete answers to the subjects of all crashes.
+    ///
+    /// `answer` returns which complete answer speaks for a subject that was charged with a crash at
+    /// that time. Returns whether that changed the evidence.
+    pub fn apply_answers<F>(&mut self, answer: F, now: Time) -> bool
+    where
+        F: Fn(Subject, Time) -> Answer,
+    {
+        let next = self.revision + 1;
+        let mut is_new = false;
+        for known in &mut self.crashes {
+            for charge in &mut known.crash.charges {
+                if charge.answer == Answer::After {
+                    continue;
+                }
+                let answer = answer(charge.subject, known.at);
+                if answer > charge.answer {
+                    charge.answer = answer;
+                    known.revision = next;
+                    is_new = true;
+                }
+            }
+        }
+        if is_new {
+            self.revision = next;
+            self.judge(now);
+        }
+        is_new
+    }
+
+    /// Records a complete answer on the subjects, which clears them of all crashes so far and lifts
+    /// their bans. Returns whether that changed the evidence.
+    pub fn answered(&mut self, subjects: &[Subject], now: Time) -> bool {
+        if self.crashes.is_empty() && self.bans.is_empty() {
+            return false;
+        }
+        let cleared = |subject, _| {
+            if subjects.contains(&subject) {
+                Answer::After
+            } else {
+                Answer::Missing
+            }
+        };
+        let mut is_new = self.apply_answers(cleared, now);
+        for subject in subjects {
+            let lifted = self.ban(*subject).map(|ban| Ban {
+                lifted: true,
+                ..ban
+            });
+            is_new |= lifted.is_some_and(|ban| self.merge_ban(ban, now));
+        }
+        if is_new {
+            self.judge(now);
+        }
+        is_new
+    }
+
+    /// Returns the crashes of which a subject was not cleared, as upstreams and incarnations.
+    #[must_use]
+    pub fn crashes(&self, subject: Subject) -> Vec<(Arc<str>, u64)> {
+        let is_charged = |k: &&KnownCrash| {
+            let charges = &k.crash.charges;
+            charges
+                .binary_search_by_key(&subject, |c| c.subject)
+                .is_ok_and(|at| charges[at].answer < Answer::After)
+        };
+        let crashes = self.crashes.iter().filter(is_charged);
+        crashes
+            .map(|k| (k.crash.upstream.clone(), k.crash.incarnation))
+            .collect()
+    }
+
+    /// Returns whether no subject is suspect or guilty.
+    #[must_use]
+    pub const fn is_clear(&self) -> bool {
+        self.judgements.is_empty()
+    }
+
+    /// Returns what the evidence says about a subject.
+    #[must_use]
+    pub fn standing(&self, subject: Subject) -> Standing {
+        let found = self
+            .judgements
+            .binary_search_by_key(&subject, |j| j.subject);
+        found.map_or(Standing::Clear, |at| self.judgements[at].standing)
+    }
+
+    /// Returns the numbers of suspect and guilty subjects.
+    #[must_use]
+    pub fn totals(&self) -> (usize, usize) {
+        let guilty = self.judgements.iter();
+        let guilty = guilty.filter(|j| j.standing == Standing::Guilty).count();
+        (self.judgements.len() - guilty, guilty)
+    }
+
+    /// Returns the ban of a subject that is not lifted.
+    #[must_use]
+    pub fn ban(&self, subject: Subject) -> Option<Ban> {
+        self.known_ban(subject).map(|known| known.ban)
+    }
+
+    fn known_ban(&self, subject: Subject) -> Option<&KnownBan> {
+        let found = self.bans.binary_search_by_key(&subject, |b| b.ban.subject);
+        let known = &self.bans[found.ok()?];
+        (!known.ban.lifted).then_some(known)
+    }
+
+    /// Counts the crashes of all subjects of a kind that no guilty part explains, sorted by subject.
+    fn counts<F>(&self, guilty: &[Subject], of_kind: F) -> Vec<Count>
+    where
+        F: Fn(Subject) -> bool,
+    {
+        let mut counts: Vec<Count> = Vec::new();
+        for (at, known) in self.crashes.iter().enumerate() {
+            let open = known.crash.charges.iter();
+            let open = open.filter(|c| c.answer < Answer::After);
+            let is_cause =
+                |c: &Charge| matches!(c.subject, Subject::Part(_)) && guilty.contains(&c.subject);
+            if open.clone().any(is_cause) {
+                continue;
+            }
+            for charge in open.filter(|c| of_kind(c.subject)) {
+                let found = counts.binary_search_by_key(&charge.subject, |c| c.subject);
+                let slot = found.unwrap_or_else(|slot| {
+                    let empty = Count {
+                        subject: charge.subject,
+                        missing: 0,
+                        before: 0,
+                        crashes: Vec::new(),
+                    };
+                    counts.insert(slot, empty);
+                    slot
+                });
+                let count = &mut counts[slot];
+                count.crashes.push(at);
+                match charge.answer {
+                    Answer::Missing => count.missing += 1,
+                    Answer::Before | Answer::After => count.before += 1,
+                }
+            }
+        }
+        counts
+    }
+
+    /// Judges all subjects anew.
+    ///
+    /// The part with the most crashes explains them for all other subjects. Parts that only ever ran
+    /// together can't be told apart.
+    fn judge(&mut self, now: Time) {
+        let is_part = |s: Subject| matches!(s, Subject::Part(_));
+        let banned = self.bans.iter().filter(|b| !b.ban.lifted);
+        let mut guilty: Vec<Subject> = banned.map(|b| b.ban.subject).collect();
+        let parts = loop {
+            let counts = self.counts(&guilty, is_part);
+            let worst = counts.iter().max_by_key(|c| c.total());
+            let Some(worst) = worst.filter(|w| w.total() >= w.subject.limit()) else {
+                break counts;
+            };
+            let alike = counts
+                .iter()
+                .filter(|c| c.total() == worst.total() && c.crashes == worst.crashes);
+            guilty.extend(alike.map(|c| c.subject));
+        };
+        let requests = self.counts(&guilty, |s| !is_part(s));
+        let mut judgements: Vec<Judgement> = Vec::new();
+        let mut add = |subject, standing| {
+            let known = self
+                .judgements
+                .binary_search_by_key(&subject, |j| j.subject)
+                .map(|at| self.judgements[at]);
+            let since = known.ok().filter(|k| k.standing == standing);
+            judgements.push(Judgement {
+                subject,
+                standing,
+                since: since.map_or(now, |k| k.since),
+            });
+        };
+        for subject in &guilty {
+            add(*subject, Standing::Guilty);
+        }
+        for count in parts.iter().chain(&requests) {
+            if guilty.contains(&count.subject) {
+                continue;
+            }
+            if count.total() >= count.subject.limit() {
+                add(count.subject, Standing::Guilty);
+            } else if count.total() > 0 {
+                add(count.subject, Standing::Suspect);
+            }
+        }
+        judgements.sort_unstable_by_key(|j| j.subject);
+        self.judgements = judgements;
+    }
+
+    /// Bans the subjects that have been guilty for some time and returns them.
+    pub fn ban_guilty(&mut self, now: Time) -> Vec<Subject> {
+        let due = self.judgements.iter().filter(|j| {
+            j.standing == Standing::Guilty
+                && now.since(j.since) >= BAN_DELAY
+                && self.ban(j.subject).is_none()
+        });
+        let due: Vec<_> = due.map(|j| j.subject).collect();
+        for subject in &due {
+            let found = self.bans.binary_search_by_key(subject, |b| b.ban.subject);
+            let last = found.ok().map(|at| self.bans[at].ban.round);
+            let ban = Ban {
+                subject: *subject,
+                round: last.map_or(0, |round| round + 1),
+                lifted: false,
+            };
+            self.merge_ban(ban, now);
+        }
+        due
+    }
+
+    /// Returns the rate of the permits for a subject, or `None` if it may not run now.
+    ///
+    /// Only the leader of the control instances makes permits, so only it decides on a trial.
+    #[must_use]
+    pub fn permit_rate(&self, name: &str, round: u64, is_leader: bool, now: Time) -> Option<Rate> {
+        let judgement = self
+            .judgements
+            .iter()
+            .find(|j| *j.subject.permit_name() == *name)?;
+        match (judgement.standing, self.known_ban(judgement.subject)) {
+            (Standing::Suspect, _) => Some(SUSPECT_RATE),
+            (Standing::Guilty, Some(known)) => {
+                let is_due = now >= known.due && u64::from(known.ban.round) == round;
+                (is_due || !is_leader).then_some(SUSPECT_RATE)
+            }
+            (Standing::Guilty | Standing::Clear, _) => None,
+        }
+    }
+
+    /// Records that a permit was handed out. The next trial of a ban comes later.
+    pub fn permit_issued(&mut self, name: &str, now: Time) {
+        let banned = self
+            .bans
+            .iter()
+            .find(|b| !b.ban.lifted && *b.ban.subject.permit_name() == *name);
+        if let Some(ban) = banned.map(|b| b.ban) {
+            let round = ban.round + 1;
+            self.merge_ban(Ban { round, ..ban }, now);
+        }
+    }
+
+    /// Makes the trials of all bans due, because a service has a new version.
+    pub fn reconsider(&mut self, now: Time) {
+        for known in &mut self.bans {
+            known.due = known.due.min(now);
+        }
+    }
+
+    /// Drops old crashes.
+    pub fn expire(&mut self, now: Time) {
+        let before = self.crashes.len();
+        self.crashes.retain(|k| now.since(k.at) < RETENTION);
+        if self.crashes.len() < before {
+            self.judge(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/suspect/screen.rs
@@ -0,0 +1,323 @@
+//! Screening of requests by one entry instance of the gateway.
+//!
+//! A guilty part is refused. A suspect one runs by a permit of the control instances' leader, which
+//! hands out one at a time over all instances. Both are checked again right before the request is
+//! written, whatever it is for: a first attempt, a retry, a larger model or the rest of a stream.
+
+use std::sync::Arc;
+
+use super::evidence::{
+    Answer, Charge, Crash, EvidenceSet, Message, Standing, Subject, is_permit_name,
+};
+use crate::{
+    fault::Fault,
+    limit::{Permit, Rate, Stock, Want},
+    time::{Span, Time},
+};
+
+/// Time after a complete answer on a part for which it speaks for the part.
+const ANSWER_MEMORY: Span = Span::from_secs(30);
+
+/// Maximum number of parts whose last complete answers are kept.
+const MAX_ANSWERED: usize = 2_048;
+
+/// Time for which a request's want for a permit counts.
+const WANT_TTL: Span = Span::from_millis(700);
+
+/// Maximum number of subjects for which permits are wanted at once.
+const MAX_WANTS: usize = 64;
+
+/// Time for which it is remembered that a connection broke whose upstream's fate is unknown.
+const BREAK_TTL: Span = Span::from_secs(10);
+
+/// Maximum number of such connections.
+const MAX_BREAKS: usize = 256;
+
+/// What a new connection to an upstream has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// It was accepted.
+    Accepted,
+    /// The machine answered, and no process listens.
+    Refused,
+    /// There was no answer.
+    Silent,
+}
+
+/// Returns whether the process of an upstream has crashed whose connection broke.
+///
+/// `upstream` is what a new connection to it has shown, and `another` what connections to others
+/// have shown since: an instance that is cut off itself may be refused everywhere. An upstream that
+/// is leaving ends as planned.
+#[must_use]
+pub fn is_crash(upstream: Probe, another: Probe, is_leaving: bool) -> bool {
+    upstream == Probe::Refused && another == Probe::Accepted && !is_leaving
+}
+
+/// Permission to run a request with suspect or guilty subjects once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trial {
+    /// The subjects, sorted.
+    subjects: Vec<Subject>,
+    /// Time until which the request must be sent.
+    until: Time,
+}
+
+/// A connection that broke while a request ran, without a sign of a crash so far.
+#[derive(Clone, Debug)]
+struct Break {
+    upstream: Arc<str>,
+    incarnation: u64,
+    subjects: Vec<Subject>,
+    at: Time,
+}
+
+/// The evidence of an entry instance and its permits.
+#[derive(Clone, Debug, Default)]
+pub struct Screen {
+    set: EvidenceSet,
+    /// Time of the last complete answer by part, sorted.
+    answered: Vec<(u64, Time)>,
+    stock: Stock,
+    /// Subjects for which requests want permits, sorted, with the time of the last want.
+    wants: Vec<(Subject, Time)>,
+    breaks: Vec<Break>,
+}
+
+impl Screen {
+    /// Returns the evidence.
+    #[must_use]
+    pub const fn set(&self) -> &EvidenceSet {
+        &self.set
+    }
+
+    /// Returns the standing of a request with these subjects: the worst of its parts, or guilty if
+    /// the request itself is.
+    #[must_use]
+    pub fn standing(&self, subjects: &[Subject]) -> Standing {
+        if self.set.is_clear() || Fault::NoBan.is_injected() {
+            return Standing::Clear;
+        }
+        let standing = |s: &Subject| match (s, self.set.standing(*s)) {
+            // Its copies are told apart from other causes by their parts.
+            (Subject::Request(_), Standing::Suspect) => Standing::Clear,
+            (_, standing) => standing,
+        };
+        subjects
+            .iter()
+            .map(standing)
+            .max()
+            .unwrap_or(Standing::Clear)
+    }
+
+    /// Returns the subjects that may run by a permit only.
+    fn restricted(&self, subjects: &[Subject]) -> Vec<Subject> {
+        let is_restricted = |s: &&Subject| self.standing(&[**s]) > Standing::Clear;
+        let mut restricted: Vec<_> = subjects.iter().filter(is_restricted).copied().collect();
+        restricted.sort_unstable();
+        restricted.dedup();
+        restricted
+    }
+
+    /// Takes the permits that a request needs, or records that they are wanted and returns `None`.
+    pub fn try_out(&mut self, subjects: &[Subject], now: Time) -> Option<Trial> {
+        let restricted = self.restricted(subjects);
+        let lacks = |s: &&Subject| self.stock.count(&s.permit_name(), 0, now) == 0;
+        let lacking: Vec<_> = restricted.iter().filter(lacks).copied().collect();
+        for subject in &lacking {
+            self.want(*subject, now);
+        }
+        if !lacking.is_empty() {
+            return None;
+        }
+        let mut until = None;
+        for subject in &restricted {
+            let end = self.stock.take(&subject.permit_name(), 0, now)?;
+            until = until.into_iter().chain([end]).min();
+        }
+        Some(Trial {
+            subjects: restricted,
+            until: until?,
+        })
+    }
+
+    fn want(&mut self, subject: Subject, now: Time) {
+        match self.wants.binary_search_by_key(&subject, |w| w.0) {
+            Ok(at) => self.wants[at].1 = now,
+            Err(at) if self.wants.len() < MAX_WANTS => self.wants.insert(at, (subject, now)),
+            Err(_) => {}
+        }
+    }
+
+    /// Returns whether a request may be sent now, by its trial if it has one.
+    #[must_use]
+    pub fn may_send(&self, subjects: &[Subject], trial: Option<&Trial>, now: Time) -> bool {
+        if self.standing(subjects) == Standing::Clear {
+            return true;
+        }
+        let is_covered = |s: &Subject| {
+            trial.is_some_and(|t| now < t.until && t.subjects.binary_search(s).is_ok())
+        };
+        self.restricted(subjects).iter().all(is_covered)
+    }
+
+    /// Returns the permits that this instance wants.
+    pub fn permit_wants(&mut self, now: Time) -> Vec<Want> {
+        self.wants.retain(|(_, at)| now.since(*at) < WANT_TTL);
+        let want = |(subject, _): &(Subject, Time)| Want {
+            upstream: subject.permit_name(),
+            incarnation: self.set.ban(*subject).map_or(0, |b| u64::from(b.round)),
+            count: 1,
+            demand: Rate::default(),
+        };
+        self.wants.iter().map(want).collect()
+    }
+
+    /// Takes over the permits for subjects among those of an answer to a poll sent at `sent`.
+    pub fn take_permits(&mut self, permits: &mut Vec<Permit>, sent: Time, now: Time) {
+        let own = permits.extract_if(.., |p| is_permit_name(&p.upstream));
+        for permit in own {
+            // The round only tells the lenders' permits apart.
+            let permit = Permit {
+                incarnation: 0,
+                ..permit
+            };
+            self.stock.add(&permit, sent, now);
+        }
+    }
+
+    /// Records that an upstream crashed while it ran a request with these subjects.
+    pub fn crashed(
+        &mut self,
+        upstream: &Arc<str>,
+        incarnation: u64,
+        subjects: &[Subject],
+        now: Time,
+    ) {
+        let mut subjects = subjects.to_vec();
+        subjects.sort_unstable();
+        subjects.dedup();
+        let charge = |subject: &Subject| Charge {
+            subject: *subject,
+            answer: self.answer(*subject, now),
+        };
+        let crash = Crash {
+            upstream: upstream.clone(),
+            incarnation,
+            age: Span::ZERO,
+            charges: subjects.iter().map(charge).collect(),
+        };
+        self.set.add(&crash, now);
+    }
+
+    /// Records that a connection broke and nothing shows why yet.
+    pub fn broke(
+        &mut self,
+        upstream: &Arc<str>,
+        incarnation: u64,
+        subjects: &[Subject],
+        now: Time,
+    ) {
+        self.breaks.retain(|b| now.since(b.at) < BREAK_TTL);
+        if self.breaks.len() < MAX_BREAKS {
+            self.breaks.push(Break {
+                upstream: upstream.clone(),
+                incarnation,
+                subjects: subjects.to_vec(),
+                at: now,
+            });
+        }
+    }
+
+    /// Takes the later incarnation of an upstream as the sign that the earlier one crashed.
+    ///
+    /// `has_restarted` returns whether a later incarnation of the upstream is listed.
+    pub fn detect_restarts<F>(&mut self, has_restarted: F, now: Time)
+    where
+        F: Fn(&str, u64) -> bool,
+    {
+        if self.breaks.is_empty() {
+            return;
+        }
+        self.breaks.retain(|b| now.since(b.at) < BREAK_TTL);
+        let restarted: Vec<_> = self
+            .breaks
+            .extract_if(.., |b| has_restarted(&b.upstream, b.incarnation))
+            .collect();
+        for known in restarted {
+            self.crashed(&known.upstream, known.incarnation, &known.subjects, now);
+        }
+    }
+
+    /// Returns which complete answer speaks for a subject that was charged with a crash at `at`.
+    fn answer(&self, subject: Subject, at: Time) -> Answer {
+        let Subject::Part(part) = subject else {
+            return Answer::Missing;
+        };
+        let found = self.answered.binary_search_by_key(&part, |a| a.0);
+        match found.map(|index| self.answered[index].1) {
+            Ok(answered) if answered > at => Answer::After,
+            Ok(answered) if at.since(answered) < ANSWER_MEMORY => Answer::Before,
+            Ok(_) | Err(_) => Answer::Missing,
+        }
+    }
+
+    /// Returns whether all parts among the subjects were answered completely a short time ago.
+    #[must_use]
+    pub fn are_trusted(&self, subjects: &[Subject], now: Time) -> bool {
+        let is_trusted = |s: &Subject| match s {
+            Subject::Part(_) => self.answer(*s, now) != Answer::Missing,
+            Subject::Request(_) => true,
+        };
+        subjects.iter().all(is_trusted)
+    }
+
+    /// Records a complete answer to a request with these subjects.
+    ///
+    /// Returns whether that is new evidence.
+    pub fn answered(&mut self, subjects: &[Subject], now: Time) -> bool {
+        for subject in subjects {
+            let Subject::Part(part) = subject else {
+                continue;
+            };
+            match self.answered.binary_search_by_key(part, |a| a.0) {
+                Ok(at) => self.answered[at].1 = now,
+                Err(_) => self.remember(*part, now),
+            }
+        }
+        self.set.answered(subjects, now)
+    }
+
+    fn remember(&mut self, part: u64, now: Time) {
+        if self.answered.len() >= MAX_ANSWERED {
+            let before = self.answered.len();
+            self.answered
+                .retain(|(_, at)| now.since(*at) < ANSWER_MEMORY);
+            if self.answered.len() == before {
+                return;
+            }
+        }
+        if let Err(at) = self.answered.binary_search_by_key(&part, |a| a.0) {
+            self.answered.insert(at, (part, now));
+        }
+    }
+
+    /// Merges evidence from a control instance. Returns whether this instance knows more about it,
+    /// which the others need.
+    pub fn merge(&mut self, message: &Message, now: Time) -> bool {
+        if message.crashes.is_empty() && message.bans.is_empty() {
+            return false;
+        }
+        self.set.merge(message, now);
+        let mut set = std::mem::take(&mut self.set);
+        let is_new = set.apply_answers(|subject, at| self.answer(subject, at), now);
+        self.set = set;
+        is_new
+    }
+
+    /// Drops what is too old to count.
+    pub fn expire(&mut self, now: Time) {
+        self.set.expire(now);
+        self.stock.expire(now);
+    }
+}
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -7,7 +7,7 @@
     cascade::{self, Answer, Pressure},
     forecast::Forecast,
     replicated::{Phase, Rollout},
-    report::{Aggregator, Load, Report, Suspect, VersionStats},
+    report::{Aggregator, Load, Report, VersionStats},
     retry_after::{self, Cause},
     retry_budget::Budget,
     time::{Span, Time},
@@ -382,10 +382,6 @@
             ok: 5,
             ..VersionStats::default()
         }],
-        suspects: vec![Suspect {
-            fingerprint: 42,
-            crashes: 1,
-        }],
         departures: Vec::new(),
         limits: Vec::new(),
     }
@@ -405,11 +401,9 @@
     aggregator.merge_report(report(1, 1, 9), NOW);
     let totals = aggregator.totals(9, NOW, |_| true);
     assert_eq!(totals.loads[0].running, 9);
-    assert_eq!(totals.suspects[0].crashes, 2);
     assert_eq!(totals.instances, 2);
     let own = aggregator.totals(1, NOW, |_| true);
     assert_eq!(own.loads[0].running, 4, "without its own");
-    assert_eq!(own.suspects[0].crashes, 1, "without its own");
     assert_eq!(aggregator.version_stats("engines", "v2", NOW).ok, 10);
     assert_eq!(aggregator.baseline_stats("engines", "v3", NOW).ok, 10);
     assert_eq!(
@@ -433,8 +427,6 @@
     old.merge_report(report(1, 4, 3), NOW);
     new.merge_report(report(1, 5, 3), NOW);
     new.merge_summary(old.summary(7, NOW), NOW);
-    // Evidence is counted once per instance even before the old control instance knows of the move.
-    assert_eq!(new.totals(9, NOW, |_| true).suspects[0].crashes, 1);
     old.merge_summary(new.summary(8, NOW), NOW);
     new.merge_summary(old.summary(7, NOW), NOW);
     let later = NOW + Span::from_millis(100);
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -188,7 +188,6 @@
         loads: loads.to_vec(),
         instances: 2,
         domain_instances: vec![1, 2],
-        ..Totals::default()
     };
     pool.update_totals(&totals, NOW);
     let upstream = upstream_of(pool.choose(&criteria(Some(1)), &State::default(), NOW)).unwrap();
--- /dev/null
+++ b/crates/core/tests/screen.rs
@@ -0,0 +1,276 @@
+//! Tests of the screening of requests whose prompt parts crash upstreams.
+
+mod screen {
+    mod fleet;
+}
+
+use masticlock_core::{
+    limit::{PERMIT_LIFETIME, Permit},
+    request::Fingerprint,
+    suspect::{EvidenceSet, Probe, Screen, Standing, Subject, is_crash},
+    time::{Span, Time},
+};
+
+/// The part that crashes upstreams, one that sound requests have too, and others.
+const GUILTY: Subject = Subject::Part(1);
+const SHARED: Subject = Subject::Part(2);
+const RARE: Subject = Subject::Part(3);
+const SECOND: Subject = Subject::Part(4);
+
+const fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn request(number: u64) -> Subject {
+    Subject::Request(Fingerprint::of_digest(number))
+}
+
+/// Records a crash of a new upstream under a request with these parts.
+fn crash(screen: &mut Screen, number: u64, parts: &[Subject], now: Time) {
+    let mut subjects = parts.to_vec();
+    subjects.push(request(number));
+    screen.crashed(&format!("engine-{number}").into(), 1, &subjects, now);
+}
+
+/// Sends all evidence of one instance to another.
+fn tell(from: &Screen, to: &mut Screen, now: Time) {
+    to.merge(&from.set().since(0, now), now);
+}
+
+/// Returns a permit for the subject.
+fn permit(subject: Subject) -> Permit {
+    Permit {
+        upstream: subject.permit_name(),
+        incarnation: 0,
+        count: 1,
+        valid: PERMIT_LIFETIME,
+        scarce: false,
+    }
+}
+
+/// Guards against a part that is taken for sound because no two of its requests are alike, and
+/// against a ban of the parts that sound requests have in common with it.
+#[test]
+fn a_part_is_guilty_after_three_crashes_and_the_others_are_not() {
+    let mut screen = Screen::default();
+    screen.answered(&[SHARED, request(0)], at(0));
+    for number in 1..=3 {
+        assert!(screen.standing(&[GUILTY]) < Standing::Guilty);
+        crash(&mut screen, number, &[SHARED, GUILTY], at(number * 100));
+    }
+    assert_eq!(screen.standing(&[SHARED, GUILTY]), Standing::Guilty);
+    assert_eq!(screen.standing(&[SHARED, request(9)]), Standing::Clear);
+}
+
+/// Guards against a retry or a new request that runs before the crash under its part is judged, and
+/// against one that runs with another request's permit.
+#[test]
+fn a_suspect_part_runs_by_a_permit_for_one_request() {
+    let mut screen = Screen::default();
+    crash(&mut screen, 1, &[GUILTY], at(100));
+    let subjects = [GUILTY, request(2)];
+    assert!(!screen.may_send(&subjects, None, at(110)));
+    assert_eq!(screen.try_out(&subjects, at(110)), None);
+    assert_eq!(screen.permit_wants(at(120)).len(), 1);
+    screen.take_permits(&mut vec![permit(GUILTY)], at(200), at(210));
+    let trial = screen.try_out(&subjects, at(220));
+    assert!(trial.is_some());
+    assert!(screen.may_send(&subjects, trial.as_ref(), at(230)));
+    assert!(
+        !screen.may_send(&subjects, trial.as_ref(), at(1_300)),
+        "it ends"
+    );
+    assert!(!screen.may_send(&[SECOND, GUILTY], None, at(230)));
+    assert_eq!(screen.try_out(&subjects, at(240)), None, "it was for one");
+}
+
+/// Guards against a permit for one suspect part that lets another one run.
+#[test]
+fn each_suspect_part_of_a_request_needs_a_permit() {
+    let mut screen = Screen::default();
+    crash(&mut screen, 1, &[GUILTY, SECOND], at(100));
+    screen.take_permits(&mut vec![permit(GUILTY)], at(200), at(210));
+    assert_eq!(screen.try_out(&[GUILTY, SECOND], at(220)), None);
+    assert!(screen.try_out(&[GUILTY], at(230)).is_some());
+}
+
+/// Guards against sound parts that stay suspect: any complete answer on them, at any instance,
+/// clears them at all.
+#[test]
+fn a_complete_answer_at_any_instance_clears_a_part() {
+    let (mut one, mut two) = (Screen::default(), Screen::default());
+    crash(&mut one, 1, &[RARE, GUILTY], at(100));
+    tell(&one, &mut two, at(200));
+    assert_eq!(two.standing(&[RARE]), Standing::Suspect);
+    assert!(two.answered(&[RARE, request(7)], at(300)), "it is news");
+    assert_eq!(two.standing(&[RARE]), Standing::Clear);
+    tell(&two, &mut one, at(400));
+    assert_eq!(one.standing(&[RARE]), Standing::Clear);
+    assert_eq!(one.standing(&[GUILTY]), Standing::Suspect);
+}
+
+/// Guards against an accusation of a part that another instance has just answered.
+#[test]
+fn an_instance_speaks_for_a_part_that_it_answered_a_moment_ago() {
+    let (mut one, mut two) = (Screen::default(), Screen::default());
+    two.answered(&[SHARED, request(7)], at(50));
+    crash(&mut one, 1, &[SHARED, GUILTY], at(100));
+    assert_eq!(one.standing(&[SHARED]), Standing::Suspect);
+    assert!(two.merge(&one.set().since(0, at(150)), at(150)));
+    tell(&two, &mut one, at(200));
+    assert_eq!(one.standing(&[SHARED]), Standing::Clear);
+}
+
+/// Guards against a part that goes on crashing upstreams because it was sound before.
+#[test]
+fn earlier_answers_do_not_speak_for_a_part_without_end() {
+    let mut screen = Screen::default();
+    screen.answered(&[GUILTY, request(0)], at(0));
+    for number in 1..=6 {
+        crash(&mut screen, number, &[GUILTY], at(number * 100));
+    }
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Guilty);
+}
+
+/// Guards against two guilty parts of which only the first is found.
+#[test]
+fn two_guilty_parts_are_told_apart() {
+    let mut screen = Screen::default();
+    for number in 1..=3 {
+        crash(&mut screen, number, &[GUILTY], at(number * 100));
+        // A request with the other part runs on the same upstream.
+        crash(&mut screen, number, &[SECOND], at(number * 100));
+        crash(&mut screen, 10 + number, &[GUILTY], at(number * 100 + 50));
+    }
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Guilty);
+    assert!(screen.standing(&[SECOND]) < Standing::Guilty, "explained");
+    for number in 21..=23 {
+        crash(&mut screen, number, &[SECOND], at(number * 100));
+    }
+    assert_eq!(screen.standing(&[SECOND]), Standing::Guilty);
+}
+
+/// Guards against sound parts that are banned because upstreams crash for other reasons.
+#[test]
+fn crashes_for_other_reasons_ban_no_part_that_is_answered() {
+    let mut screen = Screen::default();
+    for number in 1..=40 {
+        let now = number * 100;
+        let rare = Subject::Part(100 + number);
+        crash(&mut screen, number, &[SHARED, rare], at(now));
+        screen.answered(&[SHARED, request(0)], at(now + 50));
+        assert_eq!(screen.standing(&[SHARED]), Standing::Clear);
+        assert!(screen.standing(&[rare]) < Standing::Guilty);
+    }
+}
+
+/// Guards against a request without parts that crashes upstreams, and against its quarantine after
+/// crashes that a part explains.
+#[test]
+fn a_request_is_guilty_of_two_crashes_that_no_part_explains() {
+    let mut screen = Screen::default();
+    for number in 1..=2 {
+        screen.crashed(&format!("e{number}").into(), 1, &[request(5)], at(100));
+    }
+    assert_eq!(screen.standing(&[request(5)]), Standing::Guilty);
+    let mut screen = Screen::default();
+    for number in 1..=3 {
+        let upstream = format!("e{number}").into();
+        screen.crashed(&upstream, 1, &[GUILTY, request(number)], at(100));
+        screen.crashed(&upstream, 1, &[request(5)], at(100));
+    }
+    assert_eq!(screen.standing(&[request(5)]), Standing::Clear);
+}
+
+/// Guards against a cut, a planned stop or a reset that is taken for a crash.
+#[test]
+fn a_crash_is_told_from_a_cut_a_stop_and_a_reset() {
+    assert!(is_crash(Probe::Refused, Probe::Accepted, false));
+    for (upstream, another, is_leaving) in [
+        (Probe::Silent, Probe::Accepted, false),
+        (Probe::Accepted, Probe::Accepted, false),
+        (Probe::Refused, Probe::Silent, false),
+        (Probe::Refused, Probe::Refused, false),
+        (Probe::Refused, Probe::Accepted, true),
+    ] {
+        assert!(!is_crash(upstream, another, is_leaving));
+    }
+}
+
+/// Guards against a crash that is missed because the upstream was back before anyone looked.
+#[test]
+fn a_later_incarnation_shows_a_crash() {
+    let mut screen = Screen::default();
+    screen.broke(&"e".into(), 1, &[GUILTY], at(100));
+    screen.detect_restarts(|_, _| false, at(200));
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Clear);
+    screen.detect_restarts(
+        |upstream, incarnation| upstream == "e" && incarnation == 1,
+        at(300),
+    );
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Suspect);
+}
+
+/// Guards against a ban that ends with the evidence, against trials that don't become rarer, and
+/// against a ban that outlives the fault.
+#[test]
+fn a_ban_lasts_and_a_trial_may_end_it() {
+    let mut screen = Screen::default();
+    for number in 1..=3 {
+        crash(&mut screen, number, &[GUILTY], at(100));
+    }
+    let mut control = EvidenceSet::default();
+    control.merge(&screen.set().since(0, at(200)), at(200));
+    assert!(
+        control.ban_guilty(at(300)).is_empty(),
+        "answers may be on their way"
+    );
+    assert_eq!(control.ban_guilty(at(2_300)), [GUILTY]);
+    let name = GUILTY.permit_name();
+    let mut previous = Span::ZERO;
+    let mut now = at(2_300);
+    for round in 0..3 {
+        let start = now;
+        while control.permit_rate(&name, round, true, now).is_none() {
+            now += Span::from_secs(1);
+            control.expire(now);
+        }
+        assert!(now.since(start) > previous, "round {round}");
+        previous = now.since(start);
+        control.permit_issued(&name, now);
+    }
+    assert_eq!(control.standing(GUILTY), Standing::Guilty);
+    control.answered(&[GUILTY], now);
+    assert_eq!(control.standing(GUILTY), Standing::Clear);
+    // An instance that has the ban learns of its end, in any order.
+    let mut other = EvidenceSet::default();
+    other.merge(&control.since(0, now), now);
+    assert_eq!(other.standing(GUILTY), Standing::Clear);
+}
+
+/// Guards against a flood of new parts that displaces a ban.
+#[test]
+fn a_flood_of_parts_evicts_no_ban() {
+    let mut screen = Screen::default();
+    for number in 1..=3 {
+        crash(&mut screen, number, &[GUILTY], at(100));
+    }
+    let mut control = EvidenceSet::default();
+    control.merge(&screen.set().since(0, at(200)), at(200));
+    control.ban_guilty(at(2_300));
+    for number in 0..5_000 {
+        screen.answered(&[Subject::Part(1_000 + number)], at(2_400));
+        crash(
+            &mut screen,
+            10 + number,
+            &[Subject::Part(9_000 + number)],
+            at(2_500),
+        );
+        control.merge(
+            &screen.set().since(screen.set().revision() - 1, at(2_500)),
+            at(2_500),
+        );
+    }
+    assert_eq!(control.standing(GUILTY), Standing::Guilty);
+    assert!(control.since(0, at(2_500)).crashes.len() <= 64);
+}
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -3,7 +3,7 @@
 use masticlock_core::{
     name,
     request::Fingerprint,
-    suspect::{Evidence, EvidenceSet, Id, Status, Tracker},
+    suspect::{Evidence, EvidenceSet, Id, Message, Standing, Status, Subject, Tracker},
     time::Time,
 };
 use proptest::prelude::*;
@@ -50,11 +50,18 @@
 fn evidence_set(list: &[(Id, Evidence)]) -> EvidenceSet {
     let mut set = EvidenceSet::default();
     for (id, evidence) in list {
-        set.add(id.clone(), evidence.clone());
+        set.merge(&evidence.message(id), Time::ZERO);
     }
     set
 }
 
+/// Returns everything that a set states, and its judgements.
+fn content(set: &EvidenceSet) -> (Message, Vec<Standing>) {
+    let subjects = (0..4).map(|n| Subject::Request(fingerprint(n)));
+    let standings = subjects.map(|s| set.standing(s)).collect();
+    (set.since(0, Time::ZERO), standings)
+}
+
 proptest! {
     /// Guards against a status that depends on the order or number of merges.
     #[test]
@@ -64,11 +71,13 @@
     ) {
         let (left, right) = (evidence_set(&left), evidence_set(&right));
         let (mut one, mut two) = (left.clone(), right.clone());
-        one.merge(&right);
-        two.merge(&left);
-        prop_assert_eq!(&one, &two);
-        two.merge(&right);
-        prop_assert_eq!(&one, &two);
+        one.merge(&right.since(0, Time::ZERO), Time::ZERO);
+        two.merge(&left.since(0, Time::ZERO), Time::ZERO);
+        prop_assert_eq!(content(&one), content(&two));
+        let before = two.revision();
+        two.merge(&right.since(0, Time::ZERO), Time::ZERO);
+        prop_assert_eq!(content(&one), content(&two));
+        prop_assert_eq!(two.revision(), before, "a repeated message is not news");
     }
 }
 
@@ -114,7 +123,7 @@
             );
             for (id, evidence) in reports {
                 for tracker in &mut trackers {
-                    tracker.merge(id.clone(), evidence.clone());
+                    tracker.merge(&id, &evidence);
                     tracker.propagated(&id);
                 }
             }
@@ -127,7 +136,7 @@
                 tracker.started(harmless, upstream(100), 1);
                 let (id, cleared) = tracker.ended(harmless, &upstream(100), 1, true).unwrap();
                 for tracker in &mut trackers {
-                    tracker.merge(id.clone(), cleared.clone());
+                    tracker.merge(&id, &cleared);
                 }
                 let status = trackers[index].status(harmless, Time::from_millis(now));
                 assert_eq!(status, Status::Clear, "seed {seed}");
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -11,6 +11,7 @@
     notice::Departure,
     replicated::{self, Command},
     report,
+    suspect::{self, EvidenceSet},
     time::{Span, Time},
 };
 use tokio::sync::oneshot;
@@ -79,6 +80,8 @@
     pub reports: report::Aggregator,
     /// Permits for upstreams with limits.
     issuer: Issuer,
+    /// Crash evidence and bans.
+    evidence: EvidenceSet,
     pub peers: Peers,
     /// `None` while the disk takes no writes or the data folder is being replaced.
     pub disk: Option<Disk>,
@@ -140,6 +143,7 @@
             directory: fleet::Directory::default(),
             reports: report::Aggregator::default(),
             issuer: Issuer::default(),
+            evidence: EvidenceSet::default(),
             peers: Peers::default(),
             disk: Some(disk),
             halted: None,
@@ -440,6 +444,7 @@
         for heartbeat in &update.heartbeats {
             has_unknown |= !self.directory.merge_heartbeat(heartbeat, now);
         }
+        self.evidence.merge(&update.evidence, now);
         if let Some(summary) = update.summary {
             self.reports.merge_summary(summary, now);
         }
@@ -472,13 +477,22 @@
     /// Only the leader gives permits to control instances, so that none goes around in a circle.
     fn add_permits(&mut self, update: &mut Update, holder: u64, wants: &[Want], now: Time) {
         self.update_term(now);
-        let directory = &self.directory;
+        let (directory, evidence) = (&self.directory, &self.evidence);
+        let is_leader = update.is_leader;
         let limit = |want: &Want| -> Option<Rate> {
+            if suspect::is_permit_name(&want.upstream) {
+                return evidence.permit_rate(&want.upstream, want.incarnation, is_leader, now);
+            }
             let known = directory.get(&want.upstream)?;
             let is_same = known.announcement.incarnation == want.incarnation;
             known.limit.filter(|_| is_same)?.rate
         };
         update.permits = self.issuer.lend(holder, wants, limit, now);
+        let issued = update.permits.iter();
+        let issued = issued.filter(|p| is_leader && p.count > 0);
+        for permit in issued.filter(|p| suspect::is_permit_name(&p.upstream)) {
+            self.evidence.permit_issued(&permit.upstream, now);
+        }
         update.has_permits = update.is_leader
             || self
                 .known_leader
@@ -514,6 +528,13 @@
         }
         let is_full = !cursor.complete
             && now.since(self.started) >= self.announcement_interval.times(DISCOVERY_INTERVALS);
+        if self.evidence.merge(&poll.evidence, now) {
+            let (suspects, guilty) = self.evidence.totals();
+            log::info!(
+                event = "evidence", suspects, guilty;
+                "an entry instance has reported crashes or answers"
+            );
+        }
         let from = if is_full {
             0
         } else {
@@ -523,6 +544,7 @@
             cursor: Cursor {
                 process_id: self.process_id,
                 directory_revision: self.directory.revision(),
+                evidence_revision: self.evidence.revision(),
                 complete: cursor.complete || is_full,
             },
             identity: self.id(),
@@ -537,6 +559,7 @@
             totals: None,
             permits: Vec::new(),
             has_permits: false,
+            evidence: self.evidence.since(cursor.evidence_revision, now),
             agreed: None,
             control_instances: Vec::new(),
         };
@@ -630,6 +653,13 @@
         self.directory.expire(now);
         self.reports.expire(now);
         self.issuer.expire(now);
+        self.evidence.expire(now);
+        for subject in self.evidence.ban_guilty(now) {
+            log::warn!(
+                event = "banned", subject:? = subject;
+                "a request or a part of prompts crashes upstreams and is not sent any more"
+            );
+        }
     }
 }
 
--- a/crates/node/src/gateway/control/tasks.rs
+++ b/crates/node/src/gateway/control/tasks.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use masticlock_core::consensus::Member;
+use masticlock_core::{consensus::Member, suspect};
 use tokio::{task::JoinSet, time::sleep};
 
 use super::{Shared, leader, unix_millis};
@@ -67,6 +67,7 @@
                 spillover_services: Vec::new(),
                 control_address: Some(own_address.clone()),
                 wants,
+                evidence: suspect::Message::default(),
             });
             let sent = self.clock.now();
             match client.call(&request, POLL_TIMEOUT).await {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 mod inquiry;
 mod pass;
 mod relay;
+mod screening;
 mod stats;
 
 use std::{
@@ -22,7 +23,7 @@
     fault::Fault,
     forecast::Forecast,
     placement::{Choice, Criteria, Pool, Target},
-    report::{Suspect, VersionStats},
+    report::VersionStats,
     retry_after::Cause,
     retry_budget::Budget,
     rollout::lateness::Reference,
@@ -76,8 +77,9 @@
 /// Time after the start of the process within which the first configuration is expected.
 const STARTUP_LIMIT: Span = Span::from_secs(6);
 
-/// Number of crashed upstreams from which on a request is quarantined.
-const MAX_CRASHES: u32 = 3;
+/// Longest time that a request with a suspect part waits for a permit. The parts that other requests
+/// have answered meanwhile are no longer suspect.
+const MAX_TRIAL_WAIT: Span = Span::from_millis(1_500);
 
 /// Limits of request heads before the first configuration.
 const INITIAL_HEAD_LIMITS: Limits = Limits {
@@ -105,7 +107,6 @@
     inbox_version: Cell<u64>,
     retry_budgets: RefCell<Vec<(Arc<str>, Budget)>>,
     version_stats: RefCell<Vec<VersionStats>>,
-    suspects: RefCell<Vec<(Suspect, Time)>>,
     /// Moving mean of the time until a response head, in milliseconds, by route.
     mean_head_times: RefCell<Vec<(Arc<str>, f64)>>,
     pressure: RefCell<Pressure>,
@@ -145,7 +146,6 @@
             inbox_version: Cell::new(0),
             retry_budgets: RefCell::default(),
             version_stats: RefCell::default(),
-            suspects: RefCell::default(),
             mean_head_times: RefCell::default(),
             pressure: RefCell::default(),
             forecast: RefCell::default(),
@@ -177,6 +177,9 @@
             let mut pool = self.pool.borrow_mut();
             if view.directory_version != self.directory_version.replace(view.directory_version) {
                 pool.update(view.directory.entries(), self.now());
+                let is_later =
+                    |upstream: &str, incarnation| pool.has_restarted(upstream, incarnation);
+                self.shared.screen().detect_restarts(is_later, self.now());
             }
             pool.update_totals(&view.totals, self.now());
         }
@@ -408,6 +411,7 @@
                 AttemptResult::Response(response) => return Ok(response),
                 AttemptResult::Refused(refusal) => return Err(refusal),
                 AttemptResult::ConnectFailed => ctx.mark_tried(&target.upstream, self.now())?,
+                AttemptResult::Held => {}
                 AttemptResult::NotRun => {
                     ctx.mark_tried(&target.upstream, self.now())?;
                     if !self.with_budget(&resolved.service.name, |b| b.withdraw(self.now())) {
@@ -425,14 +429,15 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal of a request that has waited too long or is quarantined.
+    /// Returns the refusal of a request that has waited too long or crashes upstreams.
     async fn select_upstream(
         self: &Rc<Self>,
         ctx: &RequestContext,
         resolved: &ResolvedRoute,
     ) -> Result<Option<(Target, PassGuard)>, Refusal> {
-        if self.crash_count(ctx.fingerprint) >= MAX_CRASHES {
-            return Err(ctx.give_up("quarantined", self.now()));
+        if !self.is_screened(ctx)? {
+            sleep(SELECTION_RETRY_DELAY).await;
+            return Ok(None);
         }
         self.want_permits(ctx, resolved);
         let waited = self.now().since(ctx.received_at);
@@ -514,7 +519,7 @@
             let mut report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
             report.wants = wants;
             drop(report);
-            self.shared.permit_wanted.notify_one();
+            self.shared.poll_wanted.notify_one();
         }
     }
 
@@ -529,10 +534,9 @@
         A: FnOnce(&Criteria<'_>) -> T,
     {
         let service = &resolved.service;
-        let affinity_key = service
-            .engine
-            .is_some()
-            .then(|| ctx.affinity_key(&resolved.route));
+        // A request that may crash its upstream goes where it disturbs the fewest others.
+        let has_affinity = service.engine.is_some() && ctx.trial.borrow().is_none();
+        let affinity_key = has_affinity.then(|| ctx.affinity_key(&resolved.route));
         let session = ctx.session_digest().unwrap_or(ctx.fingerprint);
         let draw = digest::mix(session ^ digest::of(service.name.as_bytes()));
         act(&Criteria {
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -17,7 +17,7 @@
     route::Kind,
     time::{Span, Time},
 };
-use tokio::{task::spawn_local, time::timeout};
+use tokio::time::timeout;
 
 use super::{InFlightGuard, PassGuard, Proxy, RequestContext, relay};
 use crate::gateway::{
@@ -35,10 +35,6 @@
 /// Longest time to read that body; the retry waits for it.
 const NOT_RUN_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Time in which a reachable machine without a listener refuses a connection: a few round trips
-/// between failure domains.
-const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(20);
-
 /// Time after which a repeatable request is retried at another upstream, in percent of its
 /// remaining time.
 const RETRY_PERCENT: u64 = 55;
@@ -63,6 +59,8 @@
     Refused(Refusal),
     /// No connection could be opened, or the upstream is no longer allowed for the request.
     ConnectFailed,
+    /// Evidence has come that the request may crash its upstream.
+    Held,
     /// The upstream did not run the request.
     NotRun,
     /// The request is to be retried at another upstream.
@@ -97,22 +95,19 @@
         if !self.is_still_allowed(ctx, target) || !pass.is_valid() {
             return AttemptResult::ConnectFailed;
         }
+        if !self.may_send(ctx) {
+            return AttemptResult::Held;
+        }
         let demand = ctx.demand(resolved);
         let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + demand.prefill;
         let send_by = pass.consume();
         let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
         let sent_at = self.now();
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
-        ctx.runs.set(ctx.runs.get() + 1);
+        ctx.begin_attempt();
         self.log_sent(ctx, resolved, target);
         let deadline = earliest(self.send_deadline(resolved), send_by);
-        let left = ctx.deadline(&resolved.route).since(sent_at);
-        let retryable = resolved.route.is_repeatable() && ctx.runs.get() < resolved.route.attempts;
-        let limit = if retryable {
-            Self::retry_timeout(resolved, left).to_std()
-        } else {
-            left.to_std()
-        };
+        let limit = Self::head_timeout(ctx, resolved, sent_at);
         let response = match timeout(limit, conn.send(request, deadline)).await {
             Ok(Ok(response)) => response,
             Ok(Err(Error::NotSent(reason))) => {
@@ -138,6 +133,7 @@
                 return self.retry_or(ctx, resolved, StatusCode::GATEWAY_TIMEOUT);
             }
         };
+        ctx.has_begun.set(true);
         let meta = self.adapter().parse_response(response.headers());
         if !is_matching(meta.id.as_deref(), ctx.meta.id.as_deref(), conn.is_reused()) {
             guard.set_outcome(Outcome::Failed);
@@ -175,6 +171,17 @@
         .await
     }
 
+    /// Returns how long to wait for the head of the response to a request sent at `sent_at`.
+    fn head_timeout(ctx: &RequestContext, resolved: &ResolvedRoute, sent_at: Time) -> Duration {
+        let left = ctx.deadline(&resolved.route).since(sent_at);
+        let retryable = resolved.route.is_repeatable() && ctx.runs.get() < resolved.route.attempts;
+        if retryable {
+            Self::retry_timeout(resolved, left).to_std()
+        } else {
+            left.to_std()
+        }
+    }
+
     /// Logs that a request is sent to an upstream.
     pub(super) fn log_sent(&self, ctx: &RequestContext, resolved: &ResolvedRoute, target: &Target) {
         log::info!(
@@ -277,7 +284,7 @@
     /// Handles a request without a usable response: checks whether the upstream has crashed.
     pub(super) async fn on_lost(
         self: Rc<Self>,
-        ctx: &RequestContext,
+        ctx: &Rc<RequestContext>,
         resolved: &ResolvedRoute,
         target: &Target,
         reason: &str,
@@ -290,37 +297,12 @@
             "an upstream gave no answer"
         );
         self.check_crash(ctx, target).await;
+        if Self::is_crash_limit_reached(ctx) {
+            return AttemptResult::Refused(ctx.ban("crashes upstreams"));
+        }
         self.retry_or(ctx, resolved, StatusCode::BAD_GATEWAY)
     }
 
-    /// Opens a connection to find out whether the upstream has crashed, and records a failure as a
-    /// possible crash by the request that it ran.
-    ///
-    /// A machine without the upstream's process refuses the connection at once. The request does
-    /// not wait longer for a machine that does not respond.
-    pub(super) async fn check_crash(self: &Rc<Self>, ctx: &RequestContext, target: &Target) {
-        let (this, target, fingerprint) = (self.clone(), target.clone(), ctx.fingerprint);
-        let (id, parts) = (ctx.id().to_owned(), ctx.part_list());
-        let probe = spawn_local(async move {
-            match this.connections.open(&target).await {
-                Ok(conn) => conn.release(None),
-                Err(error) => {
-                    log::info!(
-                        event = "crash", request = id, fingerprint = format!("{fingerprint:016x}"),
-                        parts, upstream = &*target.upstream, incarnation = target.incarnation,
-                        reason:% = error;
-                        "an upstream may have crashed while it ran a request"
-                    );
-                    this.metrics.count_crash();
-                    this.record_crash(fingerprint);
-                    this.mark_unreachable(&target, &error);
-                }
-            }
-        });
-        // After the timeout the probe continues in its own task.
-        let _unfinished = timeout(CRASH_PROBE_TIMEOUT, probe).await;
-    }
-
     fn retry_or(
         &self,
         ctx: &RequestContext,
@@ -485,6 +467,9 @@
         match self.buffer.collect(body).await {
             Ok(body) => {
                 guard.set_outcome(if good { Outcome::Good } else { Outcome::Failed });
+                if good {
+                    self.record_answer(ctx);
+                }
                 conn.release(meta.keep_alive);
                 let mut response = Response::new(ResponseBody::Buffered(Some(body)));
                 *response.status_mut() = status;
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -1,7 +1,7 @@
 //! State of a request while it is forwarded.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     sync::Arc,
 };
 
@@ -9,8 +9,10 @@
 use masticlock_core::{
     digest,
     placement::Demand,
+    request::Fingerprint,
     retry_after::{self, Cause},
     route::{Kind, Route},
+    suspect::{Subject, Trial},
     time::{Span, Time},
 };
 
@@ -63,6 +65,16 @@
     pub tried: RefCell<Vec<Arc<str>>>,
     /// Whether permits are wanted for the current attempt.
     pub has_wanted: Cell<bool>,
+    /// Whether the response of the current attempt has begun.
+    pub has_begun: Cell<bool>,
+    /// Number of upstreams that crashed while they ran the request.
+    pub crashes: Cell<u32>,
+    /// Permission to send the request although it has suspect parts.
+    pub trial: RefCell<Option<Trial>>,
+    /// Time from which on the request waits for that permission.
+    pub held_since: Cell<Option<Time>>,
+    /// What a crash under the request may be due to, once it was asked for.
+    pub subjects: OnceCell<Vec<Subject>>,
 }
 
 impl RequestContext {
@@ -104,6 +116,24 @@
         self.refuse(Cause::Unavailable, reason, now)
     }
 
+    /// Records that the request is sent. Its next attempt needs another permit.
+    pub(super) fn begin_attempt(&self) {
+        self.runs.set(self.runs.get() + 1);
+        self.has_begun.set(false);
+        self.held_since.set(None);
+        self.trial.borrow_mut().take();
+    }
+
+    /// Returns the final refusal of a request that crashes upstreams.
+    pub(super) fn ban(&self, reason: &'static str) -> Refusal {
+        let status = if self.runs.get() > 0 {
+            StatusCode::BAD_GATEWAY
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        Refusal::new(status, reason)
+    }
+
     /// Records that an upstream has not run the request.
     ///
     /// # Errors
@@ -182,6 +212,28 @@
         digests.join(",")
     }
 
+    /// Returns what a crash under the request may be due to: the shared parts of its prompt and the
+    /// request itself, which is the last entry.
+    pub(super) fn subjects(&self) -> &[Subject] {
+        self.subjects.get_or_init(|| {
+            let request = Subject::Request(Fingerprint::of_digest(self.fingerprint));
+            let parts = self.shared_parts().iter();
+            let parts = parts.map(|(part, _)| Subject::Part(*part));
+            parts.chain([request]).collect()
+        })
+    }
+
+    /// Returns what a crash of the upstream of the current attempt may be due to. An upstream that
+    /// has not begun to answer is not crashed by a part of the prompt.
+    pub(super) fn charged_subjects(&self) -> &[Subject] {
+        let subjects = self.subjects();
+        if self.has_begun.get() {
+            subjects
+        } else {
+            &subjects[subjects.len() - 1..]
+        }
+    }
+
     /// Returns the parts of the prompt that other requests may have too.
     pub(super) fn shared_parts(&self) -> &[(u64, u64)] {
         let parts = self.meta.prompt_parts.split_last();
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -147,6 +147,7 @@
             StreamEnd::Complete => {
                 guard.set_outcome(Outcome::Good);
                 conn.release(keep_alive);
+                proxy.record_answer(ctx);
                 log::info!(
                     event = "stream_end", request = ctx.id(), upstream = &*target.upstream,
                     last_event = events.last_id().unwrap_or(0), runs = ctx.runs.get(),
@@ -169,6 +170,9 @@
                     "the stream of an upstream has failed"
                 );
                 proxy.check_crash(ctx, &target).await;
+                if Proxy::is_crash_limit_reached(ctx) {
+                    return Err("crashes upstreams".into());
+                }
                 ctx.tried.borrow_mut().push(target.upstream.clone());
                 events.discard_partial();
                 if sender.is_closed() {
@@ -284,6 +288,26 @@
     }
 }
 
+/// Selects the upstream that is to continue a stream, or returns none if there is none now.
+///
+/// # Errors
+///
+/// Returns why no further attempt is possible.
+fn select_next(
+    proxy: &Rc<Proxy>,
+    ctx: &Rc<RequestContext>,
+    resolved: &ResolvedRoute,
+) -> Result<Option<(Target, PassGuard)>, String> {
+    if !proxy.is_screened(ctx).map_err(|refusal| refusal.reason)? {
+        return Ok(None);
+    }
+    proxy.want_permits(ctx, resolved);
+    Ok(match proxy.choose(ctx, resolved) {
+        Choice::Upstream(target) => PassGuard::take(proxy, &target).map(|pass| (target, pass)),
+        Choice::Full | Choice::Limited(_) | Choice::Backoff(_) | Choice::Unavailable => None,
+    })
+}
+
 /// Sends the request to another upstream, which continues the stream after the last event.
 ///
 /// # Errors
@@ -303,15 +327,7 @@
         let resolved = proxy
             .resolve(ctx, &view)
             .map_err(|_| "the request is no longer allowed")?;
-        proxy.want_permits(ctx, &resolved);
-        let target = match proxy.choose(ctx, &resolved) {
-            Choice::Upstream(target) => target,
-            Choice::Full | Choice::Limited(_) | Choice::Backoff(_) | Choice::Unavailable => {
-                sleep(SELECTION_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let Some(mut pass) = PassGuard::take(proxy, &target) else {
+        let Some((target, mut pass)) = select_next(proxy, ctx, &resolved)? else {
             sleep(SELECTION_RETRY_DELAY).await;
             continue;
         };
@@ -329,6 +345,9 @@
         if !proxy.is_still_allowed(ctx, &target) || !pass.is_valid() {
             continue;
         }
+        if !proxy.may_send(ctx) {
+            continue;
+        }
         let send_by = pass.consume();
         let guard = InFlightGuard::begin(
             proxy,
@@ -337,7 +356,7 @@
             ctx.demand(&resolved),
         );
         let request = proxy.build_request(ctx, &resolved, &target, last_event_id);
-        ctx.runs.set(ctx.runs.get() + 1);
+        ctx.begin_attempt();
         proxy.log_sent(ctx, &resolved, &target);
         let deadline = earliest(proxy.send_deadline(&resolved), send_by);
         let left = ctx.deadline(&resolved.route).since(proxy.now());
@@ -355,10 +374,16 @@
                     reason;
                     "an upstream does not continue a stream"
                 );
+                drop(conn);
+                proxy.check_crash(ctx, &target).await;
+                if Proxy::is_crash_limit_reached(ctx) {
+                    return Err("crashes upstreams".into());
+                }
                 ctx.tried.borrow_mut().push(target.upstream.clone());
                 continue;
             }
         };
+        ctx.has_begun.set(true);
         let meta = proxy.adapter().parse_response(response.headers());
         let own = meta.id.as_deref() == ctx.meta.id.as_deref();
         if own {
--- /dev/null
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -0,0 +1,195 @@
+//! Screening of requests that may crash upstreams, and detection of crashes.
+
+use std::{io, rc::Rc, time::Duration};
+
+use masticlock_core::{
+    placement::Target,
+    retry_after::Cause,
+    suspect::{Probe, Standing, Subject, is_crash},
+    time::Span,
+};
+use tokio::{task::spawn_local, time::timeout};
+
+use super::{MAX_TRIAL_WAIT, Proxy, RequestContext};
+use crate::gateway::handler::Refusal;
+
+/// Time in which a reachable machine without a listener refuses a connection, and another upstream
+/// accepts one: a few round trips between failure domains.
+const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// The same time for a request with a part that no answer speaks for. It must not run again before
+/// it is known whether it has crashed its upstream.
+const SUSPECT_PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Longest time for a connection to another upstream.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Number of other upstreams that are tried.
+const MAX_WITNESSES: usize = 3;
+
+/// Time after which a caller may come back whose request needs a permit.
+const TRIAL_RETRY: Span = Span::from_secs(1);
+
+/// Crashes under one request after which it is not retried.
+const MAX_REQUEST_CRASHES: u32 = 2;
+
+impl Proxy {
+    /// Returns whether the request may be sent as far as crashes are concerned, by a permit if it
+    /// needs one, or has to wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request that crashes upstreams or has waited too long.
+    pub(super) fn is_screened(&self, ctx: &RequestContext) -> Result<bool, Refusal> {
+        let now = self.now();
+        let mut screen = self.shared.screen();
+        if screen.set().is_clear() {
+            return Ok(true);
+        }
+        let standing = screen.standing(ctx.subjects());
+        let trial = ctx.trial.borrow();
+        if screen.may_send(ctx.subjects(), trial.as_ref(), now) {
+            return Ok(true);
+        }
+        drop(trial);
+        let trial = screen.try_out(ctx.subjects(), now);
+        drop(screen);
+        let has_trial = trial.is_some();
+        *ctx.trial.borrow_mut() = trial;
+        if has_trial {
+            log::info!(
+                event = "trial", request = ctx.id(), parts = ctx.part_list(),
+                guilty = standing == Standing::Guilty;
+                "a request that may crash its upstream runs by a permit"
+            );
+            return Ok(true);
+        }
+        if standing == Standing::Guilty {
+            return Err(ctx.ban("crashes upstreams"));
+        }
+        let since = ctx.held_since.get().unwrap_or_else(|| {
+            self.shared.poll_wanted.notify_one();
+            ctx.held_since.set(Some(now));
+            now
+        });
+        if now.since(since) >= MAX_TRIAL_WAIT {
+            let reason = "a part of the prompt is suspect";
+            return Err(ctx.refuse(Cause::Limited(TRIAL_RETRY), reason, now));
+        }
+        Ok(false)
+    }
+
+    /// Returns whether the request may be written now. Evidence may have come while it waited for a
+    /// connection.
+    pub(super) fn may_send(&self, ctx: &RequestContext) -> bool {
+        let screen = self.shared.screen();
+        screen.set().is_clear()
+            || screen.may_send(ctx.subjects(), ctx.trial.borrow().as_ref(), self.now())
+    }
+
+    /// Records a complete answer, which clears what the request consists of.
+    pub(super) fn record_answer(&self, ctx: &RequestContext) {
+        if self.shared.screen().answered(ctx.subjects(), self.now()) {
+            self.shared.poll_wanted.notify_one();
+        }
+    }
+
+    /// Returns whether so many upstreams have crashed under the request that it ends.
+    pub(super) fn is_crash_limit_reached(ctx: &RequestContext) -> bool {
+        ctx.crashes.get() >= MAX_REQUEST_CRASHES
+    }
+
+    /// Finds out whether the upstream of the current attempt, whose connection broke, has crashed.
+    ///
+    /// A machine without the upstream's process refuses a new connection at once. Other requests
+    /// don't wait longer for a machine that does not respond.
+    pub(super) async fn check_crash(self: &Rc<Self>, ctx: &Rc<RequestContext>, target: &Target) {
+        let is_trusted = {
+            let screen = self.shared.screen();
+            screen.are_trusted(ctx.charged_subjects(), self.now())
+        };
+        let limit = if is_trusted {
+            CRASH_PROBE_TIMEOUT
+        } else {
+            SUSPECT_PROBE_TIMEOUT
+        };
+        let subjects = ctx.charged_subjects().to_vec();
+        let (this, ctx, target) = (self.clone(), ctx.clone(), target.clone());
+        let probe = spawn_local(async move {
+            if this.has_crashed(&target).await {
+                this.record_crash(&ctx, &target, &subjects);
+            } else {
+                let mut screen = this.shared.screen();
+                screen.broke(&target.upstream, target.incarnation, &subjects, this.now());
+            }
+        });
+        // After the timeout the probe continues in its own task.
+        let _unfinished = timeout(limit, probe).await;
+    }
+
+    async fn has_crashed(self: &Rc<Self>, target: &Target) -> bool {
+        let upstream = self.probe(target).await;
+        let is_known = || {
+            let screen = self.shared.screen();
+            screen.set().has_crash(&target.upstream, target.incarnation)
+        };
+        if upstream == Probe::Refused && is_known() {
+            return true;
+        }
+        let is_leaving = self.pool.borrow().is_leaving(target);
+        if !is_crash(upstream, Probe::Accepted, is_leaving) {
+            return false;
+        }
+        let another = self.probe_others(target).await;
+        is_crash(upstream, another, is_leaving) || is_known()
+    }
+
+    /// Opens a connection to the upstream, which is kept for later requests.
+    async fn probe(self: &Rc<Self>, target: &Target) -> Probe {
+        match self.connections.open(target).await {
+            Ok(conn) => {
+                conn.release(None);
+                Probe::Accepted
+            }
+            Err(error) => {
+                self.mark_unreachable(target, &error);
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    Probe::Refused
+                } else {
+                    Probe::Silent
+                }
+            }
+        }
+    }
+
+    /// Finds out whether any other upstream accepts a connection.
+    async fn probe_others(self: &Rc<Self>, target: &Target) -> Probe {
+        let witnesses = self
+            .pool
+            .borrow()
+            .witnesses(target, MAX_WITNESSES, self.now());
+        for witness in witnesses {
+            let probe = timeout(WITNESS_TIMEOUT, self.probe(&witness)).await;
+            if probe == Ok(Probe::Accepted) {
+                return Probe::Accepted;
+            }
+        }
+        Probe::Silent
+    }
+
+    fn record_crash(&self, ctx: &RequestContext, target: &Target, subjects: &[Subject]) {
+        ctx.crashes.set(ctx.crashes.get() + 1);
+        self.metrics.count_crash();
+        log::info!(
+            event = "crash", request = ctx.id(), fingerprint = format!("{:016x}", ctx.fingerprint),
+            parts = ctx.part_list(), has_begun = subjects.len() == ctx.subjects().len(),
+            upstream = &*target.upstream, incarnation = target.incarnation;
+            "an upstream has crashed while it ran a request"
+        );
+        let mut screen = self.shared.screen();
+        let (upstream, incarnation) = (&target.upstream, target.incarnation);
+        screen.crashed(upstream, incarnation, subjects, self.now());
+        drop(screen);
+        self.shared.poll_wanted.notify_one();
+    }
+}
--- a/crates/node/src/gateway/forward/stats.rs
+++ b/crates/node/src/gateway/forward/stats.rs
@@ -1,24 +1,17 @@
-//! Statistics of the instance: loads, retry budgets, outcomes by version and suspected crashes.
+//! Statistics of the instance: loads, retry budgets, outcomes by version.
 
 use std::sync::Arc;
 
 use masticlock_core::{
     placement::Target,
     replicated::Eligibility,
-    report::{Suspect, VersionStats},
+    report::VersionStats,
     retry_budget::Budget,
     rollout::lateness::{self, Measure, Pace},
-    time::Span,
 };
 
 use super::Proxy;
 
-/// Time for which a suspected crash is kept.
-const SUSPECT_RETENTION: Span = Span::from_secs(60);
-
-/// Maximum number of requests for which suspected crashes are kept.
-const MAX_SUSPECTS: usize = 128;
-
 impl Proxy {
     /// Publishes the statistics for the control thread, which reports them.
     pub fn publish_report(&self) {
@@ -30,9 +23,7 @@
         let departures = self.pool.borrow().departures(now);
         let limits = self.pool.borrow().limit_statements();
         let wants = self.pool.borrow_mut().wants(now);
-        let mut suspects = self.suspects.borrow_mut();
-        suspects.retain(|(_, seen)| now.since(*seen) < SUSPECT_RETENTION);
-        let suspects = suspects.iter().map(|(s, _)| *s).collect();
+        self.shared.screen().expire(now);
         let report = self.shared.report.lock();
         // The control thread never panics while it holds the lock.
         let mut report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -41,7 +32,6 @@
         report
             .version_stats
             .clone_from(&self.version_stats.borrow());
-        report.suspects = suspects;
         report.departures = departures;
         report.limits = limits;
         report.wants = wants;
@@ -73,39 +63,6 @@
         act(&mut retry_budgets[at].1)
     }
 
-    /// Returns how many upstreams the request may have crashed, by the reports of all instances.
-    pub(super) fn crash_count(&self, fingerprint: u64) -> u32 {
-        let suspects = self.suspects.borrow();
-        let own = suspects.iter().find(|(s, _)| s.fingerprint == fingerprint);
-        let view = self.shared.view.load();
-        let others = &view.totals.suspects;
-        let others = others.binary_search_by_key(&fingerprint, |s| s.fingerprint);
-        let others = others.map_or(0, |at| view.totals.suspects[at].crashes);
-        own.map_or(0, |(s, _)| s.crashes) + others
-    }
-
-    /// Records that an upstream may have crashed while it ran the request.
-    pub(super) fn record_crash(&self, fingerprint: u64) {
-        let now = self.now();
-        let mut suspects = self.suspects.borrow_mut();
-        if let Some((suspect, seen)) = suspects
-            .iter_mut()
-            .find(|(s, _)| s.fingerprint == fingerprint)
-        {
-            suspect.crashes += 1;
-            *seen = now;
-            return;
-        }
-        if suspects.len() >= MAX_SUSPECTS {
-            suspects.remove(0);
-        }
-        let suspect = Suspect {
-            fingerprint,
-            crashes: 1,
-        };
-        suspects.push((suspect, now));
-    }
-
     /// Records the outcome of a request, by which the rollout of the version is judged.
     pub(super) fn record_outcome(
         &self,
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -8,7 +8,7 @@
     limit::{Permit, Want},
     plain,
     replicated::{Command, Rollout},
-    report,
+    report, suspect,
     time::Span,
 };
 
@@ -20,6 +20,8 @@
         pub process_id: u64,
         /// Revision of the control instance's directory.
         pub directory_revision: u64,
+        /// Revision of the control instance's crash evidence.
+        pub evidence_revision: u64,
         /// Whether the full directory was sent after the process had time to hear all upstreams.
         pub complete: bool,
     }
@@ -41,6 +43,8 @@
         pub control_address: Option<String>,
         /// Permits that the sender wants for upstreams with limits.
         pub wants: Vec<Want>,
+        /// Crash evidence of the sender, if it is an entry instance, that the receiver may not have.
+        pub evidence: suspect::Message,
     }
 
     /// Agreed state as sent to entry instances.
@@ -95,6 +99,8 @@
         pub permits: Vec<Permit>,
         /// Whether the sender is in contact with the leader, which hands out the permits.
         pub has_permits: bool,
+        /// Crash evidence that changed.
+        pub evidence: suspect::Message,
         /// Agreed state, for an entry instance.
         pub agreed: Option<AgreedState>,
         /// Members of the replica set.
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -7,6 +7,7 @@
     limit::{Permit, Want},
     notice, replicated,
     report::{self, Report},
+    suspect,
     time::{Span, Time},
 };
 use tokio::time::sleep;
@@ -22,7 +23,7 @@
 /// Interval between polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Shortest time between two polls while requests wait for permits.
+/// Shortest time between two polls while requests wait for permits or evidence is new.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Longest time that a poll may take before another control instance is polled.
@@ -57,6 +58,8 @@
     selector: usize,
     /// Index of the log that the agreed state of the view belongs to.
     commit_index: u64,
+    /// Control process that has this instance's crash evidence, and up to which revision.
+    reported_evidence: (u64, u64),
     view: View,
     directory: fleet::Directory,
 }
@@ -97,6 +100,7 @@
             seeds,
             selector,
             commit_index: 0,
+            reported_evidence: (0, 0),
             view: View::default(),
             directory: fleet::Directory::default(),
         }
@@ -144,6 +148,7 @@
         let began = self.clock.now();
         loop {
             let sent = self.clock.now();
+            let (evidence_revision, evidence) = self.new_evidence(cursor.process_id);
             let request = Request::Poll(Poll {
                 cursor,
                 config_revision: self.view.table.as_ref().map(|t| t.revision()),
@@ -151,6 +156,7 @@
                 spillover_services: self.spillover_services(),
                 control_address: None,
                 wants: self.wants(),
+                evidence,
             });
             let update = match client.call(&request, POLL_TIMEOUT).await {
                 Ok(Reply::Update(update)) => *update,
@@ -168,6 +174,12 @@
                 }
             };
             cursor = update.cursor;
+            // A process that has started meanwhile has received a part only.
+            if self.reported_evidence.0 == cursor.process_id {
+                self.reported_evidence.1 = evidence_revision;
+            } else {
+                self.reported_evidence = (cursor.process_id, 0);
+            }
             let age = update.agreed_age;
             self.apply_update(update, sent);
             if age.is_none_or(|age| age > MAX_STATE_AGE) {
@@ -183,7 +195,7 @@
             }
             sleep(MIN_POLL_INTERVAL).await;
             tokio::select! {
-                () = self.shared.permit_wanted.notified() => {}
+                () = self.shared.poll_wanted.notified() => {}
                 () = sleep(POLL_INTERVAL.saturating_sub(MIN_POLL_INTERVAL)) => {}
             }
         }
@@ -215,7 +227,21 @@
         let report = self.shared.report.lock();
         // The traffic thread never panics while it holds the lock.
         let report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
-        report.wants.clone()
+        let mut wants = report.wants.clone();
+        drop(report);
+        wants.extend(self.shared.screen().permit_wants(self.clock.now()));
+        wants
+    }
+
+    /// Returns the revision of the crash evidence and what of it the control process does not have.
+    fn new_evidence(&self, process_id: u64) -> (u64, suspect::Message) {
+        let screen = self.shared.screen();
+        let known = match self.reported_evidence {
+            (process, revision) if process == process_id => revision,
+            _ => 0,
+        };
+        let set = screen.set();
+        (set.revision(), set.since(known, self.clock.now()))
     }
 
     /// Returns the next report with the data of the traffic thread.
@@ -239,16 +265,22 @@
             sequence: self.sequence,
             loads: report.loads.clone(),
             stats: report.version_stats.clone(),
-            suspects: report.suspects.clone(),
             departures: report.departures.clone(),
             limits: report.limits.iter().map(limit).collect(),
         }
     }
 
     /// Applies the reply to a poll that was sent at `sent` and publishes the new view.
-    fn apply_update(&mut self, update: Update, sent: Time) {
+    fn apply_update(&mut self, mut update: Update, sent: Time) {
         let now = self.clock.now();
         let mut changed = false;
+        // Before the state is confirmed: an instance that returns knows the bans before it serves.
+        let mut screen = self.shared.screen();
+        if screen.merge(&update.evidence, now) {
+            self.shared.poll_wanted.notify_one();
+        }
+        screen.take_permits(&mut update.permits, sent, now);
+        drop(screen);
         if update.is_full {
             self.directory.resync(update.records, now);
             changed = true;
--- a/crates/node/src/gateway/view.rs
+++ b/crates/node/src/gateway/view.rs
@@ -1,6 +1,6 @@
 //! State shared between the threads of an entry process.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use masticlock_core::{
@@ -8,8 +8,9 @@
     limit::{Permit, Want},
     notice::{self, Departure},
     replicated,
-    report::{self, Suspect, VersionStats},
+    report::{self, VersionStats},
     route::Table,
+    suspect::Screen,
     time::Time,
 };
 use tokio::sync::Notify;
@@ -27,7 +28,7 @@
     pub agreed: Arc<replicated::State>,
     /// Directory of upstreams.
     pub directory: Arc<fleet::Directory>,
-    /// Load and suspected requests reported by the other entry instances.
+    /// Load reported by the other entry instances.
     pub totals: Arc<report::Totals>,
     /// Number of answers whose permits are in the inbox or were taken from it.
     pub inbox_version: u64,
@@ -44,8 +45,6 @@
     pub spillover_services: Vec<Arc<str>>,
     /// Outcomes of requests by service and version.
     pub version_stats: Vec<VersionStats>,
-    /// Requests that may have crashed upstreams.
-    pub suspects: Vec<Suspect>,
     /// Upstreams that have announced in a response that they are leaving.
     pub departures: Vec<Departure>,
     /// Statements of upstreams about their limits that the directory does not show yet.
@@ -73,6 +72,16 @@
     pub report: Mutex<TrafficReport>,
     /// Filled by the control thread and emptied by the traffic thread.
     pub inbox: Mutex<Inbox>,
-    /// Wakes the control thread when a request waits for a permit.
-    pub permit_wanted: Notify,
+    /// Crash evidence, written by both threads.
+    pub screen: Mutex<Screen>,
+    /// Wakes the control thread when a request waits for a permit or there is new crash evidence.
+    pub poll_wanted: Notify,
+}
+
+impl SharedState {
+    /// Returns the crash evidence.
+    pub fn screen(&self) -> MutexGuard<'_, Screen> {
+        // No thread panics while it holds the lock.
+        self.screen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/node/src/peer/state.rs
+++ b/crates/node/src/peer/state.rs
@@ -81,7 +81,7 @@
         self.gossip.purge(&lifted);
         for record in self.gossip.store().records() {
             if let (Key::Evidence(id), Body::Evidence(evidence)) = (&record.key, &record.body) {
-                self.tracker.merge(id.clone(), evidence.clone());
+                self.tracker.merge(id, evidence);
             }
         }
         let mut view = View::from_store(self.gossip.store());
--- a/scenario/src/world/entry.rs
+++ b/scenario/src/world/entry.rs
@@ -293,7 +293,7 @@
             if let (gossip::Key::Evidence(key), gossip::Body::Evidence(evidence)) =
                 (&record.key, &record.body)
             {
-                process.tracker.merge(key.clone(), evidence.clone());
+                process.tracker.merge(key, evidence);
             }
         }
         for (call, send) in out {
--- a/scenario/src/world/poll.rs
+++ b/scenario/src/world/poll.rs
@@ -158,7 +158,7 @@
                 process
                     .gossip
                     .put(gossip::Key::Evidence(key.clone()), key.boot, body, now);
-                process.tracker.merge(key, evidence);
+                process.tracker.merge(&key, &evidence);
             }
         }
     }
