--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -8,7 +8,8 @@
 use tokio::{
     io::{AsyncWriteExt, BufReader},
     net::TcpStream,
-    time::{sleep, timeout},
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -27,6 +28,12 @@
 /// Longest pause between two requests in milliseconds.
 const PAUSE_MS: u64 = 90;
 
+/// Part that the prompts of all streams begin with.
+const COMMON_PART: &str = "5a";
+
+/// Pause between two requests with a part that crashes upstreams.
+const POISON_PAUSE: Duration = Duration::from_millis(60);
+
 /// What all callers share.
 pub struct Shared {
     /// Addresses.
@@ -64,12 +71,18 @@
         } else {
             1_500
         };
-        let bytes = testing::encode_request(
+        let parts = if request.kind == Kind::Stream {
+            vec![COMMON_PART.into(), format!("5b{}", number % 3), id.clone()]
+        } else {
+            Vec::new()
+        };
+        let bytes = testing::encode_prompt(
             &id,
             &format!("/{}/", request.route),
             &request.key,
             deadline,
             &request.body,
+            &parts,
         );
         let kind = request.kind;
         shared
@@ -102,6 +115,57 @@
     }
 }
 
+/// Sends requests with a part that crashes upstreams to all entry instances in turn for a time.
+pub async fn poison(shared: Rc<Shared>, part: u64, length: Duration) {
+    let end = Instant::now() + length;
+    let mut requests = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let id = format!("p{part}-{number}");
+        let request = Request {
+            kind: Kind::Stream,
+            route: "ask".to_owned(),
+            account: STEADY,
+            key: STEADY_KEY.to_owned(),
+            body: format!("body of {id}"),
+            entry: number % shared.layout.entries,
+            sent: shared.ledger.borrow().now(),
+            runs: Vec::new(),
+            end: None,
+        };
+        requests.spawn_local(send_poison(shared.clone(), id, part, request));
+        sleep(POISON_PAUSE).await;
+    }
+    requests.join_all().await;
+}
+
+async fn send_poison(shared: Rc<Shared>, id: String, part: u64, request: Request) {
+    let parts = [COMMON_PART.to_owned(), upstream::poison(part), id.clone()];
+    let (path, key) = (format!("/{}/", request.route), request.key.clone());
+    let bytes = testing::encode_prompt(&id, &path, &key, 4_000, &request.body, &parts);
+    let address = shared.layout.front_proxy(request.entry);
+    let Ok(Ok(mut stream)) = timeout(CONNECT, TcpStream::connect(address)).await else {
+        return;
+    };
+    shared
+        .ledger
+        .borrow_mut()
+        .requests
+        .insert(id.clone(), request);
+    let mut connection = match stream.write_all(&bytes).await {
+        Ok(()) => BufReader::new(stream),
+        Err(_) => return shared.ledger.borrow_mut().end(&id, End::Cut),
+    };
+    let limit = Duration::from_secs(4) + BEYOND;
+    let end = match timeout(limit, answer(&mut connection, &id, Kind::Stream)).await {
+        Ok(Ok((status, _, _))) => End::Status(status),
+        Ok(Err(_)) => End::Cut,
+        Err(_) => End::Silent,
+    };
+    shared.ledger.borrow_mut().end(&id, end);
+}
+
 fn draw(shared: &Shared, entry: usize, random: &mut ChaCha8Rng) -> Request {
     let (newest_key, newest_route) = *shared.newest.borrow();
     let (kind, route) = match random.random_range(0..10) {
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     layout::{BOOKINGS, COLD_RATE, Layout, STEADY, route},
-    ledger::{End, Fact, Ledger, Part, Request, Run, Span, Word},
+    ledger::{End, Fact, Ledger, Part, Poisoned, Request, Run, Span, Word},
 };
 
 /// Time without a disturbance after which a machine counts as in touch, in milliseconds.
@@ -36,6 +36,10 @@
 /// in milliseconds and requests.
 const LIMIT: (u64, u64, u64) = (500, 4_000, 5);
 
+/// Crashes after which a part of a prompt is known to crash upstreams, and the requests with it that
+/// may still reach them.
+const BAN: (usize, usize) = (5, 3);
+
 /// Time after which a failure domain that is taken out gets no requests, in milliseconds.
 const TAKE_OUT_MS: u64 = 5_000;
 
@@ -69,6 +73,7 @@
     judge.departures(&mut broken);
     judge.quiet(&mut broken);
     judge.limits(&mut broken);
+    judge.bans(&mut broken);
     judge.cold(&mut broken);
     judge.budget(&mut broken);
     judge.reads(&mut broken);
@@ -293,6 +298,32 @@
         }
     }
 
+    /// Judges requests with a part that is known to crash upstreams.
+    fn bans(&self, broken: &mut Vec<String>) {
+        let (known_at, most) = BAN;
+        let mut parts: Vec<u64> = self.ledger.poisoned.iter().map(|(p, _)| *p).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        for part in parts {
+            let runs = self.ledger.poisoned.iter();
+            let runs: Vec<_> = runs.filter(|(p, _)| *p == part).map(|(_, r)| r).collect();
+            let mut crashed: Vec<u64> = runs.iter().filter_map(|r| r.crashed).collect();
+            crashed.sort_unstable();
+            let Some(fifth) = crashed.get(known_at - 1) else {
+                continue;
+            };
+            let is_late =
+                |r: &&&Poisoned| r.at > fifth + CONTACT_MS && self.is_in_touch(r.entry, r.at, r.at);
+            let late: Vec<_> = runs.iter().filter(is_late).collect();
+            if late.len() > most {
+                broken.push(format!(
+                    "ban: {} requests with part {part} after its crash at {fifth} ms: {late:?}",
+                    late.len()
+                ));
+            }
+        }
+    }
+
     fn cold(&self, broken: &mut Vec<String>) {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let most = (COLD_RATE * COLD_OVER.0) as u64 + COLD_OVER.1;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -129,6 +129,17 @@
     pub revision: u64,
 }
 
+/// A run of a request with a part that crashes upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct Poisoned {
+    /// The entry instance that sent it.
+    pub entry: usize,
+    /// When it arrived.
+    pub at: u64,
+    /// When it crashed the upstream, if it did.
+    pub crashed: Option<u64>,
+}
+
 /// Everything that was seen.
 #[derive(Debug)]
 pub struct Ledger {
@@ -151,6 +162,8 @@
     pub limits: Vec<Limit>,
     /// Requests that upstreams turned away while they wanted none.
     pub refused: Vec<Refused>,
+    /// Runs of requests with a part that crashes upstreams, by the number of the part.
+    pub poisoned: Vec<(u64, Poisoned)>,
     /// Failure domains that are taken out.
     pub taken_out: Vec<Fact>,
     /// Keys that were taken away.
@@ -172,6 +185,7 @@
 impl Default for Ledger {
     fn default() -> Self {
         Self {
+            poisoned: Vec::new(),
             start: Instant::now(),
             requests: BTreeMap::new(),
             disturbed: Vec::new(),
@@ -339,6 +353,19 @@
         }
     }
 
+    /// Records that a request with a part that crashes upstreams arrives, and returns its number.
+    pub fn poison(&mut self, part: u64, id: &str) -> usize {
+        let at = self.now();
+        let entry = self.requests.get(id).map_or(0, |r| r.entry);
+        let poisoned = Poisoned {
+            entry,
+            at,
+            crashed: None,
+        };
+        self.poisoned.push((part, poisoned));
+        self.poisoned.len() - 1
+    }
+
     /// Records how a request ended.
     pub fn end(&mut self, id: &str, end: End) {
         let now = self.now();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -28,6 +28,12 @@
 /// Pause between the starts of two limits in milliseconds.
 const LIMIT_PAUSE_MS: std::ops::Range<u64> = 2_000..7_000;
 
+/// Time for which requests with a part that crashes upstreams come, in milliseconds.
+const POISON_MS: std::ops::Range<u64> = 6_000..10_000;
+
+/// Pause between the starts of two such parts in milliseconds.
+const POISON_PAUSE_MS: std::ops::Range<u64> = 9_000..20_000;
+
 /// A process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -68,6 +74,8 @@
     Shed(usize, u64),
     /// An upstream states a limit in thousandths of a request per second for a time.
     Limit(usize, u64, u64),
+    /// Requests with a part that crashes upstreams come for a time.
+    Poison(u64, u64),
     /// A failure domain is taken out for a time.
     TakeOut(&'static str, u64),
     /// A key is taken away and one added.
@@ -152,6 +160,7 @@
         at += random.random_range(0..PAUSE_MS);
     }
     steps.extend(draw_limits(seed, length_ms, layout));
+    steps.extend(draw_poison(seed, length_ms));
     steps.sort_by_key(|(at, _)| *at);
     steps
 }
@@ -170,3 +179,18 @@
     }
     steps
 }
+
+/// Draws the parts of prompts that crash upstreams, from numbers of their own.
+fn draw_poison(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let mut steps = Vec::new();
+    let mut at = CALM_MS + random.random_range(0..POISON_PAUSE_MS.start);
+    let mut part = 0;
+    while at < length_ms {
+        part += 1;
+        let length = random.random_range(POISON_MS);
+        steps.push((at, Fault::Poison(part, length)));
+        at += random.random_range(POISON_PAUSE_MS);
+    }
+    steps
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -255,6 +255,9 @@
             Fault::Limit(at, milli, length) => {
                 self.upstreams[at].limit(milli, time(length)).await;
             }
+            Fault::Poison(part, length) => {
+                caller::poison(self.callers.clone(), part, time(length)).await;
+            }
             Fault::TakeOut(domain, length) => {
                 operator::take_out(self.layout, self.ledger.clone(), domain, time(length)).await;
             }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -36,6 +36,21 @@
 /// Length of a cold start in milliseconds.
 const COLD_MS: u64 = 1_500;
 
+/// Time from the head of an answer until a part of its prompt crashes the upstream.
+const POISON: Duration = Duration::from_millis(50);
+
+/// Time for which an upstream is down after such a crash.
+const POISONED: Duration = Duration::from_millis(400);
+
+/// Beginning of the names of parts that crash upstreams.
+const POISON_PREFIX: &str = "dead";
+
+/// Returns the name of a part of a prompt that crashes upstreams.
+#[must_use]
+pub fn poison(number: u64) -> String {
+    format!("{POISON_PREFIX}{number}")
+}
+
 /// Returns the number of events of a request's stream.
 #[must_use]
 pub fn events(id: &str) -> u64 {
@@ -261,6 +276,7 @@
                 return;
             };
             if self
+                .clone()
                 .answer(&first, &fields, &body, &mut write)
                 .await
                 .is_err()
@@ -283,7 +299,7 @@
     }
 
     async fn answer<W>(
-        &self,
+        self: Rc<Self>,
         first: &str,
         fields: &Fields,
         body: &str,
@@ -350,6 +366,19 @@
         ))
         .await?;
         self.tell(word, &id);
+        let poison = fields
+            .parts
+            .iter()
+            .find_map(|p| p.strip_prefix(POISON_PREFIX));
+        if let Some(part) = poison.and_then(|p| p.parse().ok()) {
+            let run = self.ledger.borrow_mut().poison(part, &id);
+            sleep(POISON).await;
+            let now = self.ledger.borrow().now();
+            self.ledger.borrow_mut().poisoned[run].1.crashed = Some(now);
+            // The crash ends this connection too.
+            spawn_local(async move { self.crash(POISONED).await });
+            return std::future::pending().await;
+        }
         for number in fields.last_event.unwrap_or(0) + 1..=events(&id) {
             let text = event(&id, number);
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -7,7 +7,7 @@
 use masticlock_soak::{
     judge::judge,
     layout::{Layout, STEADY, STEADY_KEY},
-    ledger::{End, Fact, Ledger, Limit, Part, Read, Refused, Request, Run, Span, Word},
+    ledger::{End, Fact, Ledger, Limit, Part, Poisoned, Read, Refused, Request, Run, Span, Word},
     process::guard,
 };
 
@@ -286,3 +286,34 @@
     let status = left.wait().unwrap();
     assert!(!status.success(), "it was killed: {status}");
 }
+
+/// Guards against a judge that overlooks requests with a part that is known to crash upstreams, or
+/// that counts those from an instance that was cut off.
+#[test]
+fn requests_after_the_fifth_crash_of_a_part_break_the_ban() {
+    let run = |entry: usize, at: u64| {
+        let poisoned = Poisoned {
+            entry,
+            at,
+            crashed: Some(at + 50),
+        };
+        (1, poisoned)
+    };
+    let judged = |late: usize, entry: usize| {
+        let mut ledger = Ledger::default();
+        ledger.poisoned = (0..5).map(|n| run(0, 1_000 + n)).collect();
+        ledger
+            .poisoned
+            .extend((0..late as u64).map(|n| run(entry, 5_000 + n)));
+        let cut = Span {
+            from: 4_000,
+            to: Some(4_500),
+        };
+        ledger.disturbed.push((Part::Entry(1), cut));
+        judge(&ledger, LAYOUT)
+    };
+    assert!(judged(3, 0).is_empty(), "three are allowed");
+    let broken = judged(4, 0);
+    assert!(broken.iter().any(|b| b.starts_with("ban")), "{broken:?}");
+    assert!(judged(4, 1).is_empty(), "it was cut off");
+}
