--- a/crates/node/src/gateway/connection_pool.rs
+++ b/crates/node/src/gateway/connection_pool.rs
@@ -24,7 +24,7 @@
 
 use super::{
     deadline_stream::{DeadlineStream, WriteDeadline},
-    socket,
+    socket::Connector,
 };
 use crate::clock::Clock;
 
@@ -49,6 +49,7 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     clock: Clock,
+    connector: Rc<dyn Connector>,
     idle: RefCell<Vec<IdleConnection>>,
 }
 
@@ -100,9 +101,10 @@
 impl ConnectionPool {
     /// Returns an empty pool.
     #[must_use]
-    pub const fn new(clock: Clock) -> Self {
+    pub const fn new(clock: Clock, connector: Rc<dyn Connector>) -> Self {
         Self {
             clock,
+            connector,
             idle: RefCell::new(Vec::new()),
         }
     }
@@ -141,7 +143,7 @@
             .address
             .parse()
             .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
-        let stream = socket::connect(address, CONNECT_TIMEOUT).await?;
+        let stream = self.connector.connect(address, CONNECT_TIMEOUT).await?;
         let write_deadline = WriteDeadline::default();
         let stream = DeadlineStream::new(stream, self.clock, write_deadline.clone());
         let (sender, connection) = http1::Builder::new()
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -27,7 +27,7 @@
     forward::Proxy,
     handler,
     http::{self, Limits, Stage},
-    socket,
+    socket::{self, Connector, TcpConnector},
     sync::Poller,
     view::SharedState,
 };
@@ -130,6 +130,24 @@
 ///
 /// Returns an error if an address can't be bound or the control thread can't be started.
 pub async fn run<D, S>(settings: Settings, adapter: D, stop: S) -> io::Result<()>
+where
+    D: Fn() -> Box<dyn Adapter> + Send + 'static,
+    S: Future<Output = ()>,
+{
+    run_with(settings, adapter, Rc::new(TcpConnector), stop).await
+}
+
+/// Runs an entry process as [`run`] does, with connections to upstreams by `connector`.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound or the control thread can't be started.
+pub async fn run_with<D, S>(
+    settings: Settings,
+    adapter: D,
+    connector: Rc<dyn Connector>,
+    stop: S,
+) -> io::Result<()>
 where
     D: Fn() -> Box<dyn Adapter> + Send + 'static,
     S: Future<Output = ()>,
@@ -145,6 +163,7 @@
         clock,
         state.clone(),
         adapter(),
+        connector,
         id,
     ));
     let (seeds, domain) = (settings.seeds.clone(), settings.domain.clone());
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -45,6 +45,7 @@
     handler::{Refusal, ResolvedRoute},
     http::Limits,
     metrics,
+    socket::Connector,
     view::{SharedState, View},
 };
 use crate::clock::Clock;
@@ -126,6 +127,7 @@
         clock: Clock,
         shared: Arc<SharedState>,
         adapter: Box<dyn Adapter>,
+        connector: Rc<dyn Connector>,
         instance: u64,
     ) -> Self {
         let pool = Pool::new(
@@ -138,7 +140,7 @@
             clock,
             shared,
             adapter,
-            connections: Rc::new(ConnectionPool::new(clock)),
+            connections: Rc::new(ConnectionPool::new(clock, connector)),
             buffer: Rc::default(),
             pool: RefCell::new(pool),
             view_version: Cell::new(0),
--- a/crates/node/src/gateway/socket.rs
+++ b/crates/node/src/gateway/socket.rs
@@ -1,6 +1,6 @@
 //! Options of TCP connections.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration};
 
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -38,6 +38,25 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// A connection that is being opened.
+pub type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
+
+/// Opens the connections of an entry instance to upstreams.
+pub trait Connector: fmt::Debug {
+    /// Opens a connection within `limit`.
+    fn connect(&self, address: SocketAddr, limit: Duration) -> Connecting;
+}
+
+/// Opens TCP connections.
+#[derive(Clone, Copy, Debug)]
+pub struct TcpConnector;
+
+impl Connector for TcpConnector {
+    fn connect(&self, address: SocketAddr, limit: Duration) -> Connecting {
+        Box::pin(connect(address, limit))
+    }
+}
+
 /// Opens a connection and sets its options.
 ///
 /// # Errors
