Serve callers through a peer while an instance has no way to upstreams

Cause: an instance knew no other way than its own connections, tried one upstream after the other for 500 ms each, and returned to each of them by its own backoff. Class: a failure of the instance's own link that is handled as many failures of upstreams.

Change: core::reach takes new connections to several upstreams of several failure domains, tried after a silence of 200 ms or a failed connection, as evidence for a cut; one silent upstream or one failure domain is none. While cut off, or while no upstream of a service can be reached, a peer is the target that placement chooses, by the room that it reports. Entry instances report address and room with their polls; control instances list the peers only to those that need them. The peer handles the request like one of its own, once: it marks the second hop as not allowed, counts the requests to upstreams, and how often the request ran goes along. What a peer has not refused is not tried again. Requests that wait for a silent upstream, and streams that may be resumed, go on through a peer. After the way's return the backoffs of the cut end; an unstable link has to hold for four rounds.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod placement;
 pub mod planner;
 pub mod policy;
+pub mod reach;
 pub mod replicated;
 pub mod report;
 pub mod request;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,11 +8,12 @@
 //! the resulting error.
 
 mod limit;
+mod peer;
 
 use std::sync::Arc;
 
-use self::limit::Passes;
 pub use self::limit::{Pass, Shortage};
+use self::{limit::Passes, peer::Peers};
 use crate::{
     digest,
     fleet::{Entry, Phase},
@@ -103,6 +104,8 @@
     pub cold_rate: f64,
     /// Upstreams that must not be chosen.
     pub excluded: &'a [Arc<str>],
+    /// Whether a peer may handle the request. It goes from one instance to another once at most.
+    pub may_hand_over: bool,
 }
 
 /// The resources of an upstream that a request needs.
@@ -145,6 +148,8 @@
     pub version: Arc<str>,
     /// Incarnation of the upstream.
     pub incarnation: u64,
+    /// Whether it is a peer, which sends the request to an upstream.
+    pub is_peer: bool,
 }
 
 /// How a connection to an upstream failed.
@@ -248,6 +253,9 @@
     passes: Passes,
     /// Whether an upstream may have a limit.
     has_limits: bool,
+    /// Whether this instance has lost its way to all upstreams.
+    is_cut_off: bool,
+    peers: Peers,
     upstreams: Vec<Upstream>,
 }
 
@@ -265,6 +273,8 @@
             notices: notice::Store::default(),
             passes: Passes::default(),
             has_limits: false,
+            is_cut_off: false,
+            peers: Peers::default(),
             upstreams: Vec::new(),
         }
     }
@@ -413,6 +423,13 @@
     where
         F: Fn(&Upstream) -> bool,
     {
+        if self.is_cut_off {
+            return if criteria.may_hand_over {
+                self.choose_peer(criteria, now)
+            } else {
+                Choice::Unavailable
+            };
+        }
         let is_canary = self.is_canary(criteria, state);
         let usable: Vec<_> = self
             .upstreams
@@ -436,6 +453,10 @@
                 return Choice::Limited(shortage);
             }
             let backoff = self.shortest_backoff(criteria, state, now);
+            if backoff.is_none() && criteria.may_hand_over && self.is_blocked(criteria, state, now)
+            {
+                return self.choose_peer(criteria, now);
+            }
             return backoff.map_or(Choice::Unavailable, Choice::Backoff);
         }
         let healthy = healthy(&candidates);
@@ -636,6 +657,12 @@
         }
     }
 
+    /// Returns the running requests of this instance.
+    #[must_use]
+    pub fn running_here(&self) -> u32 {
+        self.upstreams.iter().map(|u| u.running).sum()
+    }
+
     /// Returns the running requests of all instances at an upstream.
     #[must_use]
     pub fn running(&self, upstream: &str) -> u32 {
@@ -799,6 +826,42 @@
         others.iter().take(count).map(|u| u.target()).collect()
     }
 
+    /// Returns the number of failure domains with upstreams that accept requests by their
+    /// announcements.
+    #[must_use]
+    pub fn upstream_domains(&self) -> usize {
+        let ready = self.upstreams.iter().filter(|u| u.is_ready());
+        let mut domains: Vec<_> = ready.map(|u| &u.entry.announcement.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.len()
+    }
+
+    /// Returns up to `count` upstreams for trial connections, of different failure domains as far as
+    /// possible.
+    #[must_use]
+    pub fn trial_targets(&self, count: usize, now: Time) -> Vec<Target> {
+        let ready = self.upstreams.iter().filter(|u| u.is_ready());
+        let mut ranked: Vec<_> = ready
+            .map(|u| {
+                let id = digest::of(u.entry.announcement.upstream.as_bytes());
+                (digest::mix(id ^ now.as_millis() ^ self.instance), u)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        let mut targets: Vec<Target> = Vec::new();
+        for is_repeated in [false, true] {
+            for (_, upstream) in &ranked {
+                let target = upstream.target();
+                let is_known = targets.iter().any(|t| t.domain == target.domain);
+                if targets.len() < count && is_known == is_repeated && !targets.contains(&target) {
+                    targets.push(target);
+                }
+            }
+        }
+        targets
+    }
+
     /// Returns the upstreams that have recently told this instance that they are leaving.
     #[must_use]
     pub fn departures(&self, now: Time) -> Vec<notice::Departure> {
@@ -808,14 +871,15 @@
     /// Returns whether the incarnation of the upstream still accepts new requests.
     #[must_use]
     pub fn is_current(&self, upstream: &str, incarnation: u64, now: Time) -> bool {
-        self.find(upstream).is_some_and(|at| {
-            let known = &self.upstreams[at];
-            let announcement = &known.entry.announcement;
-            announcement.incarnation == incarnation
-                && announcement.phase == Phase::Ready
-                && !self.notices.is_leaving(upstream, incarnation)
-                && self.backoff(known, now).is_none()
-        })
+        !self.is_cut_off
+            && self.find(upstream).is_some_and(|at| {
+                let known = &self.upstreams[at];
+                let announcement = &known.entry.announcement;
+                announcement.incarnation == incarnation
+                    && announcement.phase == Phase::Ready
+                    && !self.notices.is_leaving(upstream, incarnation)
+                    && self.backoff(known, now).is_none()
+            })
     }
 }
 
@@ -866,6 +930,7 @@
             domain: announcement.domain.clone(),
             version: announcement.version.clone(),
             incarnation: announcement.incarnation,
+            is_peer: false,
         }
     }
 
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -107,6 +107,17 @@
         pub sequence: u64,
     }
 
+    /// An entry instance that may send requests to upstreams for others.
+    #[derive(Eq)]
+    pub struct Peer {
+        /// Its address for requests of other entry instances.
+        pub address: Arc<str>,
+        /// Failure domain.
+        pub domain: Arc<str>,
+        /// Number of requests that it takes from others at a time; 0 if it has no way to upstreams.
+        pub room: u32,
+    }
+
     /// The aggregated reports that one control instance received directly.
     #[derive(Eq, Default)]
     pub struct Summary {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -62,6 +62,7 @@
         memory_tokens: 100_000,
         cold_rate: 10.0,
         excluded: &[],
+        may_hand_over: false,
     }
 }
 
--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -71,6 +71,7 @@
         memory_tokens: 0,
         cold_rate: 0.0,
         excluded: &[],
+        may_hand_over: false,
     }
 }
 
@@ -81,6 +82,7 @@
         domain: "a".into(),
         version: "v1".into(),
         incarnation,
+        is_peer: false,
     }
 }
 
--- a/crates/node/src/gateway/adapter.rs
+++ b/crates/node/src/gateway/adapter.rs
@@ -85,6 +85,15 @@
     /// router may set, and those that the router adds.
     fn forward_headers(&self, headers: &HeaderMap, added: &ForwardHeaders<'_>) -> HeaderMap;
 
+    /// Returns the headers for a peer: those of the client, with the remaining time and the last
+    /// event that it has received.
+    fn peer_headers(
+        &self,
+        headers: &HeaderMap,
+        remaining_time: Span,
+        last_event_id: Option<u64>,
+    ) -> HeaderMap;
+
     /// Parses the headers of an upstream's response.
     fn parse_response(&self, headers: &HeaderMap) -> ResponseHeaders;
 }
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread owns all state. No task holds a borrow of the state across an await.
 
+mod entry_peers;
 mod leader;
 mod requests;
 mod server;
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -16,6 +16,7 @@
 };
 use tokio::sync::oneshot;
 
+use super::entry_peers::EntryPeers;
 use crate::{
     control::disk::{Disk, Work},
     gateway::{
@@ -80,6 +81,7 @@
     pub reports: report::Aggregator,
     /// Permits for upstreams with limits.
     issuer: Issuer,
+    entry_peers: EntryPeers,
     /// Crash evidence and bans.
     evidence: EvidenceSet,
     pub peers: Peers,
@@ -143,6 +145,7 @@
             directory: fleet::Directory::default(),
             reports: report::Aggregator::default(),
             issuer: Issuer::default(),
+            entry_peers: EntryPeers::default(),
             evidence: EvidenceSet::default(),
             peers: Peers::default(),
             disk: Some(disk),
@@ -445,6 +448,7 @@
             has_unknown |= !self.directory.merge_heartbeat(heartbeat, now);
         }
         self.evidence.merge(&update.evidence, now);
+        self.entry_peers.receive(address, update.peers, now);
         if let Some(summary) = update.summary {
             self.reports.merge_summary(summary, now);
         }
@@ -460,6 +464,11 @@
         has_unknown
     }
 
+    /// Returns whether an entry instance needs peers that other control instances know.
+    pub fn needs_peers(&self, now: Time) -> bool {
+        self.entry_peers.are_needed(now)
+    }
+
     /// Returns the permits that this instance wants from the leader.
     pub fn wants(&mut self, now: Time) -> Vec<Want> {
         self.update_term(now);
@@ -560,6 +569,7 @@
             permits: Vec::new(),
             has_permits: false,
             evidence: self.evidence.since(cursor.evidence_revision, now),
+            peers: Vec::new(),
             agreed: None,
             control_instances: Vec::new(),
         };
@@ -571,6 +581,9 @@
                 let holder = digest::of(address.to_string().as_bytes());
                 self.add_permits(&mut update, holder, &poll.wants, now);
             }
+            if poll.needs_peers {
+                update.peers = self.entry_peers.direct(now);
+            }
             self.contact_mut(address).acknowledged_revision = cursor.directory_revision;
             update.heartbeats = self.directory.heartbeats(cursor.directory_revision, now);
             update.summary = Some(self.reports.summary(self.process_id, now));
@@ -580,6 +593,12 @@
         update.control_instances = self.control_instances();
         if let Some(report) = poll.report {
             let (instance, domain) = (report.instance, report.domain.clone());
+            if let Some(peer) = poll.peer {
+                if poll.needs_peers {
+                    update.peers = self.entry_peers.all(&peer.address, now);
+                }
+                self.entry_peers.report(peer, now);
+            }
             self.apply_departures(&report.departures);
             self.apply_limits(&report.limits, now);
             self.reports.merge_report(report, now);
--- a/crates/node/src/gateway/control/tasks.rs
+++ b/crates/node/src/gateway/control/tasks.rs
@@ -59,7 +59,9 @@
         let mut cursor = Cursor::default();
         let own_address = self.settings.address.to_string();
         loop {
-            let wants = self.state.borrow_mut().wants(self.clock.now());
+            let now = self.clock.now();
+            let wants = self.state.borrow_mut().wants(now);
+            let needs_peers = self.state.borrow().needs_peers(now);
             let request = Request::Poll(Poll {
                 cursor,
                 config_revision: None,
@@ -68,6 +70,8 @@
                 control_address: Some(own_address.clone()),
                 wants,
                 evidence: suspect::Message::default(),
+                peer: None,
+                needs_peers,
             });
             let sent = self.clock.now();
             match client.call(&request, POLL_TIMEOUT).await {
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -61,6 +61,8 @@
     pub readiness: SocketAddr,
     /// Address of the metrics.
     pub metrics: SocketAddr,
+    /// Internal address, for requests of other entry instances.
+    pub peer: SocketAddr,
     /// Internal addresses of the first control instances to contact; at least one.
     pub seeds: Vec<SocketAddr>,
     /// Interval at which upstreams announce themselves.
@@ -158,6 +160,7 @@
     let frontend = socket::listen(settings.frontend)?;
     let readiness = socket::listen(settings.readiness)?;
     let metrics = socket::listen(settings.metrics)?;
+    let peers = socket::listen(settings.peer)?;
     let proxy = Rc::new(Proxy::new(
         settings.clone(),
         clock,
@@ -166,15 +169,17 @@
         connector,
         id,
     ));
-    let (seeds, domain) = (settings.seeds.clone(), settings.domain.clone());
+    let seeds = settings.seeds.clone();
+    let place = (settings.domain.clone(), settings.peer);
     thread::Builder::new()
         .name("control".into())
-        .spawn(move || run_control(Poller::new(state, clock, adapter(), id, domain, seeds)))?;
+        .spawn(move || run_control(Poller::new(state, clock, adapter(), id, place, seeds)))?;
     let (stage_sender, stage_receiver) = watch::channel(Stage::Open);
     let reporter = proxy.clone();
     let reports = spawn_local(async move {
         loop {
             sleep(REPORT_INTERVAL).await;
+            reporter.watch_reach();
             reporter.send_inquiries();
             reporter.publish_report();
         }
@@ -195,7 +200,16 @@
     ));
     let metrics_proxy = proxy.clone();
     let metrics = spawn_local(http::serve_text(metrics, move || metrics_proxy.metrics()));
+    let peer_proxy = proxy.clone();
+    let peer_limits = proxy.clone();
+    let peers = spawn_local(http::serve(
+        peers,
+        move || peer_limits.limits(),
+        stage_receiver.clone(),
+        move |request, _| handler::handle_peer(peer_proxy.clone(), request),
+    ));
     let limits_proxy = proxy.clone();
+    let stopping_proxy = proxy.clone();
     let serving = http::serve(
         frontend,
         move || limits_proxy.limits(),
@@ -205,6 +219,7 @@
     let ending = async {
         stop.await;
         log::info!(event = "stopping"; "the instance stops");
+        stopping_proxy.stop_peers();
         stage_sender.send_replace(Stage::Draining);
         sleep(DRAIN_ACCEPT_TIME).await;
         stage_sender.send_replace(Stage::Closed);
@@ -221,6 +236,7 @@
     }
     metrics.abort();
     readiness.abort();
+    peers.abort();
     reports.abort();
     log::info!(event = "stopped"; "the instance has stopped");
     Ok(())
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod context;
+mod hand_over;
 mod in_flight;
 mod inquiry;
 mod pass;
@@ -23,6 +24,7 @@
     fault::Fault,
     forecast::Forecast,
     placement::{Choice, Criteria, Pool, Target},
+    reach::Reach,
     report::VersionStats,
     retry_after::Cause,
     retry_budget::Budget,
@@ -35,8 +37,8 @@
     time::{sleep, timeout},
 };
 
-pub use self::context::RequestContext;
 use self::{attempt::AttemptResult, in_flight::InFlightGuard, pass::PassGuard};
+pub use self::{context::RequestContext, hand_over::PeerPlace};
 use super::{
     adapter::Adapter,
     buffer::ResponseBuffer,
@@ -65,6 +67,9 @@
 /// Longest time that a request waits while no upstream is available.
 const MAX_UNAVAILABLE_WAIT: Span = Span::from_millis(250);
 
+/// Longest time that a request waits for the list of peers: two polls of each hop.
+const MAX_PEER_WAIT: Span = Span::from_millis(900);
+
 /// Longest time that a request waits for a permit for an upstream with a limit: the way of a want to
 /// the leader of the control instances and back.
 const MAX_PERMIT_WAIT: Span = Span::from_millis(700);
@@ -114,6 +119,15 @@
     forecast: RefCell<Forecast>,
     /// Answers of the stable versions.
     reference: RefCell<Reference>,
+    reach: RefCell<Reach>,
+    /// Ends the wait for upstreams that this instance does not reach any more.
+    cut_off: Notify,
+    /// Whether the instance stops and takes no more requests of peers.
+    is_stopping: Cell<bool>,
+    /// Number of requests of peers.
+    peer_places: Rc<Cell<u32>>,
+    /// Number of the list of peers in the pool.
+    peers_version: Cell<u64>,
     /// Wakes waiting requests when another request has ended.
     capacity_freed: Notify,
     started_at: Time,
@@ -152,6 +166,11 @@
             pressure: RefCell::default(),
             forecast: RefCell::default(),
             reference: RefCell::default(),
+            reach: RefCell::default(),
+            cut_off: Notify::new(),
+            is_stopping: Cell::default(),
+            peer_places: Rc::default(),
+            peers_version: Cell::new(0),
             capacity_freed: Notify::new(),
             started_at: clock.now(),
             metrics: metrics::EntryMetrics::default(),
@@ -174,6 +193,10 @@
         if view.inbox_version != self.inbox_version.replace(view.inbox_version) {
             self.take_permits();
         }
+        if view.peers.0 != self.peers_version.replace(view.peers.0) {
+            let mut pool = self.pool.borrow_mut();
+            pool.set_peers(&view.peers.1, self.now());
+        }
         if view.version != self.view_version.get() {
             self.view_version.set(view.version);
             let mut pool = self.pool.borrow_mut();
@@ -324,7 +347,10 @@
         let result = match self.resolve(&ctx, &self.view()) {
             Ok(resolved) => {
                 ctx.kind.set(Some(resolved.route.kind));
-                self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
+                // The instance that has handed it over has counted it.
+                if ctx.peer_place.is_none() {
+                    self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
+                }
                 let left = ctx.deadline(&resolved.route).since(self.now());
                 let attempts = self.clone().try_upstreams(ctx.clone());
                 let result = timeout(left.to_std(), attempts).await;
@@ -468,7 +494,7 @@
                 (max_wait, Cause::Backoff(rest), "all upstreams want quiet")
             }
             Choice::Unavailable => (
-                MAX_UNAVAILABLE_WAIT,
+                self.unavailable_wait(ctx),
                 Cause::Unavailable,
                 "no usable upstream",
             ),
@@ -483,6 +509,19 @@
         Ok(None)
     }
 
+    /// Returns how long a request waits while no upstream is available: until peers are known after
+    /// the way to upstreams was lost.
+    fn unavailable_wait(&self, ctx: &RequestContext) -> Span {
+        let pool = self.pool.borrow();
+        if pool.is_cut_off() && ctx.peer_place.is_none() && !pool.has_peers(self.now()) {
+            MAX_PEER_WAIT
+        } else if ctx.peer_place.is_some() {
+            Span::ZERO
+        } else {
+            MAX_UNAVAILABLE_WAIT
+        }
+    }
+
     fn choose(&self, ctx: &RequestContext, resolved: &ResolvedRoute) -> Choice {
         self.choose_excluding(ctx, resolved, &ctx.tried.borrow())
     }
@@ -551,6 +590,7 @@
             memory_tokens: service.engine.as_ref().map_or(0, |e| e.memory_tokens),
             cold_rate: service.cold_rate,
             excluded: tried,
+            may_hand_over: ctx.peer_place.is_none(),
         })
     }
 }
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -82,6 +82,7 @@
             Kind::NonRepeatable => MAX_IDLE_NON_REPEATABLE,
             Kind::Idempotent | Kind::Stream => Duration::MAX,
         };
+        self.reach.borrow_mut().wanted(self.now());
         let mut conn = match self.connections.acquire(target, max_idle).await {
             Ok(conn) => conn,
             Err(error) => {
@@ -98,6 +99,9 @@
         if !self.may_send(ctx) {
             return AttemptResult::Held;
         }
+        if target.is_peer {
+            return self.hand_over(ctx, resolved, target, conn).await;
+        }
         let demand = ctx.demand(resolved);
         let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + demand.prefill;
         let send_by = pass.consume();
@@ -108,32 +112,31 @@
         self.log_sent(ctx, resolved, target);
         let deadline = earliest(self.send_deadline(resolved), send_by);
         let limit = Self::head_timeout(ctx, resolved, sent_at);
-        let response = match timeout(limit, conn.send(request, deadline)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(Error::NotSent(reason))) => {
+        let can_retry = Self::can_retry(ctx, resolved);
+        let sent = tokio::select! {
+            sent = timeout(limit, conn.send(request, deadline)) => sent.ok(),
+            () = self.cut_off.notified(), if can_retry => None,
+        };
+        let response = match sent {
+            Some(Ok(response)) => response,
+            Some(Err(Error::NotSent(reason))) => {
                 ctx.runs.set(ctx.runs.get() - 1);
                 log::debug!("{} was not sent: {reason}", ctx.id());
                 return AttemptResult::NotRun;
             }
-            Ok(Err(Error::OutcomeUnknown(reason))) => {
+            Some(Err(Error::OutcomeUnknown(reason))) => {
                 guard.set_outcome(Outcome::Failed);
                 drop(conn);
                 return self.on_lost(ctx, resolved, target, &reason).await;
             }
-            Err(_) => {
+            None => {
                 guard.set_outcome(Outcome::Failed);
                 drop(conn);
-                self.record_outcome(&resolved.service.name, &target.version, false, true);
-                self.count_attempt(resolved, target, "silent");
-                log::info!(
-                    event = "silent", request = ctx.id(), upstream = &*target.upstream,
-                    waited_ms = self.now().since(sent_at).as_millis();
-                    "an upstream does not answer"
-                );
-                return self.retry_or(ctx, resolved, StatusCode::GATEWAY_TIMEOUT);
+                return self.on_silence(ctx, resolved, target, sent_at);
             }
         };
         ctx.has_begun.set(true);
+        self.reach.borrow_mut().heard();
         let meta = self.adapter().parse_response(response.headers());
         if !is_matching(meta.id.as_deref(), ctx.meta.id.as_deref(), conn.is_reused()) {
             guard.set_outcome(Outcome::Failed);
@@ -171,17 +174,39 @@
         .await
     }
 
+    /// Returns whether a request that may have run may be sent to another upstream.
+    fn can_retry(ctx: &RequestContext, resolved: &ResolvedRoute) -> bool {
+        resolved.route.is_repeatable() && ctx.runs.get() < resolved.route.attempts
+    }
+
     /// Returns how long to wait for the head of the response to a request sent at `sent_at`.
     fn head_timeout(ctx: &RequestContext, resolved: &ResolvedRoute, sent_at: Time) -> Duration {
         let left = ctx.deadline(&resolved.route).since(sent_at);
-        let retryable = resolved.route.is_repeatable() && ctx.runs.get() < resolved.route.attempts;
-        if retryable {
+        if Self::can_retry(ctx, resolved) {
             Self::retry_timeout(resolved, left).to_std()
         } else {
             left.to_std()
         }
     }
 
+    /// Handles a request without a response in time.
+    fn on_silence(
+        &self,
+        ctx: &RequestContext,
+        resolved: &ResolvedRoute,
+        target: &Target,
+        sent_at: Time,
+    ) -> AttemptResult {
+        self.record_outcome(&resolved.service.name, &target.version, false, true);
+        self.count_attempt(resolved, target, "silent");
+        log::info!(
+            event = "silent", request = ctx.id(), upstream = &*target.upstream,
+            waited_ms = self.now().since(sent_at).as_millis();
+            "an upstream does not answer"
+        );
+        self.retry_or(ctx, resolved, StatusCode::GATEWAY_TIMEOUT)
+    }
+
     /// Logs that a request is sent to an upstream.
     pub(super) fn log_sent(&self, ctx: &RequestContext, resolved: &ResolvedRoute, target: &Target) {
         log::info!(
@@ -221,6 +246,9 @@
     /// opened.
     pub(super) fn is_still_allowed(&self, ctx: &RequestContext, target: &Target) -> bool {
         let view = self.view();
+        if target.is_peer {
+            return self.resolve(ctx, &view).is_ok();
+        }
         let state = &view.agreed;
         let current =
             self.pool
@@ -249,8 +277,13 @@
                 .saturating_add(2)
                 .min(9),
         };
-        let mut headers = self.adapter().forward_headers(&ctx.headers, &out);
-        strip_hop_headers(&mut headers);
+        let headers = if target.is_peer {
+            self.peer_headers(ctx, resolved, last_event_id)
+        } else {
+            let mut headers = self.adapter().forward_headers(&ctx.headers, &out);
+            strip_hop_headers(&mut headers);
+            headers
+        };
         let mut request = Request::new(Full::new(ctx.body.clone()));
         *request.version_mut() = Version::HTTP_11;
         *request.method_mut() = ctx.method.clone();
@@ -262,7 +295,16 @@
     }
 
     /// Marks an upstream as down after a failed connection attempt.
-    pub(super) fn mark_unreachable(&self, target: &Target, error: &io::Error) {
+    pub(super) fn mark_unreachable(self: &Rc<Self>, target: &Target, error: &io::Error) {
+        let now = self.now();
+        if target.is_peer {
+            self.pool.borrow_mut().avoid_peer(&target.upstream, now);
+            return;
+        }
+        self.connection_failed();
+        if self.pool.borrow().is_cut_off() {
+            return;
+        }
         log::info!(
             event = "upstream_down", upstream = &*target.upstream, address = &*target.address,
             domain = &*target.domain, reason:% = error;
@@ -318,9 +360,7 @@
     /// Returns whether a request that may have run may be retried, and takes the retry from the
     /// budget if so.
     fn withdraw_retry(&self, ctx: &RequestContext, resolved: &ResolvedRoute) -> bool {
-        let route = &resolved.route;
-        route.is_repeatable()
-            && ctx.runs.get() < route.attempts
+        Self::can_retry(ctx, resolved)
             && self.with_budget(&resolved.service.name, |b| b.withdraw(self.now()))
     }
 
@@ -390,7 +430,7 @@
 
     /// Handles the report of an upstream that it has not run the request.
     async fn on_not_run(
-        &self,
+        self: &Rc<Self>,
         ctx: &RequestContext,
         target: &Target,
         response: Response<Incoming>,
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -16,6 +16,7 @@
     time::{Span, Time},
 };
 
+use super::hand_over::PeerPlace;
 use crate::gateway::{
     adapter::RequestHeaders,
     handler::{Refusal, ResolvedRoute},
@@ -63,6 +64,8 @@
     pub level: Cell<usize>,
     /// Upstreams that were tried and are not chosen again.
     pub tried: RefCell<Vec<Arc<str>>>,
+    /// Place among the requests of peers, if another entry instance has handed the request over.
+    pub peer_place: Option<PeerPlace>,
     /// Whether permits are wanted for the current attempt.
     pub has_wanted: Cell<bool>,
     /// Whether the response of the current attempt has begun.
--- a/crates/node/src/gateway/forward/in_flight.rs
+++ b/crates/node/src/gateway/forward/in_flight.rs
@@ -26,11 +26,16 @@
         demand: Demand,
     ) -> Self {
         let now = proxy.now();
+        if target.is_peer {
+            proxy.pool.borrow_mut().begin_handover(&target.upstream);
+        }
         proxy.pool.borrow_mut().begin(&target.upstream, demand, now);
         if proxy.pool.borrow().limit(target).is_some() {
             proxy.metrics.count_limited_attempt();
         }
-        proxy.with_version_stats(service, &target.version, |t| t.running += 1);
+        if !target.is_peer {
+            proxy.with_version_stats(service, &target.version, |t| t.running += 1);
+        }
         Self {
             proxy: proxy.clone(),
             target: target.clone(),
@@ -61,11 +66,16 @@
         let now = self.proxy.now();
         let mut pool = self.proxy.pool.borrow_mut();
         pool.end(&self.target.upstream, self.demand, self.outcome.get(), now);
+        if self.target.is_peer {
+            pool.end_handover(&self.target.upstream);
+        }
         drop(pool);
-        self.proxy
-            .with_version_stats(&self.service, &self.target.version, |t| {
-                t.running = t.running.saturating_sub(1);
-            });
+        if !self.target.is_peer {
+            self.proxy
+                .with_version_stats(&self.service, &self.target.version, |t| {
+                    t.running = t.running.saturating_sub(1);
+                });
+        }
         self.proxy.capacity_freed.notify_waiters();
     }
 }
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -20,6 +20,7 @@
 use super::{
     InFlightGuard, PassGuard, Proxy, RequestContext,
     attempt::{ReceivedResponse, earliest, strip_hop_headers},
+    hand_over::is_not_run,
 };
 use crate::gateway::{
     connection_pool::PooledConnection, entry::ResponseBody, handler::ResolvedRoute,
@@ -163,7 +164,9 @@
             StreamEnd::Broken(reason) => {
                 guard.set_outcome(Outcome::Failed);
                 drop((conn, guard));
-                proxy.record_outcome(&resolved.service.name, &target.version, false, false);
+                if !target.is_peer {
+                    proxy.record_outcome(&resolved.service.name, &target.version, false, false);
+                }
                 log::info!(
                     event = "stream_broken", request = ctx.id(), upstream = &*target.upstream,
                     reason, last_event = events.last_id().unwrap_or(0), runs = ctx.runs.get();
@@ -216,8 +219,14 @@
                 return StreamEnd::Broken(reason);
             }
         }
+        let can_resume = resolved.route.resumable
+            && ctx.runs.get() < resolved.route.attempts
+            && !source.target.is_peer;
         let frame = tokio::select! {
             frame = timeout_at(stall_at, source.body.frame()) => frame,
+            () = proxy.cut_off.notified(), if can_resume => {
+                return StreamEnd::Broken("no way to the upstream".into());
+            }
             () = sender.closed() => return StreamEnd::ClientClosed,
         };
         let frame = match frame {
@@ -229,6 +238,7 @@
             Ok(None) => return StreamEnd::Complete,
             Err(_) => continue,
         };
+        proxy.reach.borrow_mut().heard();
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -238,7 +248,7 @@
             Ok(None) => continue,
             Err(error) => return StreamEnd::Broken(error.to_string()),
         };
-        if complete.progress {
+        if complete.progress && !source.target.is_peer {
             let count = events.last_id().unwrap_or(0).saturating_sub(before);
             let service = &resolved.service.name;
             proxy.record_events(service, &source.target, ctx.level.get(), &mut pace, count);
@@ -308,6 +318,29 @@
     })
 }
 
+/// Records that an upstream does not continue a stream.
+///
+/// # Errors
+///
+/// Returns why no further attempt is possible.
+async fn fail_resume(
+    proxy: &Rc<Proxy>,
+    ctx: &Rc<RequestContext>,
+    target: &Target,
+    reason: &str,
+) -> Result<(), String> {
+    log::info!(
+        event = "resume_failed", request = ctx.id(), upstream = &*target.upstream, reason;
+        "an upstream does not continue a stream"
+    );
+    proxy.check_crash(ctx, target).await;
+    if Proxy::is_crash_limit_reached(ctx) {
+        return Err("crashes upstreams".into());
+    }
+    ctx.tried.borrow_mut().push(target.upstream.clone());
+    Ok(())
+}
+
 /// Sends the request to another upstream, which continues the stream after the last event.
 ///
 /// # Errors
@@ -335,6 +368,7 @@
         if !proxy.with_budget(&resolved.service.name, |b| b.withdraw(proxy.now())) {
             return Err("the retry budget is used up".into());
         }
+        proxy.reach.borrow_mut().wanted(proxy.now());
         let mut conn = match proxy.connections.acquire(&target, Duration::MAX).await {
             Ok(conn) => conn,
             Err(error) => {
@@ -356,7 +390,12 @@
             ctx.demand(&resolved),
         );
         let request = proxy.build_request(ctx, &resolved, &target, last_event_id);
+        let runs = ctx.runs.get();
         ctx.begin_attempt();
+        if target.is_peer {
+            // How often the peer sends it is unknown here.
+            ctx.runs.set(resolved.route.attempts.max(runs + 1));
+        }
         proxy.log_sent(ctx, &resolved, &target);
         let deadline = earliest(proxy.send_deadline(&resolved), send_by);
         let left = ctx.deadline(&resolved.route).since(proxy.now());
@@ -365,28 +404,19 @@
             Ok(Ok(response)) => response,
             failed => {
                 guard.set_outcome(Outcome::Failed);
+                drop(conn);
                 let reason = match failed {
                     Ok(Err(error)) => error.to_string(),
                     Ok(Ok(_)) | Err(_) => "no response in time".to_owned(),
                 };
-                log::info!(
-                    event = "resume_failed", request = ctx.id(), upstream = &*target.upstream,
-                    reason;
-                    "an upstream does not continue a stream"
-                );
-                drop(conn);
-                proxy.check_crash(ctx, &target).await;
-                if Proxy::is_crash_limit_reached(ctx) {
-                    return Err("crashes upstreams".into());
-                }
-                ctx.tried.borrow_mut().push(target.upstream.clone());
+                fail_resume(proxy, ctx, &target, &reason).await?;
                 continue;
             }
         };
         ctx.has_begun.set(true);
         let meta = proxy.adapter().parse_response(response.headers());
         let own = meta.id.as_deref() == ctx.meta.id.as_deref();
-        if own {
+        if own && !target.is_peer {
             proxy.apply_signals(ctx, &target, response.status(), &meta);
         }
         if own && meta.signed && response.status() == StatusCode::OK {
@@ -409,8 +439,13 @@
             status = response.status().as_u16(), own, signed = meta.signed, not_run = meta.not_run;
             "an upstream does not continue a stream"
         );
-        if own && meta.not_run {
-            ctx.runs.set(ctx.runs.get() - 1);
+        let is_refused = target.is_peer && is_not_run(response.status(), &meta);
+        if is_refused {
+            let now = proxy.now();
+            proxy.pool.borrow_mut().avoid_peer(&target.upstream, now);
+        }
+        if is_refused || (own && meta.not_run) {
+            ctx.runs.set(runs);
         }
         ctx.tried.borrow_mut().push(target.upstream.clone());
     }
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -104,6 +104,10 @@
     /// A machine without the upstream's process refuses a new connection at once. Other requests
     /// don't wait longer for a machine that does not respond.
     pub(super) async fn check_crash(self: &Rc<Self>, ctx: &Rc<RequestContext>, target: &Target) {
+        // An instance that reaches nothing can't tell a crash.
+        if target.is_peer || self.pool.borrow().is_cut_off() {
+            return;
+        }
         let is_trusted = {
             let screen = self.shared.screen();
             screen.are_trusted(ctx.charged_subjects(), self.now())
--- a/crates/node/src/gateway/forward/stats.rs
+++ b/crates/node/src/gateway/forward/stats.rs
@@ -24,6 +24,7 @@
         let limits = self.pool.borrow().limit_statements();
         let wants = self.pool.borrow_mut().wants(now);
         self.shared.screen().expire(now);
+        let (room, needs_peers) = (self.peer_room(), self.pool.borrow().needs_peers(now));
         let report = self.shared.report.lock();
         // The control thread never panics while it holds the lock.
         let mut report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -35,6 +36,7 @@
         report.departures = departures;
         report.limits = limits;
         report.wants = wants;
+        (report.room, report.needs_peers) = (room, needs_peers);
     }
 
     /// Calls `act` with the retry budget of the service, which is created if it is new.
--- a/crates/node/src/gateway/handler.rs
+++ b/crates/node/src/gateway/handler.rs
@@ -1,11 +1,11 @@
 //! Handler of client requests: reads and checks them and passes them on to the proxy.
 
-use std::{rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{HOST, RETRY_AFTER},
+    header::{HOST, HeaderName, RETRY_AFTER},
 };
 use masticlock_core::{
     digest,
@@ -15,7 +15,7 @@
 
 use super::{
     entry::{ResponseBody, read_body},
-    forward::{Proxy, RequestContext},
+    forward::{PeerPlace, Proxy, RequestContext},
 };
 
 /// Route, service and client account of a request.
@@ -88,8 +88,38 @@
     }
 }
 
+/// Number of upstreams that may have run a request before it was handed over to a peer.
+pub const HANDED_OVER: HeaderName = HeaderName::from_static("masticlock-handed-over");
+
 /// Handles a request and returns the response for the client.
 pub async fn handle(proxy: Rc<Proxy>, request: Request<Incoming>) -> Response<ResponseBody> {
+    serve(proxy, request, None).await
+}
+
+/// Handles a request that another entry instance hands over, and returns the response for it.
+pub async fn handle_peer(
+    proxy: Rc<Proxy>,
+    mut request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let runs = request.headers_mut().remove(HANDED_OVER);
+    let runs = runs.and_then(|v| v.to_str().ok().and_then(|runs| runs.parse().ok()));
+    if runs.is_none() {
+        log::warn!(event = "refused", status = 400; "a peer does not say how often a request ran");
+        return Refusal::new(StatusCode::BAD_REQUEST, "unreadable headers").into();
+    }
+    let Some(place) = proxy.take_peer_place() else {
+        return Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no room for peers").into();
+    };
+    serve(proxy, request, runs.map(|runs| (runs, place))).await
+}
+
+/// Handles a request. `handed_over` is the number of upstreams that may have run it at the instance
+/// that has handed it over, and its place among the requests of peers.
+async fn serve(
+    proxy: Rc<Proxy>,
+    request: Request<Incoming>,
+    handed_over: Option<(u32, PeerPlace)>,
+) -> Response<ResponseBody> {
     let received_at = proxy.now();
     let (parts, body) = request.into_parts();
     let limits = proxy.body_limits();
@@ -118,6 +148,8 @@
         body,
         meta,
         received_at,
+        runs: Cell::new(handed_over.as_ref().map_or(0, |(runs, _)| *runs)),
+        peer_place: handed_over.map(|(_, place)| place),
         ..RequestContext::default()
     };
     proxy.serve(ctx).await
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -45,6 +45,10 @@
         pub wants: Vec<Want>,
         /// Crash evidence of the sender, if it is an entry instance, that the receiver may not have.
         pub evidence: suspect::Message,
+        /// The sender as a peer of other entry instances, if it is an entry instance.
+        pub peer: Option<report::Peer>,
+        /// Whether the sender needs peers, for itself or for entry instances that poll it.
+        pub needs_peers: bool,
     }
 
     /// Agreed state as sent to entry instances.
@@ -101,6 +105,8 @@
         pub has_permits: bool,
         /// Crash evidence that changed.
         pub evidence: suspect::Message,
+        /// Entry instances that take requests from others, if they are needed.
+        pub peers: Vec<report::Peer>,
         /// Agreed state, for an entry instance.
         pub agreed: Option<AgreedState>,
         /// Members of the replica set.
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -46,6 +46,8 @@
     adapter: Box<dyn Adapter>,
     instance: u64,
     domain: Arc<str>,
+    /// Address for requests of other entry instances.
+    peer_address: Arc<str>,
     /// Sequence number of the last report, which equals the number of polls.
     sequence: u64,
     seeds: Vec<SocketAddr>,
@@ -84,7 +86,7 @@
         clock: Clock,
         adapter: Box<dyn Adapter>,
         instance: u64,
-        domain: Arc<str>,
+        (domain, peer_address): (Arc<str>, SocketAddr),
         seeds: Vec<SocketAddr>,
     ) -> Self {
         let selector = usize::try_from(instance % 1_024).unwrap_or_default();
@@ -94,6 +96,7 @@
             adapter,
             instance,
             domain,
+            peer_address: peer_address.to_string().into(),
             sequence: 0,
             control_instances: seeds.clone(),
             local_instances: Vec::new(),
@@ -157,6 +160,8 @@
                 control_address: None,
                 wants: self.wants(),
                 evidence,
+                peer: Some(self.peer()),
+                needs_peers: self.needs_peers(),
             });
             let update = match client.call(&request, POLL_TIMEOUT).await {
                 Ok(Reply::Update(update)) => *update,
@@ -233,6 +238,24 @@
         wants
     }
 
+    fn peer(&self) -> report::Peer {
+        let report = self.shared.report.lock();
+        // The traffic thread never panics while it holds the lock.
+        let report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
+        report::Peer {
+            address: self.peer_address.clone(),
+            domain: self.domain.clone(),
+            room: report.room,
+        }
+    }
+
+    fn needs_peers(&self) -> bool {
+        let report = self.shared.report.lock();
+        // The traffic thread never panics while it holds the lock.
+        let report = report.unwrap_or_else(std::sync::PoisonError::into_inner);
+        report.needs_peers
+    }
+
     /// Returns the revision of the crash evidence and what of it the control process does not have.
     fn new_evidence(&self, process_id: u64) -> (u64, suspect::Message) {
         let screen = self.shared.screen();
@@ -294,6 +317,9 @@
             self.view.directory = Arc::new(self.directory.clone());
             self.view.directory_version += 1;
         }
+        if !update.peers.is_empty() {
+            self.view.peers = (self.view.peers.0 + 1, update.peers.into());
+        }
         if let Some(totals) = update.totals {
             self.view.totals = Arc::new(totals);
             changed = true;
--- a/crates/node/src/gateway/view.rs
+++ b/crates/node/src/gateway/view.rs
@@ -30,6 +30,8 @@
     pub directory: Arc<fleet::Directory>,
     /// Load reported by the other entry instances.
     pub totals: Arc<report::Totals>,
+    /// Peers that take requests from this instance, and the number of times that they were received.
+    pub peers: (u64, Arc<[report::Peer]>),
     /// Number of answers whose permits are in the inbox or were taken from it.
     pub inbox_version: u64,
     /// Latest time at which the agreed state was known to be the newest.
@@ -51,6 +53,10 @@
     pub limits: Vec<notice::Limit>,
     /// Permits that are wanted for upstreams with limits.
     pub wants: Vec<Want>,
+    /// Number of requests that this instance takes from its peers at a time.
+    pub room: u32,
+    /// Whether it needs peers itself.
+    pub needs_peers: bool,
 }
 
 /// Permits that have arrived and that the traffic thread has not taken over.
--- a/scenario/src/limit.rs
+++ b/scenario/src/limit.rs
@@ -177,6 +177,7 @@
     memory_tokens: 0,
     cold_rate: 0.0,
     excluded: &[],
+    may_hand_over: false,
 };
 
 /// Tries to send a request and returns whether it was sent.
