Tell the end of a process from the end of an answer without a length

Cause: an answer that has neither a length nor chunks ends with its connection, and so does the connection of a process that crashes. Callers got streams without their last events as complete ones, and the prompt part that had crashed the upstream was cleared by them. Change: such an answer is complete only if its upstream has not crashed, which a new connection shows, and if it had an event, for a stream. A process that resets nothing, ends no listener and cuts a stream at the border of two events can still not be told from one that has finished.

--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -504,7 +504,14 @@
             ..
         } = received;
         let (parts, body) = response.into_parts();
+        let is_framed = is_framed(&parts.headers);
         match self.buffer.collect(body).await {
+            Ok(_) if !is_framed && self.has_crashed(target).await => {
+                guard.set_outcome(Outcome::Failed);
+                drop(conn);
+                let reason = "the connection has ended with the process";
+                self.clone().on_lost(ctx, resolved, target, reason).await
+            }
             Ok(body) => {
                 guard.set_outcome(if good { Outcome::Good } else { Outcome::Failed });
                 if good {
@@ -635,6 +642,12 @@
     }
 }
 
+/// Returns whether a response with these headers ends by its own framing and not with its
+/// connection.
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns the earlier of two times; `None` stands for no limit.
 pub(super) fn earliest(a: Option<Time>, b: Option<Time>) -> Option<Time> {
     a.into_iter().chain(b).min()
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -19,7 +19,7 @@
 
 use super::{
     InFlightGuard, PassGuard, Proxy, RequestContext,
-    attempt::{ReceivedResponse, earliest, strip_hop_headers},
+    attempt::{ReceivedResponse, earliest, is_framed, strip_hop_headers},
     hand_over::is_not_run,
 };
 use crate::gateway::{
@@ -63,6 +63,8 @@
     guard: InFlightGuard,
     target: Target,
     keep_alive: Option<masticlock_core::time::Span>,
+    /// Whether the response ends by its own framing and not with its connection.
+    is_framed: bool,
 }
 
 /// Starts to relay a stream and returns the response with its head.
@@ -73,6 +75,7 @@
     target: &Target,
     received: ReceivedResponse,
 ) -> Response<ResponseBody> {
+    let is_framed = is_framed(received.response.headers());
     let (parts, body) = received.response.into_parts();
     let (sender, chunks) = mpsc::channel(CHANNEL_CAPACITY);
     let source = UpstreamStream {
@@ -81,6 +84,7 @@
         guard: received.guard,
         target: target.clone(),
         keep_alive: received.meta.keep_alive,
+        is_framed,
     };
     spawn_local(relay(
         proxy.clone(),
@@ -206,6 +210,7 @@
         .map_or(DEFAULT_MAX_GAP, masticlock_core::time::Span::to_std);
     let stall = max_gap.mul_f64(STALL_FRACTION);
     let mut stalls = 0;
+    let mut has_events = false;
     let mut pace = Pace::default();
     let mut stall_at = Instant::now() + stall;
     loop {
@@ -235,6 +240,13 @@
             Ok(None) if events.has_partial() => {
                 return StreamEnd::Broken("the stream ended within an event".into());
             }
+            // The connection ends in the same way if the process ends.
+            Ok(None)
+                if !source.is_framed
+                    && (!has_events || proxy.has_crashed(&source.target).await) =>
+            {
+                return StreamEnd::Broken("the connection has ended without the stream".into());
+            }
             Ok(None) => return StreamEnd::Complete,
             Err(_) => continue,
         };
@@ -257,6 +269,7 @@
             return StreamEnd::ClientClosed;
         }
         if complete.progress {
+            has_events = true;
             stalls = 0;
             stall_at = Instant::now() + stall;
         }
@@ -427,6 +440,7 @@
                 "another upstream continues a stream"
             );
             return Ok(UpstreamStream {
+                is_framed: is_framed(response.headers()),
                 body: response.into_body(),
                 conn,
                 guard,
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -131,7 +131,8 @@
         let _unfinished = timeout(limit, probe).await;
     }
 
-    async fn has_crashed(self: &Rc<Self>, target: &Target) -> bool {
+    /// Returns whether the process of an upstream whose connection has ended has crashed.
+    pub(super) async fn has_crashed(self: &Rc<Self>, target: &Target) -> bool {
         let upstream = self.probe(target).await;
         let is_known = || {
             let screen = self.shared.screen();
