--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -274,3 +274,25 @@
     assert_eq!(control.standing(GUILTY), Standing::Guilty);
     assert!(control.since(0, at(2_500)).crashes.len() <= 64);
 }
+
+/// Guards against a ban that outlasts the version of the service that has the fault.
+#[test]
+fn a_new_version_is_a_reason_for_a_trial() {
+    let mut screen = Screen::default();
+    for number in 1..=3 {
+        crash(&mut screen, number, &[GUILTY], at(100));
+    }
+    let mut control = EvidenceSet::default();
+    control.merge(&screen.set().since(0, at(200)), at(200));
+    control.ban_guilty(at(2_300));
+    let name = GUILTY.permit_name();
+    assert_eq!(control.permit_rate(&name, 0, true, at(3_000)), None);
+    control.reconsider(at(3_000));
+    assert!(control.permit_rate(&name, 0, true, at(3_000)).is_some());
+    control.permit_issued(&name, at(3_100));
+    assert_eq!(
+        control.permit_rate(&name, 1, true, at(3_200)),
+        None,
+        "one trial"
+    );
+}
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -84,6 +84,8 @@
     entry_peers: EntryPeers,
     /// Crash evidence and bans.
     evidence: EvidenceSet,
+    /// Versions of services that were listed since the process started, sorted.
+    versions: Vec<(Arc<str>, Arc<str>)>,
     pub peers: Peers,
     /// `None` while the disk takes no writes or the data folder is being replaced.
     pub disk: Option<Disk>,
@@ -147,6 +149,7 @@
             issuer: Issuer::default(),
             entry_peers: EntryPeers::default(),
             evidence: EvidenceSet::default(),
+            versions: Vec::new(),
             peers: Peers::default(),
             disk: Some(disk),
             halted: None,
@@ -464,6 +467,25 @@
         has_unknown
     }
 
+    /// Makes the trials of bans due when a version of a service is listed that is new.
+    fn detect_new_versions(&mut self, now: Time) {
+        let is_complete =
+            now.since(self.started) >= self.announcement_interval.times(DISCOVERY_INTERVALS);
+        for entry in self.directory.entries() {
+            let (service, version) = (&entry.announcement.service, &entry.announcement.version);
+            let found = self
+                .versions
+                .binary_search_by(|(s, v)| s.cmp(service).then_with(|| v.cmp(version)));
+            let Err(at) = found else {
+                continue;
+            };
+            self.versions.insert(at, (service.clone(), version.clone()));
+            if is_complete {
+                self.evidence.reconsider(now);
+            }
+        }
+    }
+
     /// Returns whether an entry instance needs peers that other control instances know.
     pub fn needs_peers(&self, now: Time) -> bool {
         self.entry_peers.are_needed(now)
@@ -673,6 +695,7 @@
         self.reports.expire(now);
         self.issuer.expire(now);
         self.evidence.expire(now);
+        self.detect_new_versions(now);
         for subject in self.evidence.ban_guilty(now) {
             log::warn!(
                 event = "banned", subject:? = subject;
