Treat an upstream whose limit ends on a new connection as cold

Cause: an upstream with a limit gets few requests, so most instances do not try it while it is down and see no refused connection. Its next process states no limit, which was taken for the word of the incarnation before it. The limit ended, the upstream had the least load, and all requests went there until the cold start was announced. Ruled out: refused connections that were not recorded while an instance took itself for cut off (no such line beside the crash of upstream 0).

Change: a limit that ends on a connection that was not used before may have ended with its process. The upstream may be cold for two announcement intervals, and the end is not reported to other instances until then.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -191,15 +191,16 @@
     decayed_at: Time,
     /// State after failed connections; `None` if the upstream accepts connections.
     down: Option<Down>,
-    /// Set after a refused connection, until a later incarnation is listed.
-    refused: Option<Refused>,
+    /// Set after a sign that its process has ended, until a later incarnation is listed.
+    restart: Option<Restart>,
     /// Earliest time of this instance's next request during the cold start.
     next_cold_request: Time,
 }
 
-/// A refused connection: the process has ended, and the next one at its address may be cold.
+/// A sign that the process has ended, so that the next one at its address may be cold: a refused
+/// connection, or a limit that has ended on a new connection.
 #[derive(Clone, Copy, Debug)]
-struct Refused {
+struct Restart {
     incarnation: u64,
     /// Time of the first connection that was accepted again.
     accepted_at: Option<Time>,
@@ -724,7 +725,7 @@
             failures: failures + 1,
         });
         if failure == Failure::Refused {
-            upstream.refused = Some(Refused {
+            upstream.restart = Some(Restart {
                 incarnation,
                 accepted_at: None,
             });
@@ -767,8 +768,8 @@
     pub fn connected(&mut self, upstream: &str, now: Time) {
         if let Some(at) = self.find(upstream) {
             self.upstreams[at].down = None;
-            if let Some(refused) = &mut self.upstreams[at].refused {
-                refused.accepted_at.get_or_insert(now);
+            if let Some(restart) = &mut self.upstreams[at].restart {
+                restart.accepted_at.get_or_insert(now);
             }
             let domain = &self.upstreams[at].entry.announcement.domain;
             self.suspect_domains.retain(|s| s.domain != *domain);
@@ -896,7 +897,7 @@
             failed: 0.0,
             decayed_at: now,
             down: None,
-            refused: None,
+            restart: None,
             next_cold_request: Time::ZERO,
         }
     }
@@ -904,13 +905,17 @@
     /// Returns whether it is in its cold start, or may be because its process has ended and a new one
     /// is not listed yet.
     fn may_be_cold(&self, interval: Span, now: Time) -> bool {
-        let is_unlisted = self.refused.is_some_and(|refused| {
-            let accepted = refused.accepted_at;
+        now < self.entry.cold_until || self.may_have_restarted(interval, now)
+    }
+
+    /// Returns whether its process may have ended without a later incarnation being listed.
+    fn may_have_restarted(&self, interval: Span, now: Time) -> bool {
+        self.restart.is_some_and(|restart| {
+            let accepted = restart.accepted_at;
             let limit = interval.times(RESTART_INTERVALS);
-            refused.incarnation == self.entry.announcement.incarnation
+            restart.incarnation == self.entry.announcement.incarnation
                 && accepted.is_none_or(|at| now.since(at) < limit)
-        });
-        now < self.entry.cold_until || is_unlisted
+        })
     }
 
     fn is_local(&self, domain: &str) -> bool {
--- a/crates/core/src/placement/limit.rs
+++ b/crates/core/src/placement/limit.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use super::{Choice, Criteria, Pool, Target, Upstream};
+use super::{Choice, Criteria, Pool, Restart, Target, Upstream};
 use crate::{
     digest,
     limit::{LEAD_TIME, PERMIT_LIFETIME, Permit, Rate, Reserve, SEND_TIMEOUT, Stock, Turns, Want},
@@ -188,7 +188,16 @@
     }
 
     /// Records the limit that an upstream states, and returns whether that is a change.
-    pub fn set_limit(&mut self, target: &Target, limit: Option<Rate>, now: Time) -> bool {
+    ///
+    /// `is_same_process` is whether the connection of the statement had been used before. On a new
+    /// connection, a limit may have ended with the process that stated it.
+    pub fn set_limit(
+        &mut self,
+        target: &Target,
+        limit: Option<Rate>,
+        is_same_process: bool,
+        now: Time,
+    ) -> bool {
         let known = self.limit(target);
         // Most upstreams never state a limit and need no notice.
         if known.is_none() && limit.is_none() {
@@ -201,18 +210,35 @@
         if limit < known {
             self.passes.discard(&target.upstream);
         }
+        if limit.is_none() && !is_same_process {
+            self.mark_restart(target, now);
+        }
         limit != known
     }
 
-    /// Returns the statements on limits that the directory does not show yet.
+    /// Records that another process may have the place of the known incarnation.
+    fn mark_restart(&mut self, target: &Target, now: Time) {
+        if let Some(at) = self.find(&target.upstream) {
+            self.upstreams[at].restart = Some(Restart {
+                incarnation: target.incarnation,
+                accepted_at: Some(now),
+            });
+        }
+    }
+
+    /// Returns the statements on limits that the directory does not show yet, but for those that
+    /// may come from a process that is not listed yet.
     #[must_use]
-    pub fn limit_statements(&self) -> Vec<notice::Limit> {
+    pub fn limit_statements(&self, now: Time) -> Vec<notice::Limit> {
         let is_unknown = |limit: &&notice::Limit| {
             let Some(at) = self.find(&limit.upstream) else {
                 return false;
             };
-            let entry = &self.upstreams[at].entry;
-            entry.announcement.incarnation == limit.incarnation
+            let known = &self.upstreams[at];
+            let is_certain = limit.rate.is_some() || !known.may_have_restarted(self.interval, now);
+            let entry = &known.entry;
+            is_certain
+                && entry.announcement.incarnation == limit.incarnation
                 && entry.limit.and_then(|l| l.rate) != limit.rate
                 && entry.limit.is_none_or(|l| l.stated_at < limit.stated_at)
         };
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -145,7 +145,7 @@
                 .on_lost(ctx, resolved, target, "response to another request")
                 .await;
         }
-        self.apply_signals(ctx, target, response.status(), &meta);
+        self.apply_signals(ctx, target, response.status(), &meta, conn.is_reused());
         if meta.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.count_attempt(resolved, target, "not_run");
             return self.on_not_run(ctx, target, response, conn, &meta).await;
@@ -365,19 +365,20 @@
     }
 
     /// Applies what a response reports about its upstream: that it shuts down, or wants no requests
-    /// for some time.
+    /// for some time. `is_reused` is whether its connection had carried a request before.
     pub(super) fn apply_signals(
         &self,
         ctx: &RequestContext,
         target: &Target,
         status: StatusCode,
         meta: &ResponseHeaders,
+        is_reused: bool,
     ) {
         // Another upstream, which has the address now, has sent this response.
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        self.record_limit(ctx, target, meta);
+        self.record_limit(ctx, target, meta, is_reused);
         let now = self.now();
         let mut pool = self.pool.borrow_mut();
         if meta.leaving && !Fault::NoNotice.is_injected() && pool.mark_leaving(target, now) {
@@ -401,7 +402,13 @@
     }
 
     /// Records what a response states about its upstream's limit.
-    fn record_limit(&self, ctx: &RequestContext, target: &Target, meta: &ResponseHeaders) {
+    fn record_limit(
+        &self,
+        ctx: &RequestContext,
+        target: &Target,
+        meta: &ResponseHeaders,
+        is_reused: bool,
+    ) {
         if Fault::NoLimit.is_injected() {
             return;
         }
@@ -418,7 +425,9 @@
                 return;
             }
         };
-        if self.pool.borrow_mut().set_limit(target, limit, self.now()) {
+        let now = self.now();
+        let mut pool = self.pool.borrow_mut();
+        if pool.set_limit(target, limit, is_reused, now) {
             log::info!(
                 event = "upstream_limit", request = ctx.id(), upstream = &*target.upstream,
                 incarnation = target.incarnation, source = "answer",
--- a/crates/node/src/gateway/forward/inquiry.rs
+++ b/crates/node/src/gateway/forward/inquiry.rs
@@ -59,7 +59,7 @@
         let mut pool = self.pool.borrow_mut();
         let limit = match meta.limit {
             Statement::Limited(rate) => {
-                pool.set_limit(target, Some(rate), now);
+                pool.set_limit(target, Some(rate), false, now);
                 Some(rate)
             }
             // Upstreams may state their limits in responses to requests only.
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -430,7 +430,7 @@
         let meta = proxy.adapter().parse_response(response.headers());
         let own = meta.id.as_deref() == ctx.meta.id.as_deref();
         if own && !target.is_peer {
-            proxy.apply_signals(ctx, &target, response.status(), &meta);
+            proxy.apply_signals(ctx, &target, response.status(), &meta, conn.is_reused());
         }
         if own && meta.signed && response.status() == StatusCode::OK {
             guard.finish_prefill();
--- a/crates/node/src/gateway/forward/stats.rs
+++ b/crates/node/src/gateway/forward/stats.rs
@@ -21,7 +21,7 @@
         let loads = self.pool.borrow_mut().loads(now);
         let spillover_services = self.pool.borrow().spillover_services();
         let departures = self.pool.borrow().departures(now);
-        let limits = self.pool.borrow().limit_statements();
+        let limits = self.pool.borrow().limit_statements(now);
         let wants = self.pool.borrow_mut().wants(now);
         self.shared.screen().expire(now);
         let (room, needs_peers) = (self.peer_room(), self.pool.borrow().needs_peers(now));
