Try upstreams without failed connections before an instance counts as cut off

Three trial connections, one in each failure domain, went to engines that the instance knew as down. Several crashes were told from a cut by chance only.

Change: trial connections go to upstreams first whose last connection has not failed, and if none of three is accepted within 40 ms, to five more. In a cut all of them fail as before.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -838,15 +838,17 @@
         domains.len()
     }
 
-    /// Returns up to `count` upstreams for trial connections, of different failure domains as far as
-    /// possible.
+    /// Returns up to `count` upstreams for trial connections: first one of each failure domain, and
+    /// first those whose last connection has not failed. Upstreams that have crashed at once say
+    /// nothing about the way to the others.
     #[must_use]
     pub fn trial_targets(&self, count: usize, now: Time) -> Vec<Target> {
         let ready = self.upstreams.iter().filter(|u| u.is_ready());
         let mut ranked: Vec<_> = ready
             .map(|u| {
                 let id = digest::of(u.entry.announcement.upstream.as_bytes());
-                (digest::mix(id ^ now.as_millis() ^ self.instance), u)
+                let draw = digest::mix(id ^ now.as_millis() ^ self.instance);
+                ((u.down.is_some(), draw), u)
             })
             .collect();
         ranked.sort_unstable_by_key(|(rank, _)| *rank);
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -4,7 +4,7 @@
 
 use masticlock_core::{
     fleet::{Announcement, Directory, Phase, Record},
-    placement::{Choice, Criteria, Failure, Pool},
+    placement::{Choice, Criteria, Failure, Pool, Target},
     reach::{Change, Reach, Trial},
     replicated::State,
     report::Peer,
@@ -84,14 +84,19 @@
 }
 
 fn pool() -> Pool {
+    pool_of(&["a", "b"])
+}
+
+/// Returns a pool with one upstream in each of these failure domains.
+fn pool_of(domains: &[&str]) -> Pool {
     let mut directory = Directory::default();
-    for (number, domain) in ["a", "b"].into_iter().enumerate() {
+    for (number, domain) in domains.iter().enumerate() {
         let upstream: Arc<str> = format!("u{number}").into();
         let announcement = Announcement {
             upstream: upstream.clone(),
             service: "s".into(),
             address: upstream,
-            domain: domain.into(),
+            domain: (*domain).into(),
             version: "v".into(),
             slots: 8,
             phase: Phase::Ready,
@@ -181,3 +186,22 @@
     assert!(pool.needs_peers(at(20)));
     assert_eq!(chosen(&pool, true, at(20)).unwrap().0, "p1");
 }
+
+/// Guards against an instance that takes itself for cut off because the upstreams of one service
+/// have crashed at once.
+#[test]
+fn upstreams_that_have_not_failed_are_tried_first() {
+    let mut pool = pool_of(&["a", "b", "c", "a", "b", "c"]);
+    for crashed in ["u0", "u1", "u2"] {
+        pool.connect_failed(crashed, 1, Failure::Refused, at(10));
+    }
+    for now in 10..200 {
+        let targets = pool.trial_targets(3, at(now));
+        let has_failed = |t: &Target| matches!(&*t.upstream, "u0" | "u1" | "u2");
+        assert!(!targets.iter().any(has_failed), "{targets:?}");
+    }
+    for crashed in ["u3", "u4", "u5"] {
+        pool.connect_failed(crashed, 1, Failure::Refused, at(10));
+    }
+    assert_eq!(pool.trial_targets(3, at(20)).len(), 3);
+}
--- a/crates/node/src/gateway/forward/hand_over.rs
+++ b/crates/node/src/gateway/forward/hand_over.rs
@@ -12,7 +12,10 @@
     reach::{Change, Trial},
     route::Kind,
 };
-use tokio::{task::spawn_local, time::timeout};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use super::{
     InFlightGuard, Proxy, RequestContext,
@@ -33,6 +36,13 @@
 /// Number of trial connections in a round.
 const TRIALS: usize = 3;
 
+/// Number of further ones if none of the first is accepted soon, because several upstreams may have
+/// crashed at once.
+const MORE_TRIALS: usize = 5;
+
+/// Time after which the further connections are tried.
+const MORE_TRIALS_DELAY: Duration = Duration::from_millis(40);
+
 /// Requests of peers that an instance handles at a time, beside as many as it has of its own.
 const MIN_PEER_PLACES: u32 = 48;
 
@@ -97,13 +107,20 @@
         if !self.reach.borrow_mut().begin_round(now) {
             return;
         }
-        let targets = self.pool.borrow().trial_targets(TRIALS, now);
+        let targets = self.pool.borrow().trial_targets(TRIALS + MORE_TRIALS, now);
         let proxy = self.clone();
         spawn_local(async move { proxy.try_connections(&targets).await });
     }
 
     async fn try_connections(self: Rc<Self>, targets: &[Target]) {
-        let trials = targets.iter().map(async |target| {
+        let any_accepted = Cell::new(false);
+        let trials = targets.iter().enumerate().map(async |(at, target)| {
+            if at >= TRIALS {
+                sleep(MORE_TRIALS_DELAY).await;
+                if any_accepted.get() {
+                    return None;
+                }
+            }
             let accepted = match timeout(TRIAL_TIMEOUT, self.connections.open(target)).await {
                 Ok(Ok(conn)) => {
                     conn.release(None);
@@ -111,10 +128,11 @@
                 }
                 Ok(Err(_)) | Err(_) => false,
             };
+            any_accepted.set(any_accepted.get() | accepted);
             let domain = target.domain.clone();
-            Trial { domain, accepted }
+            Some(Trial { domain, accepted })
         });
-        let trials = join_all(trials).await;
+        let trials: Vec<Trial> = join_all(trials).await.into_iter().flatten().collect();
         let now = self.now();
         let domains = self.pool.borrow().upstream_domains();
         let change = self.reach.borrow_mut().end_round(&trials, domains, now);
