Bound the requests that upstreams reject when they say how many they bear

Operators saw services fall over: upstreams that had said how many requests they could reject in a second got as many as the entry instances together found without room.

Cause: nothing read the word, and each instance decides by loads that are some hundred milliseconds old. Class, as with stated limits: a bound on what all instances do together that no part of the design carries.

Change: the word is one more bound beside the limit, in the notices, the directory and the reports. A request to such an upstream needs a permit of the control instances' leader, taken where the upstream is chosen and checked right before the write, for first attempts, retries, larger models and resumed streams alike. It returns when the upstream has accepted the request, by its head or after 100 ms, and is used up by a rejection. So rejections in a second are bounded by the permits made, however old the loads are. Nothing waits in such an upstream's queue: a request without a permit waits at its entry instance as for a full upstream. A word that ends is treated as the end of a limit is. Unreadable numbers are logged and change nothing.

--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -22,6 +22,8 @@
     NoLimit,
     /// Sends requests although they crash upstreams.
     NoBan,
+    /// Ignores how many requests upstreams can reject.
+    NoBrittle,
 }
 
 impl Fault {
@@ -38,6 +40,7 @@
             Self::NoQuiet => "no-quiet",
             Self::NoLimit => "no-limit",
             Self::NoBan => "no-ban",
+            Self::NoBrittle => "no-brittle",
         };
         std::env::var("MASTICLOCK_PLANT").is_ok_and(|selected| selected == name)
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use crate::{
-    limit::Rate,
+    limit::{Bounds, Rate, Want, reject_permit_upstream},
     time::{Span, Time},
 };
 
@@ -68,15 +68,15 @@
         pub age: Span,
         /// Whether the sender considers the upstream silent.
         pub silent: bool,
-        /// What the incarnation has stated last about its limit, if anything.
+        /// What the incarnation has stated last about its bounds, if anything.
         pub limit: Option<Statement>,
     }
 
-    /// What an upstream has stated about its limit, as exchanged between instances.
+    /// What an upstream has stated about its bounds, as exchanged between instances.
     #[derive(Copy, Eq)]
     pub struct Statement {
-        /// Rate that it accepts from all instances together; `None` if it has no limit any more.
-        pub rate: Option<Rate>,
+        /// Its bounds.
+        pub bounds: Bounds,
         /// Time since the statement.
         pub age: Span,
     }
@@ -95,11 +95,11 @@
     }
 }
 
-/// What an upstream has stated about its limit, with the time on this instance's clock.
+/// What an upstream has stated about its bounds, with the time on this instance's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limit {
-    /// Rate that it accepts from all instances together; `None` if it has no limit any more.
-    pub rate: Option<Rate>,
+    /// Its bounds.
+    pub bounds: Bounds,
     /// Time of the statement.
     pub stated_at: Time,
 }
@@ -116,7 +116,7 @@
     pub cold_until: Time,
     /// Whether it has not been heard for too long and gets no new requests.
     pub silent: bool,
-    /// What the incarnation has stated last about its limit, if anything.
+    /// What the incarnation has stated last about its bounds, if anything.
     pub limit: Option<Limit>,
     /// Revision of the latest change that readers need.
     change_revision: u64,
@@ -186,7 +186,7 @@
         let (upstream, incarnation) = (announcement.upstream.clone(), announcement.incarnation);
         let is_new = self.merge_announcement(announcement, age, now);
         let limit = limit.map(|statement| Limit {
-            rate: statement.rate,
+            bounds: statement.bounds,
             stated_at: now - statement.age,
         });
         let is_changed = limit.is_some_and(|l| self.set_limit(&upstream, incarnation, l));
@@ -361,8 +361,8 @@
         true
     }
 
-    /// Records what an incarnation of an upstream states about its limit, unless a later statement is
-    /// known, and returns whether its limit has changed.
+    /// Records what an incarnation of an upstream states about its bounds, unless a later statement is
+    /// known, and returns whether they have changed.
     pub fn set_limit(&mut self, upstream: &str, incarnation: u64, limit: Limit) -> bool {
         let Ok(at) = self.find(upstream) else {
             return false;
@@ -373,7 +373,7 @@
             return false;
         }
         let before = known.limit.replace(limit);
-        if before.and_then(|l| l.rate) == limit.rate {
+        if before.map(|l| l.bounds).unwrap_or_default() == limit.bounds {
             return false;
         }
         self.revision += 1;
@@ -381,6 +381,19 @@
         true
     }
 
+    /// Returns the rate of the permits that a borrower wants, if the upstream has such a bound.
+    #[must_use]
+    pub fn permit_rate(&self, want: &Want) -> Option<Rate> {
+        let rejecting = reject_permit_upstream(&want.upstream);
+        let known = self.get(rejecting.unwrap_or(&want.upstream))?;
+        let is_same = known.announcement.incarnation == want.incarnation;
+        let bounds = known.limit.filter(|_| is_same)?.bounds;
+        match rejecting {
+            Some(_) => bounds.rejects.map(Rate::reject_permits),
+            None => bounds.rate,
+        }
+    }
+
     /// Returns the records that changed after the revision.
     #[must_use]
     pub fn since(&self, revision: u64, now: Time) -> Vec<Record> {
@@ -393,7 +406,7 @@
                 age: now.since(e.last_heard),
                 silent: e.silent,
                 limit: e.limit.map(|l| Statement {
-                    rate: l.rate,
+                    bounds: l.bounds,
                     age: now.since(l.stated_at),
                 }),
             }
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -19,9 +19,12 @@
 pub use issuer::Issuer;
 pub use lender::{Demand, Grant, Lender};
 pub(crate) use permit::LEAD_TIME;
-pub use permit::{PERMIT_LIFETIME, Permit, Reserve, SEND_TIMEOUT, Want};
+pub use permit::{
+    PERMIT_LIFETIME, Permit, REJECT_PERMIT_LIFETIME, Reserve, SEND_TIMEOUT, Want,
+    reject_permit_name, reject_permit_upstream,
+};
 pub use queue::{Item, Priority, Queue, Refusal};
-pub use rate::{Error as RateError, Rate, Statement};
+pub use rate::{Bounds, Error as RateError, Rate, Statement};
 pub use stock::Stock;
 pub use turn::Turns;
 
--- a/crates/core/src/limit/issuer.rs
+++ b/crates/core/src/limit/issuer.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     limit::{
-        LEAD_TIME, PERMIT_LIFETIME, Permit, Rate, Stock, Want,
+        LEAD_TIME, Permit, Rate, Stock, Want,
         bucket::{Bucket, TOKENS_PER_REQUEST},
+        permit::lifetime,
     },
     time::{Span, Time},
 };
@@ -194,7 +195,7 @@
             upstream: upstream.clone(),
             incarnation,
             count: 0,
-            valid: PERMIT_LIFETIME,
+            valid: lifetime(upstream),
             scarce: false,
         };
         if line.incarnation != incarnation {
--- a/crates/core/src/limit/permit.rs
+++ b/crates/core/src/limit/permit.rs
@@ -16,6 +16,10 @@
 /// Validity of a permit, from the time when the poll was sent that it answers.
 pub const PERMIT_LIFETIME: Span = Span::from_secs(1);
 
+/// Validity of a permit for a request that its upstream may reject. It serves one request after the
+/// other, so it is worth more the longer it lasts.
+pub const REJECT_PERMIT_LIFETIME: Span = Span::from_secs(2);
+
 /// Time from taking a permit within which its request must be sent.
 pub const SEND_TIMEOUT: Span = Span::from_millis(500);
 
@@ -35,6 +39,29 @@
 /// Time for which permits are kept in advance: two polls and the way to the leader.
 pub(crate) const LEAD_TIME: Span = Span::from_millis(500);
 
+/// Beginning of the names under which permits for requests that may be rejected are kept.
+const REJECT_PREFIX: &str = "reject/";
+
+/// Returns the name under which the permits are kept for requests that an upstream may reject.
+#[must_use]
+pub fn reject_permit_name(upstream: &str) -> Arc<str> {
+    format!("{REJECT_PREFIX}{upstream}").into()
+}
+
+/// Returns the upstream whose permits for requests that it may reject have this name.
+#[must_use]
+pub fn reject_permit_upstream(name: &str) -> Option<&str> {
+    name.strip_prefix(REJECT_PREFIX)
+}
+
+/// Returns the validity of a permit with this name.
+pub(super) fn lifetime(name: &str) -> Span {
+    match reject_permit_upstream(name) {
+        Some(_) => REJECT_PERMIT_LIFETIME,
+        None => PERMIT_LIFETIME,
+    }
+}
+
 plain! {
     /// The permits that a borrower needs for an upstream.
     #[derive(Eq)]
--- a/crates/core/src/limit/rate.rs
+++ b/crates/core/src/limit/rate.rs
@@ -12,18 +12,29 @@
     }
 }
 
+plain! {
+    /// What an upstream states about the requests of all instances together.
+    #[derive(Copy, Default, Eq)]
+    pub struct Bounds {
+        /// Rate of requests that it accepts; `None` if it has no limit.
+        pub rate: Option<Rate>,
+        /// Rate at which it can reject requests without a crash; `None` if it can reject any number.
+        pub rejects: Option<Rate>,
+    }
+}
+
 /// The text is not a decimal number of requests per second.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{0:?} is not a decimal number of requests per second")]
 pub struct Error(String);
 
-/// What an upstream states about its limit in a response.
+/// What an upstream states about one of its bounds in a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Statement {
-    /// It has no limit.
+    /// It has none.
     #[default]
     Unlimited,
-    /// It accepts this rate from all instances together.
+    /// This rate of all instances together.
     Limited(Rate),
     /// It states something that can't be read.
     Unreadable,
@@ -36,6 +47,17 @@
         Self { milli }
     }
 
+    /// Returns the rate of the permits for requests that an upstream may reject at this rate.
+    ///
+    /// The permits that are used within a second were made within it or within
+    /// [`REJECT_PERMIT_LIFETIME`](super::REJECT_PERMIT_LIFETIME) before, and one may have accumulated.
+    #[must_use]
+    pub const fn reject_permits(self) -> Self {
+        Self {
+            milli: self.milli / 10 * 3,
+        }
+    }
+
     /// Returns the sum of two rates.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     fleet,
-    limit::Rate,
+    limit::Bounds,
     time::{Span, Time},
 };
 
@@ -34,15 +34,15 @@
     }
 }
 
-/// What an upstream has stated about its limit.
+/// What an upstream has stated about its bounds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limit {
     /// Identity.
     pub upstream: Arc<str>,
     /// Incarnation of the upstream.
     pub incarnation: u64,
-    /// Rate that it accepts from all instances together; `None` if it has no limit any more.
-    pub rate: Option<Rate>,
+    /// Its bounds.
+    pub bounds: Bounds,
     /// Time of the statement.
     pub stated_at: Time,
 }
@@ -56,7 +56,7 @@
     leaving_since: Option<Time>,
     /// End of the backoff that it requested.
     backoff_until: Time,
-    /// Its last statement about its limit.
+    /// Its last statement about its bounds.
     limit: Option<fleet::Limit>,
     /// Time of its last listing or notice.
     last_seen: Time,
@@ -122,29 +122,23 @@
         }
     }
 
-    /// Records the limit that an upstream states, or that it has none any more.
-    pub fn set_limit(
-        &mut self,
-        upstream: &Arc<str>,
-        incarnation: u64,
-        rate: Option<Rate>,
-        now: Time,
-    ) {
+    /// Records the bounds that an upstream states.
+    pub fn set_limit(&mut self, upstream: &Arc<str>, incarnation: u64, bounds: Bounds, now: Time) {
         if let Some(notice) = self.get_mut(upstream, incarnation, now) {
             notice.limit = Some(fleet::Limit {
-                rate,
+                bounds,
                 stated_at: now,
             });
         }
     }
 
-    /// Returns the last statement of the incarnation of an upstream about its limit.
+    /// Returns the last statement of the incarnation of an upstream about its bounds.
     #[must_use]
     pub fn limit(&self, upstream: &str, incarnation: u64) -> Option<fleet::Limit> {
         self.get(upstream, incarnation)?.limit
     }
 
-    /// Returns the last statements of all upstreams about their limits.
+    /// Returns the last statements of all upstreams about their bounds.
     #[must_use]
     pub fn limits(&self) -> Vec<Limit> {
         let limit = |n: &Notice| {
@@ -152,7 +146,7 @@
             Some(Limit {
                 upstream: n.upstream.clone(),
                 incarnation: n.incarnation,
-                rate: limit.rate,
+                bounds: limit.bounds,
                 stated_at: limit.stated_at,
             })
         };
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -9,14 +9,19 @@
 
 mod limit;
 mod peer;
+mod rejects;
 
 use std::sync::Arc;
 
-pub use self::limit::{Pass, Shortage};
 use self::{limit::Passes, peer::Peers};
+pub use self::{
+    limit::{Pass, Shortage},
+    rejects::{ACCEPTANCE_TIME, RejectPermit},
+};
 use crate::{
     digest,
     fleet::{Entry, Phase},
+    limit::Bounds,
     notice,
     replicated::{Eligibility, State},
     report::{Load, Totals},
@@ -252,7 +257,7 @@
     suspect_domains: Vec<SuspectDomain>,
     notices: notice::Store,
     passes: Passes,
-    /// Whether an upstream may have a limit.
+    /// Whether an upstream may have a bound.
     has_limits: bool,
     /// Whether this instance has lost its way to all upstreams.
     is_cut_off: bool,
@@ -301,9 +306,14 @@
                     if known.entry.silent && !entry.silent {
                         known.down = None;
                     }
-                    if known.entry.limit.and_then(|l| l.rate) > entry.limit.and_then(|l| l.rate) {
+                    let before = known.entry.limit.map(|l| l.bounds).unwrap_or_default();
+                    let after = entry.limit.map(|l| l.bounds).unwrap_or_default();
+                    if before.rate > after.rate {
                         self.passes.discard(&entry.announcement.upstream);
                     }
+                    if before.rejects > after.rejects {
+                        self.discard_reject_permits(&entry.announcement.upstream);
+                    }
                     known.entry = entry.clone();
                     known
                 }
@@ -318,7 +328,8 @@
             self.upstreams.push(upstream);
         }
         self.notices.expire(now);
-        self.has_limits = self.limited() > 0;
+        let mut upstreams = self.upstreams.iter();
+        self.has_limits = upstreams.any(|u| self.bounds_of(u) != Bounds::default());
     }
 
     /// Updates the loads and the list of instances from the reports of the other instances.
@@ -406,24 +417,21 @@
     /// Chooses an upstream for a request.
     #[must_use]
     pub fn choose(&self, criteria: &Criteria<'_>, state: &State, now: Time) -> Choice {
-        self.choose_from(criteria, state, now, |u| self.is_passable(u, now))
+        self.choose_from(criteria, state, now, true)
     }
 
-    /// Chooses an upstream for a request as if none had a limit.
+    /// Chooses an upstream for a request as if none had a bound.
     fn choose_regardless(&self, criteria: &Criteria<'_>, state: &State, now: Time) -> Choice {
-        self.choose_from(criteria, state, now, |_| true)
+        self.choose_from(criteria, state, now, false)
     }
 
-    fn choose_from<F>(
+    fn choose_from(
         &self,
         criteria: &Criteria<'_>,
         state: &State,
         now: Time,
-        is_passable: F,
-    ) -> Choice
-    where
-        F: Fn(&Upstream) -> bool,
-    {
+        needs_permits: bool,
+    ) -> Choice {
         if self.is_cut_off {
             return if criteria.may_hand_over {
                 self.choose_peer(criteria, now)
@@ -435,7 +443,10 @@
         let usable: Vec<_> = self
             .upstreams
             .iter()
-            .filter(|u| self.is_usable(u, criteria, state, now) && is_passable(u))
+            .filter(|u| {
+                self.is_usable(u, criteria, state, now)
+                    && (!needs_permits || self.is_passable(u, now))
+            })
             .collect();
         let of_version = |canary: bool| -> Vec<&Upstream> {
             let matches = |u: &&&Upstream| {
@@ -461,13 +472,14 @@
             return backoff.map_or(Choice::Unavailable, Choice::Backoff);
         }
         let healthy = healthy(&candidates);
-        let available: Vec<_> = healthy
-            .into_iter()
-            .filter(|u| self.has_capacity(u, criteria, now))
-            .collect();
+        let is_available = |u: &&Upstream| {
+            self.has_capacity(u, criteria, now)
+                && (!needs_permits || self.may_be_rejected_by(u, now))
+        };
+        let available: Vec<_> = healthy.into_iter().filter(is_available).collect();
         if available.is_empty() {
             // An unhealthy upstream is better than none.
-            candidates.retain(|u| self.has_capacity(u, criteria, now));
+            candidates.retain(is_available);
         } else {
             candidates = available;
         }
@@ -571,13 +583,9 @@
     fn has_capacity(&self, upstream: &Upstream, criteria: &Criteria<'_>, now: Time) -> bool {
         let running = upstream.running + upstream.others.running;
         let announcement = &upstream.entry.announcement;
-        let limit = if criteria.memory_tokens > 0 {
-            announcement.slots
-        } else {
-            // A short queue at the upstream avoids idle time between two requests.
-            announcement.slots + announcement.slots / 2
-        };
-        if running >= limit.max(1) {
+        let rejects = self.bounds_of(upstream).rejects;
+        let has_memory = criteria.memory_tokens > 0;
+        if running >= rejects::capacity(announcement.slots, has_memory, rejects) {
             return false;
         }
         #[expect(clippy::cast_precision_loss)]
--- a/crates/core/src/placement/limit.rs
+++ b/crates/core/src/placement/limit.rs
@@ -9,10 +9,13 @@
 
 use std::sync::Arc;
 
-use super::{Choice, Criteria, Pool, Restart, Target, Upstream};
+use super::{Choice, Criteria, Pool, Restart, Target, Upstream, rejects::RejectPermit};
 use crate::{
     digest,
-    limit::{LEAD_TIME, PERMIT_LIFETIME, Permit, Rate, Reserve, SEND_TIMEOUT, Stock, Turns, Want},
+    limit::{
+        Bounds, LEAD_TIME, PERMIT_LIFETIME, Permit, Rate, Reserve, SEND_TIMEOUT, Stock, Turns,
+        Want, reject_permit_upstream,
+    },
     notice,
     replicated::State,
     time::{Span, Time},
@@ -44,6 +47,8 @@
     pub send_by: Option<Time>,
     /// End of the permit that was taken for it.
     permit_until: Option<Time>,
+    /// Permit for a request that the upstream may reject, if it needs one.
+    pub reject_permit: Option<RejectPermit>,
 }
 
 impl Pass {
@@ -51,6 +56,7 @@
         Self {
             send_by: Some(now + SEND_TIMEOUT),
             permit_until,
+            reject_permit: None,
         }
     }
 }
@@ -64,9 +70,9 @@
     pub scarce: bool,
 }
 
-/// The use of one upstream with a limit.
+/// The use of one upstream with a bound.
 #[derive(Clone, Debug)]
-struct Use {
+pub(super) struct Use {
     upstream: Arc<str>,
     /// Requests that would have gone there, decayed by age.
     demand: f64,
@@ -75,7 +81,7 @@
     unmet: u32,
     unmet_at: Time,
     /// Time of the last request from the reserve.
-    reserve_used_at: Option<Time>,
+    pub(super) reserve_used_at: Option<Time>,
     /// Time of the lender's last word that permits are scarce.
     scarce_at: Option<Time>,
     /// Whether an upstream that accepted none has answered a question without a limit, so that one
@@ -86,13 +92,15 @@
 /// Permits and demand of the upstreams with limits.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Passes {
-    stock: Stock,
+    pub(super) stock: Stock,
     /// Time of the last answer from a control instance with contact to the leader.
     contact_at: Option<Time>,
     /// Number of instances at that time.
     instances: usize,
-    /// Sorted by upstream.
+    /// Use of upstreams with limits, sorted by upstream.
     uses: Vec<Use>,
+    /// Use of upstreams that can reject few requests, sorted by upstream.
+    reject_uses: Vec<Use>,
     turns: Turns,
 }
 
@@ -118,25 +126,43 @@
         self.decayed_at = now;
     }
 
-    fn is_scarce(&self, now: Time) -> bool {
+    pub(super) fn is_scarce(&self, now: Time) -> bool {
         self.scarce_at
             .is_some_and(|at| now.since(at) < SCARCITY_TTL)
     }
 }
 
+fn find<'a>(uses: &'a [Use], upstream: &str) -> Option<&'a Use> {
+    let found = uses.binary_search_by(|u| (*u.upstream).cmp(upstream));
+    found.ok().map(|at| &uses[at])
+}
+
+fn get_mut<'a>(uses: &'a mut Vec<Use>, upstream: &Arc<str>, now: Time) -> &'a mut Use {
+    let found = uses.binary_search_by(|u| u.upstream.cmp(upstream));
+    let at = found.unwrap_or_else(|at| {
+        uses.insert(at, Use::new(upstream, now));
+        at
+    });
+    &mut uses[at]
+}
+
 impl Passes {
     fn find(&self, upstream: &str) -> Option<&Use> {
-        let found = self.uses.binary_search_by(|u| (*u.upstream).cmp(upstream));
-        found.ok().map(|at| &self.uses[at])
+        find(&self.uses, upstream)
     }
 
     fn get_mut(&mut self, upstream: &Arc<str>, now: Time) -> &mut Use {
-        let found = self.uses.binary_search_by(|u| u.upstream.cmp(upstream));
-        let at = found.unwrap_or_else(|at| {
-            self.uses.insert(at, Use::new(upstream, now));
-            at
-        });
-        &mut self.uses[at]
+        get_mut(&mut self.uses, upstream, now)
+    }
+
+    /// Returns the use of an upstream that can reject few requests.
+    pub(super) fn reject_use(&self, upstream: &str) -> Option<&Use> {
+        find(&self.reject_uses, upstream)
+    }
+
+    /// Returns the use of an upstream that can reject few requests, which is created if it is new.
+    pub(super) fn reject_use_mut(&mut self, upstream: &Arc<str>, now: Time) -> &mut Use {
+        get_mut(&mut self.reject_uses, upstream, now)
     }
 
     /// Drops the permits for an upstream, because its limit has fallen.
@@ -144,37 +170,47 @@
         self.stock.discard(upstream);
     }
 
-    fn is_isolated(&self, now: Time) -> bool {
+    pub(super) fn is_isolated(&self, now: Time) -> bool {
         self.contact_at
             .is_none_or(|at| now.since(at) >= CONTACT_TTL)
     }
 }
 
 impl Pool {
-    /// Returns the limit of an upstream: the latest statement that this instance or another one has
+    /// Returns the bounds of an upstream: the latest statement that this instance or another one has
     /// received.
-    fn limit_of(&self, upstream: &Upstream) -> Option<Rate> {
+    pub(super) fn bounds_of(&self, upstream: &Upstream) -> Bounds {
         let announcement = &upstream.entry.announcement;
         let own = self
             .notices
             .limit(&announcement.upstream, announcement.incarnation);
         let listed = upstream.entry.limit;
         match (own, listed) {
-            (Some(own), Some(listed)) if listed.stated_at > own.stated_at => listed.rate,
-            (Some(own), _) => own.rate,
-            (None, listed) => listed.and_then(|l| l.rate),
+            (Some(own), Some(listed)) if listed.stated_at > own.stated_at => listed.bounds,
+            (Some(own), _) => own.bounds,
+            (None, listed) => listed.map(|l| l.bounds).unwrap_or_default(),
         }
     }
 
+    fn limit_of(&self, upstream: &Upstream) -> Option<Rate> {
+        self.bounds_of(upstream).rate
+    }
+
+    /// Returns the bounds of an incarnation of an upstream.
+    #[must_use]
+    pub fn bounds(&self, target: &Target) -> Bounds {
+        let known = self.find(&target.upstream).map(|at| &self.upstreams[at]);
+        let same = known.filter(|u| u.entry.announcement.incarnation == target.incarnation);
+        same.map(|u| self.bounds_of(u)).unwrap_or_default()
+    }
+
     /// Returns the limit of an upstream, if it has one.
     #[must_use]
     pub fn limit(&self, target: &Target) -> Option<Rate> {
-        let known = &self.upstreams[self.find(&target.upstream)?];
-        let is_same = known.entry.announcement.incarnation == target.incarnation;
-        is_same.then(|| self.limit_of(known)).flatten()
+        self.bounds(target).rate
     }
 
-    /// Returns whether an upstream may have a limit.
+    /// Returns whether an upstream may have a bound.
     #[must_use]
     pub const fn has_limits(&self) -> bool {
         self.has_limits
@@ -187,33 +223,40 @@
         limited.count()
     }
 
-    /// Records the limit that an upstream states, and returns whether that is a change.
+    /// Records the bounds that an upstream states, and returns whether that is a change.
     ///
     /// `is_same_process` is whether the connection of the statement had been used before. On a new
-    /// connection, a limit may have ended with the process that stated it.
-    pub fn set_limit(
+    /// connection, a bound may have ended with the process that stated it.
+    pub fn set_bounds(
         &mut self,
         target: &Target,
-        limit: Option<Rate>,
+        bounds: Bounds,
         is_same_process: bool,
         now: Time,
     ) -> bool {
-        let known = self.limit(target);
-        // Most upstreams never state a limit and need no notice.
-        if known.is_none() && limit.is_none() {
+        let known = self.bounds(target);
+        // Most upstreams never state a bound and need no notice.
+        if known == bounds && bounds == Bounds::default() {
             return false;
         }
-        self.has_limits |= limit.is_some();
+        self.has_limits = true;
         self.notices
-            .set_limit(&target.upstream, target.incarnation, limit, now);
-        self.passes.get_mut(&target.upstream, now).is_on_trial = false;
-        if limit < known {
+            .set_limit(&target.upstream, target.incarnation, bounds, now);
+        if known.rate.is_some() || bounds.rate.is_some() {
+            self.passes.get_mut(&target.upstream, now).is_on_trial = false;
+        }
+        if bounds.rate < known.rate {
             self.passes.discard(&target.upstream);
         }
-        if limit.is_none() && !is_same_process {
+        if bounds.rejects < known.rejects {
+            self.discard_reject_permits(&target.upstream);
+        }
+        let has_ended = (known.rate.is_some() && bounds.rate.is_none())
+            || (known.rejects.is_some() && bounds.rejects.is_none());
+        if has_ended && !is_same_process {
             self.mark_restart(target, now);
         }
-        limit != known
+        bounds != known
     }
 
     /// Records that another process may have the place of the known incarnation.
@@ -226,7 +269,7 @@
         }
     }
 
-    /// Returns the statements on limits that the directory does not show yet, but for those that
+    /// Returns the statements on bounds that the directory does not show yet, but for those that
     /// may come from a process that is not listed yet.
     #[must_use]
     pub fn limit_statements(&self, now: Time) -> Vec<notice::Limit> {
@@ -235,11 +278,12 @@
                 return false;
             };
             let known = &self.upstreams[at];
-            let is_certain = limit.rate.is_some() || !known.may_have_restarted(self.interval, now);
+            let is_certain =
+                limit.bounds != Bounds::default() || !known.may_have_restarted(self.interval, now);
             let entry = &known.entry;
             is_certain
                 && entry.announcement.incarnation == limit.incarnation
-                && entry.limit.and_then(|l| l.rate) != limit.rate
+                && entry.limit.map(|l| l.bounds).unwrap_or_default() != limit.bounds
                 && entry.limit.is_none_or(|l| l.stated_at < limit.stated_at)
         };
         let limits = self.notices.limits();
@@ -247,7 +291,7 @@
     }
 
     /// Returns the part of the reserve that this instance may use of an upstream's limit.
-    fn reserve(&self, upstream: &str, limit: Rate) -> Reserve {
+    pub(super) fn reserve(&self, upstream: &str, limit: Rate) -> Reserve {
         let draw = digest::mix(digest::of(upstream.as_bytes()) ^ self.instance);
         Reserve::new(limit, self.passes.instances.max(self.instances()), draw)
     }
@@ -319,6 +363,7 @@
     /// Returns whether none can take it and the lender may have permits.
     pub fn want(&mut self, criteria: &Criteria<'_>, state: &State, now: Time) -> bool {
         let choice = self.choose(criteria, state, now);
+        let lacks_reject_permit = self.want_reject_permit(criteria, state, &choice, now);
         let is_unmet = matches!(choice, Choice::Limited(_));
         let wanted: Vec<Arc<str>> = match &choice {
             Choice::Limited(_) => {
@@ -338,22 +383,31 @@
         };
         for upstream in wanted {
             let known = self.passes.get_mut(&upstream, now);
-            known.decay(now);
-            known.demand += 1.0;
-            if is_unmet {
-                known.unmet += 1;
-                known.unmet_at = now;
-            }
+            known.count(is_unmet, now);
         }
-        matches!(choice, Choice::Limited(shortage) if !shortage.scarce)
+        lacks_reject_permit || matches!(choice, Choice::Limited(shortage) if !shortage.scarce)
     }
 
     /// Takes a pass for one request to an upstream, if there is one.
     pub fn pass(&mut self, target: &Target, now: Time) -> Option<Pass> {
-        let Some(limit) = self.limit(target) else {
+        let Bounds { rate, rejects } = self.bounds(target);
+        if !self.has_reject_permit(&target.upstream, target.incarnation, rejects, now) {
+            return None;
+        }
+        let mut pass = self.limit_pass(target, rate, now)?;
+        if let Some(rejects) = rejects {
+            pass.reject_permit = Some(self.take_reject_permit(target, rejects, now)?);
+            pass.send_by = pass.send_by.or(Some(now + SEND_TIMEOUT));
+        }
+        Some(pass)
+    }
+
+    fn limit_pass(&mut self, target: &Target, limit: Option<Rate>, now: Time) -> Option<Pass> {
+        let Some(limit) = limit else {
             return Some(Pass {
                 send_by: None,
                 permit_until: None,
+                reject_permit: None,
             });
         };
         let known = self.passes.get_mut(&target.upstream, now);
@@ -386,13 +440,15 @@
 
     /// Returns whether a request may still be sent with its pass.
     ///
-    /// The upstream may have stated a limit after the request was given a pass without one.
+    /// The upstream may have stated a bound after the request was given a pass without it.
     #[must_use]
     pub fn is_valid(&self, target: &Target, pass: Pass, now: Time) -> bool {
-        pass.send_by.map_or_else(
-            || self.limit(target).is_none(),
+        let bounds = self.bounds(target);
+        let is_in_time = pass.send_by.map_or_else(
+            || bounds.rate.is_none(),
             |send_by| now + SEND_MARGIN < send_by,
-        )
+        );
+        is_in_time && (bounds.rejects.is_none() || pass.reject_permit.is_some())
     }
 
     /// Returns a pass that was not used.
@@ -403,6 +459,9 @@
             let stock = &mut self.passes.stock;
             stock.put_back(&target.upstream, target.incarnation, until);
         }
+        if let Some(permit) = pass.reject_permit {
+            self.return_reject_permit(target, permit, now);
+        }
     }
 
     /// Adds permits from a control instance, each with the time when its poll was sent.
@@ -412,7 +471,10 @@
     pub fn grant(&mut self, permits: &[(Permit, Time)], contact_at: Option<Time>, now: Time) {
         for (permit, sent) in permits {
             self.passes.stock.add(permit, *sent, now);
-            let known = self.passes.get_mut(&permit.upstream, now);
+            let known = match reject_permit_upstream(&permit.upstream) {
+                Some(upstream) => self.passes.reject_use_mut(&upstream.into(), now),
+                None => self.passes.get_mut(&permit.upstream, now),
+            };
             known.scarce_at = permit.scarce.then_some(now);
             known.unmet = if permit.scarce {
                 0
@@ -457,6 +519,21 @@
             }
             true
         });
+        passes.reject_uses.retain_mut(|known| {
+            known.decay(now);
+            let Some(at) = self.find(&known.upstream) else {
+                return false;
+            };
+            let upstream = &self.upstreams[at];
+            if self.bounds_of(upstream).rejects.is_none() {
+                return false;
+            }
+            if now.since(known.unmet_at) >= UNMET_TTL {
+                known.unmet = 0;
+            }
+            wants.extend(Self::reject_want(upstream, known, &passes.stock, now));
+            true
+        });
         self.passes = passes;
         wants
     }
@@ -500,9 +577,24 @@
 }
 
 impl Use {
+    /// Counts a request, and whether no permit was at hand for it.
+    pub(super) fn count(&mut self, is_unmet: bool, now: Time) {
+        self.decay(now);
+        self.demand += 1.0;
+        if is_unmet {
+            self.unmet += 1;
+            self.unmet_at = now;
+        }
+    }
+
+    /// Returns the number of requests for which no permit was at hand.
+    pub(super) const fn unmet(&self) -> u32 {
+        self.unmet
+    }
+
     /// Returns the demand.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn rate(&self) -> Rate {
+    pub(super) fn rate(&self) -> Rate {
         Rate::from_milli((self.demand * 1_000.0) as u64)
     }
 
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -66,7 +66,7 @@
         pub timings: Vec<Timing>,
     }
 
-    /// A statement of an upstream about its limit.
+    /// A statement of an upstream about its bounds.
     #[derive(Eq)]
     pub struct Limit {
         /// The upstream.
@@ -92,7 +92,7 @@
         pub stats: Vec<VersionStats>,
         /// Upstreams that have recently told the instance that they are leaving.
         pub departures: Vec<Departure>,
-        /// Statements of upstreams about their limits that the directory does not show yet.
+        /// Statements of upstreams about their bounds that the directory does not show yet.
         pub limits: Vec<Limit>,
     }
 
--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -4,7 +4,7 @@
 
 use masticlock_core::{
     fleet::{Announcement, Directory, Limit, Phase, Record},
-    limit::{Issuer, PERMIT_LIFETIME, Permit, Rate, Want},
+    limit::{Bounds, Issuer, PERMIT_LIFETIME, Permit, Rate, Want},
     placement::{Choice, Criteria, Demand, Pool, Target},
     replicated::State,
     report::Totals,
@@ -90,6 +90,13 @@
     Rate::from_milli(milli)
 }
 
+const fn limited(milli: u64) -> Bounds {
+    Bounds {
+        rate: Some(rate(milli)),
+        rejects: None,
+    }
+}
+
 fn want(count: u32) -> Want {
     Want {
         upstream: "u0".into(),
@@ -130,15 +137,15 @@
 fn a_limit_belongs_to_one_incarnation() {
     let mut all = directory(1);
     let mut pool = pool(1, 9, &all);
-    assert!(pool.set_limit(&target(0, 1), Some(rate(0)), true, START));
+    assert!(pool.set_bounds(&target(0, 1), limited(0), true, START));
     assert_eq!(send(&mut pool, START), None);
     list(&mut all, 0, 2, START);
     pool.update(all.entries(), START);
-    pool.set_limit(&target(0, 1), Some(rate(0)), true, START);
+    pool.set_bounds(&target(0, 1), limited(0), true, START);
     assert_eq!(pool.limit(&target(0, 2)), None);
     assert!(send(&mut pool, START).is_some());
     let stated = Limit {
-        rate: Some(rate(0)),
+        bounds: limited(0),
         stated_at: START,
     };
     assert!(
@@ -152,10 +159,10 @@
 fn a_limit_that_falls_withdraws_permits() {
     let contact = Some(START);
     let mut pool = pool(1, 9, &directory(1));
-    pool.set_limit(&target(0, 1), Some(rate(100_000)), true, START);
+    pool.set_bounds(&target(0, 1), limited(100_000), true, START);
     pool.grant(&[(permits(50), START)], contact, START);
     assert!(send(&mut pool, START).is_some());
-    pool.set_limit(&target(0, 1), Some(rate(1_000)), true, START);
+    pool.set_bounds(&target(0, 1), limited(1_000), true, START);
     assert_eq!(send(&mut pool, START), None);
     pool.grant(&[(permits(1), START)], contact, START);
     assert!(send(&mut pool, START).is_some());
@@ -164,7 +171,7 @@
         None,
         "one permit is for one request"
     );
-    pool.set_limit(&target(0, 1), None, true, START);
+    pool.set_bounds(&target(0, 1), Bounds::default(), true, START);
     assert!(send(&mut pool, START).is_some(), "the limit has ended");
 }
 
@@ -177,7 +184,7 @@
         ..criteria()
     };
     let state = State::default();
-    let send = |pool: &mut Pool, now| match pool.choose(&cold, &state, now) {
+    let try_send = |pool: &mut Pool, now| match pool.choose(&cold, &state, now) {
         Choice::Upstream(target) => {
             pool.begin(&target.upstream, Demand::default(), now);
             true
@@ -187,27 +194,27 @@
     let in_a_second = |is_same_process| {
         let mut all = directory(1);
         let stated = Limit {
-            rate: Some(rate(1_000)),
+            bounds: limited(1_000),
             stated_at: Time::ZERO,
         };
         assert!(all.set_limit("u0", 1, stated));
         let mut pool = pool(1, 9, &all);
-        pool.set_limit(&target(0, 1), None, is_same_process, START);
+        pool.set_bounds(&target(0, 1), Bounds::default(), is_same_process, START);
         let at = (0..1_000).step_by(10).map(Span::from_millis);
-        let sent = at.filter(|at| send(&mut pool, START + *at)).count();
-        (sent, pool)
+        let count = at.filter(|at| try_send(&mut pool, START + *at)).count();
+        (count, pool)
     };
-    let (sent, mut pool) = in_a_second(false);
-    assert_eq!(sent, 1);
+    let (count, mut pool) = in_a_second(false);
+    assert_eq!(count, 1);
     assert!(
         pool.limit_statements(START).is_empty(),
         "other instances would send theirs"
     );
     let later = START + INTERVAL.times(2);
-    assert!(send(&mut pool, later) && send(&mut pool, later));
+    assert!(try_send(&mut pool, later) && try_send(&mut pool, later));
     assert_eq!(pool.limit_statements(later).len(), 1);
-    let (sent, pool) = in_a_second(true);
-    assert_eq!(sent, 100, "the process is the same");
+    let (count, pool) = in_a_second(true);
+    assert_eq!(count, 100, "the process is the same");
     assert_eq!(pool.limit_statements(START).len(), 1);
 }
 
@@ -217,7 +224,7 @@
     let contact = Some(START);
     let mut pool = pool(1, 9, &directory(1));
     for (milli, accepts) in [(0, false), (40, false), (60, true)] {
-        pool.set_limit(&target(0, 1), Some(rate(milli)), true, START);
+        pool.set_bounds(&target(0, 1), limited(milli), true, START);
         pool.grant(&[(permits(1), START)], contact, START);
         assert_eq!(
             pool.inquiries(START).len(),
@@ -226,7 +233,7 @@
         );
         assert_eq!(send(&mut pool, START).is_some(), accepts, "{milli}");
     }
-    pool.set_limit(&target(0, 1), Some(rate(0)), true, START);
+    pool.set_bounds(&target(0, 1), limited(0), true, START);
     pool.try_out(&target(0, 1), START);
     assert!(send(&mut pool, START).is_some(), "one request tries it out");
     assert_eq!(send(&mut pool, START), None);
@@ -238,12 +245,12 @@
 fn the_latest_statement_of_all_instances_counts() {
     let second = |n: u64| START + Span::from_secs(n);
     let stated = |milli: Option<u64>, at: u64| Limit {
-        rate: milli.map(rate),
+        bounds: milli.map(limited).unwrap_or_default(),
         stated_at: second(at),
     };
     let mut all = directory(1);
     let mut pool = pool(1, 9, &all);
-    pool.set_limit(&target(0, 1), Some(rate(1_000)), true, second(5));
+    pool.set_bounds(&target(0, 1), limited(1_000), true, second(5));
     assert_eq!(pool.limit_statements(second(6)).len(), 1);
     assert!(all.set_limit("u0", 1, stated(Some(3_000), 4)));
     pool.update(all.entries(), second(6));
@@ -282,7 +289,7 @@
     let mut pool = pool(1, 9, &directory(1));
     let before = pool.pass(&target(0, 1), START).unwrap();
     assert!(pool.is_valid(&target(0, 1), before, START));
-    pool.set_limit(&target(0, 1), Some(rate(1_000)), true, START);
+    pool.set_bounds(&target(0, 1), limited(1_000), true, START);
     assert!(!pool.is_valid(&target(0, 1), before, START));
     pool.grant(&[(permits(1), START)], Some(START), START);
     let pass = pool.pass(&target(0, 1), START).unwrap();
@@ -298,8 +305,8 @@
 #[test]
 fn requests_go_to_upstreams_that_can_take_them() {
     let mut pool = pool(1, 9, &directory(3));
-    pool.set_limit(&target(0, 1), Some(rate(1_000)), true, START);
-    pool.set_limit(&target(1, 1), Some(rate(0)), true, START);
+    pool.set_bounds(&target(0, 1), limited(1_000), true, START);
+    pool.set_bounds(&target(1, 1), limited(0), true, START);
     for _ in 0..30 {
         assert_eq!(send(&mut pool, START).as_deref(), Some("u2"));
     }
@@ -313,7 +320,7 @@
 #[test]
 fn each_refused_caller_gets_a_turn_of_its_own() {
     let mut pool = pool(1, 10, &directory(1));
-    pool.set_limit(&target(0, 1), Some(rate(5_000)), true, START);
+    pool.set_bounds(&target(0, 1), limited(5_000), true, START);
     let Choice::Limited(shortage) = pool.choose(&criteria(), &State::default(), START) else {
         panic!("there is no permit");
     };
--- a/crates/node/src/gateway/adapter.rs
+++ b/crates/node/src/gateway/adapter.rs
@@ -63,6 +63,9 @@
     pub retry_after: Option<Span>,
     /// What the upstream states about the rate that it accepts from all instances together.
     pub limit: Statement,
+    /// What the upstream states about the rate at which it can reject requests of all instances
+    /// together without a crash.
+    pub rejects: Statement,
 }
 
 /// Translates a platform's headers and configurations.
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -514,9 +514,7 @@
             if suspect::is_permit_name(&want.upstream) {
                 return evidence.permit_rate(&want.upstream, want.incarnation, is_leader, now);
             }
-            let known = directory.get(&want.upstream)?;
-            let is_same = known.announcement.incarnation == want.incarnation;
-            known.limit.filter(|_| is_same)?.rate
+            directory.permit_rate(want)
         };
         update.permits = self.issuer.lend(holder, wants, limit, now);
         let issued = update.permits.iter();
@@ -530,11 +528,11 @@
                 .is_some_and(|(_, at)| now.since(at) < LEADER_CONTACT_TTL);
     }
 
-    /// Records what upstreams have stated about their limits to an entry instance.
+    /// Records what upstreams have stated about their bounds to an entry instance.
     fn apply_limits(&mut self, limits: &[report::Limit], now: Time) {
         for limit in limits {
             let stated = fleet::Limit {
-                rate: limit.statement.rate,
+                bounds: limit.statement.bounds,
                 stated_at: now - limit.statement.age,
             };
             if self
@@ -544,8 +542,9 @@
                 log::info!(
                     event = "upstream_limit", upstream = &*limit.upstream,
                     incarnation = limit.incarnation, source = "report",
-                    limit_milli = limit_milli(stated.rate);
-                    "an upstream has stated another limit to an entry instance"
+                    limit_milli = limit_milli(stated.bounds.rate),
+                    rejects_milli = limit_milli(stated.bounds.rejects);
+                    "an upstream has stated other bounds to an entry instance"
                 );
             }
         }
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -287,8 +287,10 @@
             revision,
             view.directory.entries().len(),
         );
+        let pool = self.pool.borrow();
         self.metrics
-            .set_limited_upstreams(self.pool.borrow().limited());
+            .set_bounded_upstreams(pool.limited(), pool.brittle());
+        drop(pool);
         self.metrics.text()
     }
 
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -11,7 +11,7 @@
 use masticlock_core::{
     cascade,
     fault::Fault,
-    limit::Statement,
+    limit::{Bounds, Rate, Statement},
     placement::{Choice, Failure, Outcome, Target},
     rollout::lateness::{Measure, micros},
     route::Kind,
@@ -104,7 +104,7 @@
         }
         let demand = ctx.demand(resolved);
         let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + demand.prefill;
-        let send_by = pass.consume();
+        let (send_by, rejection) = pass.consume();
         let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
         let sent_at = self.now();
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
@@ -146,7 +146,9 @@
                 .await;
         }
         self.apply_signals(ctx, target, response.status(), &meta, conn.is_reused());
-        if meta.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        let is_not_run = meta.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST;
+        rejection.settle(is_not_run);
+        if is_not_run {
             self.count_attempt(resolved, target, "not_run");
             return self.on_not_run(ctx, target, response, conn, &meta).await;
         }
@@ -378,7 +380,7 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        self.record_limit(ctx, target, meta, is_reused);
+        self.record_bounds(ctx, target, meta, is_reused);
         let now = self.now();
         let mut pool = self.pool.borrow_mut();
         if meta.leaving && !Fault::NoNotice.is_injected() && pool.mark_leaving(target, now) {
@@ -401,38 +403,41 @@
         }
     }
 
-    /// Records what a response states about its upstream's limit.
-    fn record_limit(
+    /// Records what a response states about its upstream's bounds.
+    fn record_bounds(
         &self,
         ctx: &RequestContext,
         target: &Target,
         meta: &ResponseHeaders,
         is_reused: bool,
     ) {
-        if Fault::NoLimit.is_injected() {
-            return;
-        }
-        let limit = match meta.limit {
+        let known = self.pool.borrow().bounds(target);
+        let stated = |statement: Statement, known: Option<Rate>, is_ignored: bool| match statement {
+            _ if is_ignored => None,
             Statement::Limited(rate) => Some(rate),
-            // Only the upstream's own word ends its limit.
+            // Only the upstream's own word ends its bound.
             Statement::Unlimited if meta.signed || meta.not_run => None,
-            Statement::Unlimited => return,
+            Statement::Unlimited => known,
             Statement::Unreadable => {
                 log::warn!(
                     event = "limit_unreadable", request = ctx.id(), upstream = &*target.upstream;
-                    "an upstream states a limit that can't be read"
+                    "an upstream states a bound that can't be read"
                 );
-                return;
+                known
             }
         };
+        let bounds = Bounds {
+            rate: stated(meta.limit, known.rate, Fault::NoLimit.is_injected()),
+            rejects: stated(meta.rejects, known.rejects, Fault::NoBrittle.is_injected()),
+        };
         let now = self.now();
         let mut pool = self.pool.borrow_mut();
-        if pool.set_limit(target, limit, is_reused, now) {
+        if pool.set_bounds(target, bounds, is_reused, now) {
             log::info!(
                 event = "upstream_limit", request = ctx.id(), upstream = &*target.upstream,
                 incarnation = target.incarnation, source = "answer",
-                limit_milli = limit_milli(limit);
-                "an upstream states another limit"
+                limit_milli = limit_milli(bounds.rate), rejects_milli = limit_milli(bounds.rejects);
+                "an upstream states other bounds"
             );
         }
     }
--- a/crates/node/src/gateway/forward/inquiry.rs
+++ b/crates/node/src/gateway/forward/inquiry.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
 use masticlock_core::{
-    limit::{SEND_TIMEOUT, Statement},
+    limit::{Bounds, SEND_TIMEOUT, Statement},
     placement::Target,
 };
 use tokio::{task::spawn_local, time::timeout};
@@ -59,7 +59,11 @@
         let mut pool = self.pool.borrow_mut();
         let limit = match meta.limit {
             Statement::Limited(rate) => {
-                pool.set_limit(target, Some(rate), false, now);
+                let bounds = Bounds {
+                    rate: Some(rate),
+                    ..pool.bounds(target)
+                };
+                pool.set_bounds(target, bounds, false, now);
                 Some(rate)
             }
             // Upstreams may state their limits in responses to requests only.
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -395,7 +395,7 @@
         if !proxy.may_send(ctx) {
             continue;
         }
-        let send_by = pass.consume();
+        let (send_by, rejection) = pass.consume();
         let guard = InFlightGuard::begin(
             proxy,
             &target,
@@ -432,6 +432,7 @@
         if own && !target.is_peer {
             proxy.apply_signals(ctx, &target, response.status(), &meta, conn.is_reused());
         }
+        rejection.settle(meta.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST);
         if own && meta.signed && response.status() == StatusCode::OK {
             guard.finish_prefill();
             log::info!(
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -74,6 +74,8 @@
     upstreams: Gauge,
     limited_upstreams: Gauge,
     limited_attempts: Counter,
+    brittle_upstreams: Gauge,
+    brittle_rejections: Counter,
     crashes: Counter,
 }
 
@@ -116,6 +118,17 @@
             "Requests sent to upstreams that have stated a limit",
             limited_attempts.clone(),
         );
+        let (brittle_upstreams, brittle_rejections) = (Gauge::default(), Counter::default());
+        registry.register(
+            "brittle_upstreams",
+            "Upstreams that can reject few requests",
+            brittle_upstreams.clone(),
+        );
+        registry.register(
+            "brittle_rejections",
+            "Requests rejected by upstreams that can reject few requests",
+            brittle_rejections.clone(),
+        );
         let crashes = Counter::default();
         registry.register(
             "crashes",
@@ -133,6 +146,8 @@
             upstreams,
             limited_upstreams,
             limited_attempts,
+            brittle_upstreams,
+            brittle_rejections,
             crashes,
         }
     }
@@ -193,9 +208,15 @@
         self.crashes.inc();
     }
 
-    /// Sets the number of upstreams that have stated a limit.
-    pub fn set_limited_upstreams(&self, count: usize) {
-        self.limited_upstreams.set(saturating_i64(count));
+    /// Counts a request rejected by an upstream that can reject few requests.
+    pub fn count_brittle_rejection(&self) {
+        self.brittle_rejections.inc();
+    }
+
+    /// Sets the numbers of upstreams that have stated a limit, and that can reject few requests.
+    pub fn set_bounded_upstreams(&self, limited: usize, brittle: usize) {
+        self.limited_upstreams.set(saturating_i64(limited));
+        self.brittle_upstreams.set(saturating_i64(brittle));
     }
 
     /// Returns all metrics as text.
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -275,7 +275,7 @@
             upstream: l.upstream.clone(),
             incarnation: l.incarnation,
             statement: fleet::Statement {
-                rate: l.rate,
+                bounds: l.bounds,
                 age: now.since(l.stated_at),
             },
         };
--- a/scenario/src/limit.rs
+++ b/scenario/src/limit.rs
@@ -7,7 +7,7 @@
 
 use masticlock_core::{
     fleet::{Announcement, Directory, Limit, Phase, Record},
-    limit::{Issuer, Permit, Rate, Want},
+    limit::{Bounds, Issuer, Permit, Rate, Want},
     placement::{Choice, Criteria, Pool},
     replicated::State,
     report::Totals,
@@ -150,7 +150,10 @@
     };
     directory.merge(record, START);
     let stated = Limit {
-        rate: Some(limit),
+        bounds: Bounds {
+            rate: Some(limit),
+            rejects: None,
+        },
         stated_at: START,
     };
     directory.set_limit("u", 1, stated);
@@ -243,7 +246,7 @@
 
     fn lend(&mut self, control: usize, holder: u64, wants: &[Want], now: Time) -> Vec<Permit> {
         let directory = self.directory.clone();
-        let limit = |w: &Want| directory.get(&w.upstream)?.limit?.rate;
+        let limit = |w: &Want| directory.permit_rate(w);
         let issuer = &mut self.controls[control].issuer;
         issuer.lend(holder, wants, limit, now)
     }
