Let the soak play upstreams that can reject few requests

An upstream of the soak runs two requests at a time for some seconds, and says how many rejections it bears in a second (1 to 5); moments, shares and numbers come from draws of their own, so that the other faults of a seed stay. The judge counts rejections of requests of instances in touch, summed over all of them, in any second from the time to be in touch on.

--- a/soak/src/bin/soak.rs
+++ b/soak/src/bin/soak.rs
@@ -34,7 +34,7 @@
     #[bpaf(long, argument("FILE"), optional)]
     program: Option<PathBuf>,
     /// Fault that is planted in a program built with the feature plant: repeat-unsafe, no-lease,
-    /// old-revision, no-sync, no-notice, no-quiet, no-limit or no-ban
+    /// old-revision, no-sync, no-notice, no-quiet, no-limit, no-ban or no-brittle
     #[bpaf(long, argument("NAME"), fallback(String::new()))]
     plant: String,
     /// Prints the faults of the seeds and plays nothing
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -73,6 +73,7 @@
     judge.departures(&mut broken);
     judge.quiet(&mut broken);
     judge.limits(&mut broken);
+    judge.rejections(&mut broken);
     judge.bans(&mut broken);
     judge.cold(&mut broken);
     judge.budget(&mut broken);
@@ -298,6 +299,29 @@
         }
     }
 
+    /// Judges rejections of upstreams that can bear few, summed over the entry instances in touch.
+    fn rejections(&self, broken: &mut Vec<String>) {
+        for brittle in &self.ledger.brittle {
+            let from = brittle.span.from + CONTACT_MS;
+            let harmed = Part::Upstream(brittle.upstream);
+            let is_counted = |(entry, at): &&(usize, u64)| {
+                *at >= from
+                    && self.is_in_touch(*entry, *at, *at)
+                    // The link may have held requests back.
+                    && !self.is_disturbed(harmed, at.saturating_sub(CONTACT_MS), *at)
+            };
+            let counted = brittle.rejected.iter().filter(is_counted);
+            let at: Vec<u64> = counted.map(|(_, at)| *at).collect();
+            let count = |n: usize| at[n..].iter().take_while(|t| **t < at[n] + 1_000).count();
+            let most = (0..at.len()).map(count).max().unwrap_or_default() as u64;
+            if most > brittle.rejects {
+                broken.push(format!(
+                    "brittle: {most} rejections in a second: {brittle:?}"
+                ));
+            }
+        }
+    }
+
     /// Judges requests with a part that is known to crash upstreams.
     fn bans(&self, broken: &mut Vec<String>) {
         let (known_at, most) = BAN;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -129,6 +129,19 @@
     pub revision: u64,
 }
 
+/// A time in which an upstream says how many requests it can reject in a second.
+#[derive(Clone, Debug)]
+pub struct Brittle {
+    /// The upstream.
+    pub upstream: usize,
+    /// Rejections in a second.
+    pub rejects: u64,
+    /// From the first answer that says so to the end.
+    pub span: Span,
+    /// Rejections: the entry instance that sent the request, and when.
+    pub rejected: Vec<(usize, u64)>,
+}
+
 /// A run of a request with a part that crashes upstreams.
 #[derive(Clone, Copy, Debug)]
 pub struct Poisoned {
@@ -164,6 +177,8 @@
     pub refused: Vec<Refused>,
     /// Runs of requests with a part that crashes upstreams, by the number of the part.
     pub poisoned: Vec<(u64, Poisoned)>,
+    /// Times in which upstreams can reject few requests.
+    pub brittle: Vec<Brittle>,
     /// Failure domains that are taken out.
     pub taken_out: Vec<Fact>,
     /// Keys that were taken away.
@@ -185,6 +200,7 @@
 impl Default for Ledger {
     fn default() -> Self {
         Self {
+            brittle: Vec::new(),
             poisoned: Vec::new(),
             start: Instant::now(),
             requests: BTreeMap::new(),
@@ -353,6 +369,35 @@
         }
     }
 
+    /// Records that an upstream says how many requests it can reject in a second, and whether it
+    /// rejects the request of the answer.
+    pub fn say_brittle(&mut self, upstream: usize, id: &str, rejects: u64, is_rejected: bool) {
+        let at = self.now();
+        let entry = self.requests.get(id).map_or(0, |r| r.entry);
+        let is_open = |b: &Brittle| b.upstream == upstream && b.span.to.is_none();
+        if !self.brittle.iter().any(is_open) {
+            self.brittle.push(Brittle {
+                upstream,
+                rejects,
+                span: Span { from: at, to: None },
+                rejected: Vec::new(),
+            });
+        }
+        let open = self.brittle.iter_mut().find(|b| is_open(b));
+        if let Some(open) = open.filter(|_| is_rejected) {
+            open.rejected.push((entry, at));
+        }
+    }
+
+    /// Records that an upstream can reject any number of requests again.
+    pub fn end_brittle(&mut self, upstream: usize) {
+        let to = Some(self.now());
+        let spans = self.brittle.iter_mut();
+        for known in spans.filter(|b| b.upstream == upstream && b.span.to.is_none()) {
+            known.span.to = to;
+        }
+    }
+
     /// Records that a request with a part that crashes upstreams arrives, and returns its number.
     pub fn poison(&mut self, part: u64, id: &str) -> usize {
         let at = self.now();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -28,6 +28,15 @@
 /// Pause between the starts of two limits in milliseconds.
 const LIMIT_PAUSE_MS: std::ops::Range<u64> = 2_000..7_000;
 
+/// Rejections in a second that an upstream can bear.
+const REJECTS: std::ops::RangeInclusive<u64> = 1..=5;
+
+/// Time for which an upstream can reject few requests, in milliseconds.
+const BRITTLE_MS: std::ops::Range<u64> = 5_000..9_000;
+
+/// Pause between the starts of two such times in milliseconds.
+const BRITTLE_PAUSE_MS: std::ops::Range<u64> = 4_000..9_000;
+
 /// Time for which requests with a part that crashes upstreams come, in milliseconds.
 const POISON_MS: std::ops::Range<u64> = 6_000..10_000;
 
@@ -74,6 +83,8 @@
     Shed(usize, u64),
     /// An upstream states a limit in thousandths of a request per second for a time.
     Limit(usize, u64, u64),
+    /// An upstream has little room and can reject few requests in a second for a time.
+    Brittle(usize, u64, u64),
     /// Requests with a part that crashes upstreams come for a time.
     Poison(u64, u64),
     /// A failure domain is taken out for a time.
@@ -161,6 +172,7 @@
     }
     steps.extend(draw_limits(seed, length_ms, layout));
     steps.extend(draw_poison(seed, length_ms));
+    steps.extend(draw_brittle(seed, length_ms, layout));
     steps.sort_by_key(|(at, _)| *at);
     steps
 }
@@ -180,6 +192,21 @@
     steps
 }
 
+/// Draws the upstreams that can reject few requests, from numbers of their own.
+fn draw_brittle(seed: u64, length_ms: u64, layout: Layout) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    let mut steps = Vec::new();
+    let mut at = random.random_range(0..CALM_MS);
+    while at < length_ms {
+        let upstream = random.random_range(0..2 * layout.upstreams);
+        let rejects = random.random_range(REJECTS);
+        let length = random.random_range(BRITTLE_MS);
+        steps.push((at, Fault::Brittle(upstream, rejects, length)));
+        at += random.random_range(BRITTLE_PAUSE_MS);
+    }
+    steps
+}
+
 /// Draws the parts of prompts that crash upstreams, from numbers of their own.
 fn draw_poison(seed: u64, length_ms: u64) -> Vec<Step> {
     let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -255,6 +255,9 @@
             Fault::Limit(at, milli, length) => {
                 self.upstreams[at].limit(milli, time(length)).await;
             }
+            Fault::Brittle(at, rejects, length) => {
+                self.upstreams[at].be_brittle(rejects, time(length)).await;
+            }
             Fault::Poison(part, length) => {
                 caller::poison(self.callers.clone(), part, time(length)).await;
             }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -36,6 +36,9 @@
 /// Length of a cold start in milliseconds.
 const COLD_MS: u64 = 1_500;
 
+/// Requests that an upstream with little room runs at once.
+const LITTLE_ROOM: u32 = 2;
+
 /// Time from the head of an answer until a part of its prompt crashes the upstream.
 const POISON: Duration = Duration::from_millis(50);
 
@@ -90,9 +93,29 @@
     sheds_until: Cell<u64>,
     /// Limit that it states in its answers, in thousandths of a request per second.
     limit: Cell<Option<u64>>,
+    /// Requests in a second that it can reject, if it says so.
+    brittle: Cell<Option<u64>>,
+    /// Requests that it runs.
+    running: Cell<u32>,
     connections: RefCell<JoinSet<()>>,
 }
 
+/// Counts a request as running until it is dropped.
+struct Running(Rc<Upstream>);
+
+impl Running {
+    fn begin(upstream: &Rc<Upstream>) -> Self {
+        upstream.running.set(upstream.running.get() + 1);
+        Self(upstream.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
 fn wall_ms() -> u64 {
     let passed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     passed.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
@@ -127,6 +150,8 @@
             departs: Cell::new(false),
             sheds_until: Cell::new(0),
             limit: Cell::new(None),
+            brittle: Cell::new(None),
+            running: Cell::new(0),
             connections: RefCell::default(),
         });
         let accepting = upstream.clone();
@@ -212,10 +237,20 @@
         self.ledger.borrow_mut().end_limit(self.at);
     }
 
+    /// Has little room, and says how many requests it can reject in a second, for a time.
+    pub async fn be_brittle(&self, rejects: u64, length: Duration) {
+        self.brittle.set(Some(rejects));
+        sleep(length).await;
+        self.brittle.set(None);
+        self.ledger.borrow_mut().end_brittle(self.at);
+    }
+
     fn stop(&self) {
         self.ledger.borrow_mut().end_departure(self.at);
         self.ledger.borrow_mut().end_limit(self.at);
+        self.ledger.borrow_mut().end_brittle(self.at);
         self.limit.set(None);
+        self.brittle.set(None);
         self.alive.set(false);
         self.proxy.close();
         self.connections.borrow_mut().abort_all();
@@ -294,7 +329,9 @@
         match word {
             Notice::Limited(milli) => ledger.limit(self.at, id, milli),
             // Without a limit in its answer it has none.
-            Notice::None | Notice::Leaving | Notice::RetryAfter(_) => ledger.end_limit(self.at),
+            Notice::None | Notice::Leaving | Notice::RetryAfter(_) | Notice::Brittle(_) => {
+                ledger.end_limit(self.at);
+            }
         }
     }
 
@@ -336,6 +373,19 @@
                 ))
                 .await;
         }
+        if let Some(rejects) = self.brittle.get() {
+            let is_rejected = self.running.get() >= LITTLE_ROOM;
+            self.ledger
+                .borrow_mut()
+                .say_brittle(self.at, &id, rejects, is_rejected);
+            if is_rejected {
+                let word = Notice::Brittle(rejects);
+                self.tell(word, &id);
+                let head = testing::encode_response_head(503, &id, None, Some(0), word);
+                return out.write_all(&head).await;
+            }
+        }
+        let _running = Running::begin(&self);
         let path = first.split(' ').nth(1).unwrap_or_default();
         let run = self.ledger.borrow_mut().run(self.at, path, fields, body);
         if run.is_none() {
@@ -344,6 +394,8 @@
         let proof = signature(&id);
         let word = if self.departs.get() {
             Notice::Leaving
+        } else if let Some(rejects) = self.brittle.get() {
+            Notice::Brittle(rejects)
         } else {
             self.limit.get().map_or(Notice::None, Notice::Limited)
         };
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -7,7 +7,9 @@
 use masticlock_soak::{
     judge::judge,
     layout::{Layout, STEADY, STEADY_KEY},
-    ledger::{End, Fact, Ledger, Limit, Part, Poisoned, Read, Refused, Request, Run, Span, Word},
+    ledger::{
+        Brittle, End, Fact, Ledger, Limit, Part, Poisoned, Read, Refused, Request, Run, Span, Word,
+    },
     process::guard,
 };
 
@@ -187,6 +189,17 @@
     }
 }
 
+/// Returns an upstream that says from 10 s on that it bears three rejections in a second, and has so
+/// many from `at` on.
+fn brittle(count: u64, at: u64) -> Brittle {
+    Brittle {
+        upstream: 0,
+        rejects: 3,
+        span: from(10_000),
+        rejected: (0..count).map(|n| (0, at + 100 * n)).collect(),
+    }
+}
+
 #[test]
 fn each_word_of_an_upstream_that_is_passed_over_is_found() {
     let look = || request(Kind::Repeatable, "look", 20_000);
@@ -209,6 +222,7 @@
                 l.refused = (0..12).map(|n| refused(14_000 + 300 * n)).collect();
             }),
         ),
+        ("brittle", first(|l| l.brittle.push(brittle(4, 14_000)))),
     ];
     for (promise, found) in cases {
         assert_eq!(found.as_deref(), Some(promise));
@@ -252,6 +266,16 @@
             l.limits.push(limit(1_000, 10_000));
             l.refused = (0..12).map(|n| refused(14_000 + 400 * n)).collect();
         }),
+        first(|l| l.brittle.push(brittle(3, 14_000))),
+        first(|l| {
+            // Within the time to be in touch.
+            l.brittle.push(brittle(4, 12_900));
+        }),
+        first(|l| {
+            // Beside another cause.
+            l.brittle.push(brittle(4, 14_000));
+            l.disturbed.push((Part::Upstream(0), from(13_000)));
+        }),
         first(|l| {
             // Within the time to be in touch, and after the limit has ended.
             l.limits.push(limit(1_000, 10_000));
