--- a/crates/node/src/gateway/socket.rs
+++ b/crates/node/src/gateway/socket.rs
@@ -10,13 +10,15 @@
 
 /// Time without an acknowledgement of sent data after which a connection is closed.
 ///
-/// Longer than two retransmissions of a lost packet take.
+/// Longer than two retransmissions of a lost packet take. It also decides when keepalive probes give
+/// up: at the first one that is due after this time without an acknowledgement.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Unanswered keepalive probes after which a connection is closed.
+/// Unanswered keepalive probes after which a connection is closed, where a system does not apply
+/// [`USER_TIMEOUT`] to them.
 const KEEPALIVE_RETRIES: u32 = 2;
 
 /// Most connections that wait to be accepted.
