--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -16,6 +16,7 @@
 use self::{limit::Passes, peer::Peers};
 pub use self::{
     limit::{Pass, Shortage},
+    peer::sample_peers,
     rejects::{ACCEPTANCE_TIME, RejectPermit},
 };
 use crate::{
--- a/crates/core/src/placement/peer.rs
+++ b/crates/core/src/placement/peer.rs
@@ -16,6 +16,29 @@
 /// Time for which a peer that could not be reached, or took no request, is not used.
 const PEER_BACKOFF: Span = Span::from_millis(500);
 
+/// Returns the key of a peer in a weighted draw (Efraimidis and Spirakis, 2006): the peers with the
+/// lowest keys are chosen with a probability in proportion to their room.
+fn draw_key(address: &str, room: u32, draw: u64) -> f64 {
+    let id = digest::of(address.as_bytes());
+    #[expect(clippy::cast_precision_loss)]
+    let uniform = ((digest::mix(id ^ draw) >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
+    -uniform.ln() / f64::from(room)
+}
+
+/// Returns up to `count` of the peers, drawn with a probability in proportion to their room.
+///
+/// Different draws give different peers, so that not all instances use the same ones.
+#[must_use]
+pub fn sample_peers(peers: Vec<Peer>, count: usize, draw: u64) -> Vec<Peer> {
+    let present = peers.into_iter().filter(|p| p.room > 0);
+    let mut keyed: Vec<_> = present
+        .map(|p| (draw_key(&p.address, p.room, draw), p))
+        .collect();
+    keyed.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    keyed.truncate(count);
+    keyed.into_iter().map(|(_, peer)| peer).collect()
+}
+
 /// A peer and the use of it.
 #[derive(Clone, Debug)]
 struct KnownPeer {
@@ -144,7 +167,10 @@
         self.upstreams.iter().any(blocked)
     }
 
-    /// Chooses the peer with the most room for a request.
+    /// Chooses a peer for a request, with a probability in proportion to its room.
+    ///
+    /// Many instances know the same room as it was at their last polls, so the one with the most
+    /// would get the requests of all.
     pub(super) fn choose_peer(&self, criteria: &Criteria<'_>, now: Time) -> Choice {
         if now.since(self.peers.listed_at) >= LIST_TTL {
             return Choice::Unavailable;
@@ -154,12 +180,10 @@
                 && k.running < k.peer.room
                 && !criteria.excluded.contains(&k.peer.address)
         });
-        let load = |k: &&KnownPeer| {
-            let permille = u64::from(k.running + 1) * 1_000 / u64::from(k.peer.room.max(1));
-            let id = digest::of(k.peer.address.as_bytes());
-            (permille, digest::mix(id ^ self.instance))
-        };
-        let chosen = usable.min_by_key(load);
-        chosen.map_or(Choice::Unavailable, |k| Choice::Upstream(k.target()))
+        let draw = digest::mix(now.as_millis() ^ digest::mix(self.instance));
+        let draw = digest::mix(draw ^ u64::from(criteria.draw));
+        let keyed = usable.map(|k| (draw_key(&k.peer.address, k.peer.room - k.running, draw), k));
+        let chosen = keyed.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        chosen.map_or(Choice::Unavailable, |(_, k)| Choice::Upstream(k.target()))
     }
 }
--- a/crates/node/src/gateway/control/entry_peers.rs
+++ b/crates/node/src/gateway/control/entry_peers.rs
@@ -3,6 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use masticlock_core::{
+    digest,
+    placement::sample_peers,
     report::Peer,
     time::{Span, Time},
 };
@@ -13,9 +15,12 @@
 /// Time for which a request for peers counts.
 const NEED_TTL: Span = Span::from_secs(1);
 
-/// Maximum number of peers that are sent at once.
+/// Maximum number of peers that are sent to an entry instance at once.
 const MAX_PEERS: usize = 16;
 
+/// Maximum number of peers that are sent to a control instance at once.
+const MAX_DIRECT_PEERS: usize = 48;
+
 /// A peer that reports to this control instance.
 #[derive(Clone, Debug)]
 struct Direct {
@@ -61,13 +66,14 @@
         self.needed_at.is_some_and(|at| now.since(at) < NEED_TTL)
     }
 
-    /// Returns those of the peers that report here that have the most room.
+    /// Returns peers that report here and have room, for another control instance.
     pub fn direct(&self, now: Time) -> Vec<Peer> {
         let present = self
             .direct
             .iter()
             .filter(|d| now.since(d.at) < PEER_TTL && d.peer.room > 0);
-        most_room(present.map(|d| d.peer.clone()).collect())
+        let present = present.map(|d| d.peer.clone()).collect();
+        sample_peers(present, MAX_DIRECT_PEERS, now.as_millis())
     }
 
     /// Returns the peers for an entry instance, which asks for them.
@@ -82,13 +88,7 @@
         all.retain(|p| p.address != *except);
         all.sort_by(|a, b| a.address.cmp(&b.address));
         all.dedup_by(|a, b| a.address == b.address);
-        most_room(all)
+        let draw = digest::of(except.as_bytes()) ^ now.as_millis();
+        sample_peers(all, MAX_PEERS, draw)
     }
 }
-
-/// Returns the peers with the most room, at most [`MAX_PEERS`].
-fn most_room(mut peers: Vec<Peer>) -> Vec<Peer> {
-    peers.sort_by_key(|p| std::cmp::Reverse(p.room));
-    peers.truncate(MAX_PEERS);
-    peers
-}
