Create a control instance's log under one lock of its folder

Cause: the folder of a log was opened and locked to look for an identity, closed, and opened and locked again to create the log. A process that another thread starts in between holds a copy of the first lock until it runs its own program, so the second lock was refused; another control process could also have taken the folder there. The binary's own test starts such a process beside the others.

Change: LogStore::open_or_create keeps the disk from the look to the creation. Looked at: the recovery of a log renames its folder before the second lock, which is thus another file.

--- a/crates/core/src/storage/load.rs
+++ b/crates/core/src/storage/load.rs
@@ -5,7 +5,7 @@
     store::{FrameItem, LogStore, SEGMENT, SNAPSHOT, Segment, TEMPORARY, disk_error},
     terms::Terms,
 };
-use crate::consensus::{Entry, Image, Snapshot, Vote};
+use crate::consensus::{Entry, Identity, Image, Snapshot, Vote};
 
 /// State that is rebuilt by reading the segments in order.
 #[derive(Default)]
@@ -34,31 +34,42 @@
     /// Returns [`Error::Corrupt`] if a file has content that an interrupted write can't have left,
     /// and errors of the disk.
     pub fn open(disk: Box<dyn Disk>) -> Result<Option<(Self, Image)>, Error> {
-        let mut store = Self {
-            disk,
-            vote: Vote::default(),
-            terms: Terms::default(),
-            segments: Vec::new(),
-            is_segment_open: false,
-            next_frame: 1,
-            next_segment: 1,
-            is_stopped: false,
-        };
-        let Some(id) = store.identity()? else {
-            return Ok(None);
-        };
-        let snapshot = store.load_snapshot()?;
-        let mut replay = store.load_segments()?;
+        let mut store = Self::new(disk);
+        match store.identity()? {
+            Some(id) => store.load(id).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    /// Opens a store, or creates it with the content of an image if the folder has no replica's
+    /// identity yet.
+    ///
+    /// The disk stays locked in between.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Corrupt`] as [`open`](Self::open) does, and errors of the disk.
+    pub fn open_or_create(disk: Box<dyn Disk>, image: &Image) -> Result<(Self, Image), Error> {
+        let mut store = Self::new(disk);
+        match store.identity()? {
+            Some(id) => store.load(id),
+            None => Ok((store.initialize(image)?, image.clone())),
+        }
+    }
+
+    fn load(mut self, id: Identity) -> Result<(Self, Image), Error> {
+        let snapshot = self.load_snapshot()?;
+        let mut replay = self.load_segments()?;
         replay.finish(&snapshot)?;
         let entries = std::mem::take(&mut replay.entries);
-        store.restore(replay);
+        self.restore(replay);
         let image = Image {
             id,
-            vote: store.vote.clone(),
+            vote: self.vote.clone(),
             snapshot,
             entries,
         };
-        Ok(Some((store, image)))
+        Ok((self, image))
     }
 
     fn restore(&mut self, replay: Replay) {
--- a/crates/core/src/storage/store.rs
+++ b/crates/core/src/storage/store.rs
@@ -86,21 +86,31 @@
     ///
     /// Returns [`Error::AlreadyInitialized`] if the folder has an identity, and errors of the disk.
     pub fn create(disk: Box<dyn Disk>, image: &Image) -> Result<Self, Error> {
-        let mut store = Self {
+        let mut store = Self::new(disk);
+        match store.identity()? {
+            Some(id) => Err(Error::AlreadyInitialized(id)),
+            None => store.initialize(image),
+        }
+    }
+
+    pub(super) fn new(disk: Box<dyn Disk>) -> Self {
+        Self {
             disk,
-            vote: image.vote.clone(),
+            vote: Vote::default(),
             terms: Terms::default(),
             segments: Vec::new(),
             is_segment_open: false,
             next_frame: 1,
             next_segment: 1,
             is_stopped: false,
-        };
-        if let Some(id) = store.identity()? {
-            return Err(Error::AlreadyInitialized(id));
         }
-        for file in store.list()? {
-            store.remove(&file)?;
+    }
+
+    /// Writes an image to a folder without an identity.
+    pub(super) fn initialize(mut self, image: &Image) -> Result<Self, Error> {
+        self.vote = image.vote.clone();
+        for file in self.list()? {
+            self.remove(&file)?;
         }
         let state = [
             Record::Vote(image.vote.clone()),
@@ -108,9 +118,9 @@
         ];
         let entries = image.entries.iter().cloned().map(Record::Entry);
         let records: Vec<_> = state.into_iter().chain(entries).collect();
-        store.write(&records)?;
-        store.replace(IDENTITY, 0, &image.id)?;
-        Ok(store)
+        self.write(&records)?;
+        self.replace(IDENTITY, 0, &image.id)?;
+        Ok(self)
     }
 
     /// Writes records with one sync.
--- a/crates/node/src/control/disk.rs
+++ b/crates/node/src/control/disk.rs
@@ -130,14 +130,9 @@
         let path = folder.join(LOG);
         let place = |e: &dyn std::fmt::Display| format!("{}: {e}", folder.display());
         fs::create_dir_all(folder).map_err(|e| place(&e))?;
-        let open = || disk::Folder::open(&path).map_err(|e| place(&e));
-        let found = storage::LogStore::open(Box::new(open()?)).map_err(|e| place(&e))?;
-        let (log, image) = if let Some(found) = found {
-            found
-        } else {
-            let log = storage::LogStore::create(Box::new(open()?), fresh);
-            (log.map_err(|e| place(&e))?, fresh.clone())
-        };
+        let folder_disk = disk::Folder::open(&path).map_err(|e| place(&e))?;
+        let opened = storage::LogStore::open_or_create(Box::new(folder_disk), fresh);
+        let (log, image) = opened.map_err(|e| place(&e))?;
         let (bills, lines) = open_lines(&folder.join(BILLS)).map_err(|e| place(&e))?;
         let content = Content {
             image,
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -1,6 +1,13 @@
 //! Tests of control replicas on loopback.
 
-use std::{net::TcpListener, path::PathBuf, time::Duration};
+use std::{
+    net::TcpListener,
+    panic,
+    path::PathBuf,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
+};
 
 use masticlock::{
     client::Control,
@@ -236,6 +243,29 @@
     world.client().status(LIMIT).await.unwrap();
 }
 
+/// Guards against a new folder that is locked twice: a process that another thread starts keeps the
+/// first lock until it runs its own program.
+#[test]
+fn a_replica_starts_while_other_threads_start_processes() {
+    let is_done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..2 {
+            scope.spawn(|| {
+                while !is_done.load(Ordering::Relaxed) {
+                    std::process::Command::new("true").status().unwrap();
+                }
+            });
+        }
+        let started = panic::catch_unwind(|| {
+            for at in 0..50 {
+                drop(World::start(&format!("fork-{at}"), 1));
+            }
+        });
+        is_done.store(true, Ordering::Relaxed);
+        started.unwrap();
+    });
+}
+
 /// Guards against a replica that lost its data and founds the log again with
 /// its old identity, which may have voted.
 #[tokio::test]
