Log how much of a lost poll's answer had arrived

An entry instance that loses a control instance logged only the error. It logs how many bytes of the answer had come and how long the poll took, and how long a configuration took to parse: that distinguishes a slow link from a late control instance and from a slow parser. The connector to control instances can be replaced, for tests of slow links. No change of logic.

--- a/crates/node/src/gateway/control_client.rs
+++ b/crates/node/src/gateway/control_client.rs
@@ -1,29 +1,40 @@
 //! Client of a control instance.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{
     frame,
     message::{Reply, Request},
-    socket,
+    socket::{Connector, TcpConnector},
 };
 
 /// Client of a control instance, whose connection is opened on demand.
 #[derive(Debug)]
 pub struct ControlClient {
     address: SocketAddr,
+    connector: Rc<dyn Connector>,
     stream: Option<TcpStream>,
+    /// Bytes of the last reply that have arrived.
+    received: Cell<usize>,
 }
 
 impl ControlClient {
     /// Creates a client of the control instance at the address.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
+        Self::with_connector(address, Rc::new(TcpConnector))
+    }
+
+    /// Creates a client whose connection is opened by `connector`.
+    #[must_use]
+    pub fn with_connector(address: SocketAddr, connector: Rc<dyn Connector>) -> Self {
         Self {
             address,
+            connector,
             stream: None,
+            received: Cell::new(0),
         }
     }
 
@@ -33,6 +44,12 @@
         self.address
     }
 
+    /// Returns how many bytes of the last reply have arrived.
+    #[must_use]
+    pub const fn received(&self) -> usize {
+        self.received.get()
+    }
+
     /// Sends a request and returns its reply.
     ///
     /// After an error the connection is closed, so that a late reply is never mistaken for that of
@@ -44,13 +61,14 @@
     pub async fn call(&mut self, request: &Request, limit: Duration) -> io::Result<Reply> {
         // Cancelling the future drops the connection as well.
         let stream = self.stream.take();
+        self.received.set(0);
         let work = async {
             let mut stream = match stream {
                 Some(stream) => stream,
-                None => socket::connect(self.address, limit).await?,
+                None => self.connector.connect(self.address, limit).await?,
             };
             frame::write(&mut stream, request).await?;
-            let reply = frame::read(&mut stream).await?;
+            let reply = frame::read_counted(&mut stream, &self.received).await?;
             let reply = reply.ok_or(io::ErrorKind::ConnectionAborted)?;
             Ok::<_, io::Error>((stream, reply))
         };
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -136,20 +136,35 @@
     D: Fn() -> Box<dyn Adapter> + Send + 'static,
     S: Future<Output = ()>,
 {
-    run_with(settings, adapter, Rc::new(TcpConnector), stop).await
+    run_with(settings, adapter, Links::default(), stop).await
 }
 
-/// Runs an entry process as [`run`] does, with connections to upstreams by `connector`.
+/// Creates a connector on the thread that uses it.
+pub type CreateConnector = Box<dyn FnOnce() -> Rc<dyn Connector> + Send>;
+
+/// Connectors of an entry process.
+pub struct Links {
+    /// Opens connections to upstreams.
+    pub upstreams: Rc<dyn Connector>,
+    /// Creates the connector to control instances.
+    pub control: CreateConnector,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Self {
+            upstreams: Rc::new(TcpConnector),
+            control: Box::new(|| Rc::new(TcpConnector)),
+        }
+    }
+}
+
+/// Runs an entry process as [`run`] does, with connections by `links`.
 ///
 /// # Errors
 ///
 /// Returns an error if an address can't be bound or the control thread can't be started.
-pub async fn run_with<D, S>(
-    settings: Settings,
-    adapter: D,
-    connector: Rc<dyn Connector>,
-    stop: S,
-) -> io::Result<()>
+pub async fn run_with<D, S>(settings: Settings, adapter: D, links: Links, stop: S) -> io::Result<()>
 where
     D: Fn() -> Box<dyn Adapter> + Send + 'static,
     S: Future<Output = ()>,
@@ -166,14 +181,18 @@
         clock,
         state.clone(),
         adapter(),
-        connector,
+        links.upstreams,
         id,
     ));
     let seeds = settings.seeds.clone();
     let place = (settings.domain.clone(), settings.peer);
+    let connect = links.control;
     thread::Builder::new()
         .name("control".into())
-        .spawn(move || run_control(Poller::new(state, clock, adapter(), id, place, seeds)))?;
+        .spawn(move || {
+            let links = (connect(), seeds);
+            run_control(Poller::new(state, clock, adapter(), id, place, links));
+        })?;
     let (stage_sender, stage_receiver) = watch::channel(Stage::Open);
     let reporter = proxy.clone();
     let reports = spawn_local(async move {
--- a/crates/node/src/gateway/frame.rs
+++ b/crates/node/src/gateway/frame.rs
@@ -1,6 +1,6 @@
 //! Framing of messages on a TCP connection: a big-endian length of four bytes and a postcard body.
 
-use std::io;
+use std::{cell::Cell, io};
 
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -48,6 +48,20 @@
 ///
 /// Returns the connection's error or [`io::ErrorKind::InvalidData`].
 pub async fn read<R, M>(reader: &mut R) -> io::Result<Option<M>>
+where
+    R: AsyncRead + Unpin,
+    M: DeserializeOwned,
+{
+    read_counted(reader, &Cell::new(0)).await
+}
+
+/// Reads a message as [`read`] does and adds the bytes that arrive to `received`, also if the read
+/// fails or is cancelled.
+///
+/// # Errors
+///
+/// Returns the connection's error or [`io::ErrorKind::InvalidData`].
+pub async fn read_counted<R, M>(reader: &mut R, received: &Cell<usize>) -> io::Result<Option<M>>
 where
     R: AsyncRead + Unpin,
     M: DeserializeOwned,
@@ -65,7 +79,13 @@
     }
     let mut body = Vec::with_capacity(length.min(MAX_INITIAL_CAPACITY));
     let mut limited = reader.take(length as u64);
-    limited.read_to_end(&mut body).await?;
+    loop {
+        let count = limited.read_buf(&mut body).await?;
+        received.set(received.get() + count);
+        if count == 0 {
+            break;
+        }
+    }
     if body.len() < length {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -1,6 +1,6 @@
 //! Synchronization of an entry instance with a control instance, run by the control thread.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use masticlock_core::{
     fleet,
@@ -16,6 +16,7 @@
     adapter::Adapter,
     control_client::ControlClient,
     message::{AgreedState, ControlInstance, Cursor, Poll, Reply, Request, Update},
+    socket::Connector,
     view::{SharedState, View},
 };
 use crate::clock::Clock;
@@ -50,6 +51,7 @@
     peer_address: Arc<str>,
     /// Sequence number of the last report, which equals the number of polls.
     sequence: u64,
+    connector: Rc<dyn Connector>,
     seeds: Vec<SocketAddr>,
     /// Known control instances; the seeds at first, then sorted by address.
     control_instances: Vec<SocketAddr>,
@@ -87,7 +89,7 @@
         adapter: Box<dyn Adapter>,
         instance: u64,
         (domain, peer_address): (Arc<str>, SocketAddr),
-        seeds: Vec<SocketAddr>,
+        (connector, seeds): (Rc<dyn Connector>, Vec<SocketAddr>),
     ) -> Self {
         let selector = usize::try_from(instance % 1_024).unwrap_or_default();
         Self {
@@ -98,6 +100,7 @@
             domain,
             peer_address: peer_address.to_string().into(),
             sequence: 0,
+            connector,
             control_instances: seeds.clone(),
             local_instances: Vec::new(),
             seeds,
@@ -119,7 +122,8 @@
                 home = self.local_instances.contains(&address);
                 "polling a control instance"
             );
-            let reason = self.poll_instance(ControlClient::new(address)).await;
+            let client = ControlClient::with_connector(address, self.connector.clone());
+            let reason = self.poll_instance(client).await;
             lost = (reason == SwitchReason::Lost).then_some(address);
             self.selector = self.selector.wrapping_add(1);
             if lost.is_some() {
@@ -173,7 +177,9 @@
                 Err(error) => {
                     let address = client.address();
                     log::info!(
-                        event = "control_lost", address:% = address, reason:% = error;
+                        event = "control_lost", address:% = address, reason:% = error,
+                        received = client.received(),
+                        took_ms = self.clock.now().since(sent).as_millis();
                         "a control instance is unreachable"
                     );
                     return SwitchReason::Lost;
@@ -388,10 +394,13 @@
     fn apply_agreed(&mut self, agreed: AgreedState) -> bool {
         let mut changed = false;
         if let Some(content) = &agreed.content {
+            let began = self.clock.now();
             match self.adapter.parse_table(content.as_bytes()) {
                 Ok(table) => {
                     log::info!(
-                        event = "configuration", revision = table.revision();
+                        event = "configuration", revision = table.revision(),
+                        bytes = content.as_bytes().len(),
+                        parse_ms = self.clock.now().since(began).as_millis();
                         "a configuration takes effect"
                     );
                     self.view.table = Some(Arc::new(table));
