Send configurations beside polls, in parts that are resumed

Cause: the answer to an entry instance's poll carried the whole configuration, and the poll had 500 ms for connecting, sending and receiving together. When they ended, what had arrived was dropped, and the next control instance began again. Departures, permits, bans and the age of the agreed state ride on the same answer, so they stopped as well.

Change: polls carry the number of the newest configuration and for how long it has been known. The content comes on a connection of its own as a parcel: the difference from the held configuration (core::delta), compressed with lz4_flex, encoded once for all receivers on another thread. The receiver asks for one part of 64 KiB after another (core::transfer). A transfer goes on as long as bytes come, at any control instance that has the same parcel. A newer configuration replaces it only if its parcel is no longer than the rest, so that changes in series can't starve a slow instance. Digests of parcel, base and content are checked before anything is in force. Parsing has a thread of its own. Messages between control instances are limited by progress too.

Messages are followed by numbered fields, which the landed build ignores; a message without them is of format 1 and answered as before.

Measured: the two tests that failed before pass.

path::crash failed once under load.

--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -24,6 +24,12 @@
     NoBan,
     /// Ignores how many requests upstreams can reject.
     NoBrittle,
+    /// Gives up a transfer that takes longer than half a second.
+    LimitTransfer,
+    /// Starts a transfer again from its first byte at each part.
+    RestartTransfer,
+    /// Obeys a configuration although a newer one has to be in force.
+    ObeyOutdated,
 }
 
 impl Fault {
@@ -41,6 +47,9 @@
             Self::NoLimit => "no-limit",
             Self::NoBan => "no-ban",
             Self::NoBrittle => "no-brittle",
+            Self::LimitTransfer => "limit-transfer",
+            Self::RestartTransfer => "restart-transfer",
+            Self::ObeyOutdated => "obey-outdated",
         };
         std::env::var("MASTICLOCK_PLANT").is_ok_and(|selected| selected == name)
     }
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -4,6 +4,7 @@
 
 mod entry_peers;
 mod leader;
+mod library;
 mod requests;
 mod server;
 mod state;
@@ -36,6 +37,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
+pub use self::state::MAX_CONFIG_BYTES;
 use self::state::State;
 use super::{
     message::{Refusal, Request},
--- a/crates/node/src/gateway/control/requests.rs
+++ b/crates/node/src/gateway/control/requests.rs
@@ -109,9 +109,9 @@
             .call(request, CALL_TIMEOUT)
             .await
         {
-            Ok(Reply::Done(index)) => Ok(index),
-            Ok(Reply::Refused(refusal)) => Err(refusal),
-            Ok(Reply::Update(_)) => Err(Refusal::Unknown),
+            Ok((Reply::Done(index), _)) => Ok(index),
+            Ok((Reply::Refused(refusal), _)) => Err(refusal),
+            Ok((Reply::Update(_) | Reply::Part(_), _)) => Err(Refusal::Unknown),
             Err(error) => {
                 log::debug!("the call to the leader {address} failed: {error}");
                 Err(Refusal::Unknown)
@@ -141,7 +141,9 @@
                     }
                     Event::AddLearner { ticket, member }
                 }
-                Request::Replica(_) | Request::Poll(_) => return Err(Refusal::Unknown),
+                Request::Replica(_) | Request::Poll(_) | Request::Fetch(_) => {
+                    return Err(Refusal::Unknown);
+                }
             }
         };
         self.step(event);
--- a/crates/node/src/gateway/control/server.rs
+++ b/crates/node/src/gateway/control/server.rs
@@ -1,18 +1,18 @@
 //! Server for the internal connections of other processes.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use masticlock_core::consensus::Event;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{sleep, timeout},
+    time::sleep,
 };
 
-use super::Shared;
+use super::{Shared, library};
 use crate::gateway::{
-    frame,
-    message::{Refusal, Reply, Request},
+    frame::{self, Incoming},
+    message::{Extension, Refusal, Reply, Request},
     socket,
 };
 
@@ -48,18 +48,27 @@
         return;
     }
     loop {
-        let request = match timeout(IDLE_TIMEOUT, frame::read(&mut stream)).await {
-            Ok(Ok(Some(request))) => request,
-            Ok(Ok(None)) | Err(_) => return,
-            Ok(Err(error)) => {
+        let (reply, extension) = match frame::read(&mut stream, IDLE_TIMEOUT, &Cell::new(0)).await {
+            Ok(Some(Incoming::Message(request, extension))) => {
+                let Some(reply) = handle_request(&shared, request, &extension).await else {
+                    continue;
+                };
+                reply
+            }
+            Ok(Some(Incoming::Unreadable(reason))) => {
+                log::warn!(
+                    event = "unknown_message", reason;
+                    "a process sent a message that this build can't decode"
+                );
+                (Reply::Refused(Refusal::Unknown), Extension::current())
+            }
+            Ok(None) => return,
+            Err(error) => {
                 log::debug!("an internal connection failed: {error}");
                 return;
             }
         };
-        let Some(reply) = handle_request(&shared, request).await else {
-            continue;
-        };
-        if let Err(error) = frame::write(&mut stream, &reply).await {
+        if let Err(error) = frame::write(&mut stream, &reply, &extension).await {
             log::debug!("can't send a reply: {error}");
             return;
         }
@@ -67,26 +76,43 @@
 }
 
 /// Handles a request and returns the reply, if it gets one.
-async fn handle_request(shared: &Rc<Shared>, request: Request) -> Option<Reply> {
-    match request {
+async fn handle_request(
+    shared: &Rc<Shared>,
+    request: Request,
+    sender: &Extension,
+) -> Option<(Reply, Extension)> {
+    let mut extension = Extension::current();
+    let reply = match request {
         Request::Replica(message) => {
             shared.step(Event::Received(message));
-            None
+            return None;
         }
         Request::Poll(poll) => {
             let now = shared.clock.now();
-            let update = shared.state.borrow_mut().answer_poll(poll, now);
+            let mut state = shared.state.borrow_mut();
+            let update = state.answer_poll(poll, sender.format, now);
+            extension.revision_age = state.revision_age(now);
+            drop(state);
             shared.changed.notify_waiters();
-            Some(Reply::Update(Box::new(update)))
+            Reply::Update(Box::new(update))
+        }
+        Request::Fetch(fetch) => {
+            let orders = shared.state.borrow_mut().library.orders(&fetch);
+            Reply::Part(match orders {
+                Some((newest, begun)) => Some(library::part(&fetch, newest, begun).await),
+                None => None,
+            })
         }
         Request::Submit(_) | Request::Read | Request::Join(_) => {
-            if !shared.is_leader() {
-                return Some(Reply::Refused(Refusal::NoLeader));
+            if shared.is_leader() {
+                match shared.handle_leader_request(request).await {
+                    Ok(index) => Reply::Done(index),
+                    Err(refusal) => Reply::Refused(refusal),
+                }
+            } else {
+                Reply::Refused(Refusal::NoLeader)
             }
-            Some(match shared.handle_leader_request(request).await {
-                Ok(index) => Reply::Done(index),
-                Err(refusal) => Reply::Refused(refusal),
-            })
         }
-    }
+    };
+    Some((reply, extension))
 }
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -16,7 +16,7 @@
 };
 use tokio::sync::oneshot;
 
-use super::entry_peers::EntryPeers;
+use super::{entry_peers::EntryPeers, library::Library};
 use crate::{
     control::disk::{Disk, Work},
     gateway::{
@@ -75,6 +75,10 @@
 pub struct State {
     pub replica: Replica,
     pub agreed: Arc<replicated::State>,
+    /// Configurations and their parcels for entry instances.
+    pub library: Library,
+    /// Time at which the newest configuration was applied, or the process started with it.
+    configured_at: Time,
     /// Index of the last applied entry that has a payload.
     applied_index: u64,
     pub directory: fleet::Directory,
@@ -140,9 +144,15 @@
         let agreed = decode(&image.snapshot)?;
         let applied = image.snapshot.index;
         let snapshot_bytes = image.snapshot.data.as_bytes().len();
+        let mut library = Library::default();
+        library
+            .archive
+            .insert(agreed.revision, agreed.content.clone());
         Ok(Self {
             replica: new_replica(image, now),
             agreed: Arc::new(agreed),
+            library,
+            configured_at: now,
             applied_index: applied,
             directory: fleet::Directory::default(),
             reports: report::Aggregator::default(),
@@ -205,7 +215,7 @@
         self.snapshot_bytes = image.snapshot.data.as_bytes().len();
         self.log_bytes = 0;
         self.replica = new_replica(image, now);
-        self.agreed = Arc::new(agreed);
+        self.set_agreed(agreed, now);
         (self.confirmed_at, self.pending_confirmation) = (None, None);
         self.disk = Some(disk);
         Ok(())
@@ -258,7 +268,7 @@
         let mut halted = false;
         while let Some(event) = events.pop() {
             for action in self.replica.step(event, now) {
-                halted |= self.execute(action, &mut events);
+                halted |= self.execute(action, &mut events, now);
             }
         }
         if let Some((sent, index)) = self.pending_confirmation
@@ -271,7 +281,7 @@
     }
 
     /// Executes an action, adds the events that result and returns whether the replica was halted.
-    fn execute(&mut self, action: Action, events: &mut Vec<Event>) -> bool {
+    fn execute(&mut self, action: Action, events: &mut Vec<Event>, now: Time) -> bool {
         match action {
             Action::Send(message) => {
                 let member = self.replica.members().member(message.to);
@@ -288,12 +298,12 @@
                 }
             }
             Action::Apply { index, payload, .. } => {
-                self.apply(index, &payload);
+                self.apply(index, &payload, now);
                 events.extend(self.snapshot_if_due(payload.as_bytes().len()));
             }
             Action::Install(snapshot) => match decode(&snapshot) {
                 Ok(agreed) => {
-                    self.agreed = Arc::new(agreed);
+                    self.set_agreed(agreed, now);
                     self.applied_index = snapshot.index;
                 }
                 Err(reason) => {
@@ -314,12 +324,18 @@
         false
     }
 
-    fn apply(&mut self, index: u64, payload: &Payload) {
+    fn apply(&mut self, index: u64, payload: &Payload, now: Time) {
         self.applied_index = index;
         match postcard::from_bytes::<Command>(payload.as_bytes()) {
             Ok(command) => {
                 let kind = describe(&command);
+                let before = self.agreed.revision;
                 let changed = Arc::make_mut(&mut self.agreed).apply(command);
+                if self.agreed.revision > before {
+                    self.configured_at = now;
+                    let content = self.agreed.content.clone();
+                    self.library.archive.insert(self.agreed.revision, content);
+                }
                 log::info!(event = "applied", index, command = kind, changed; "applied a command");
             }
             Err(error) => log::error!("can't decode entry {index}, which is skipped: {error}"),
@@ -550,8 +566,10 @@
         }
     }
 
-    /// Answers a poll.
-    pub fn answer_poll(&mut self, poll: Poll, now: Time) -> Update {
+    /// Answers a poll of a process that understands that format of messages.
+    ///
+    /// From format 2 on, entry instances fetch configurations apart from their polls.
+    pub fn answer_poll(&mut self, poll: Poll, format: u32, now: Time) -> Update {
         let mut cursor = poll.cursor;
         if cursor.process_id != self.process_id {
             cursor = Cursor::default();
@@ -635,7 +653,7 @@
             self.issuer.take_back(instance, &poll.returns, now);
             self.add_permits(&mut update, instance, &poll.wants, now);
         }
-        let is_current = poll.config_revision == Some(self.agreed.revision);
+        let is_current = format >= 2 || poll.config_revision == Some(self.agreed.revision);
         update.agreed = Some(AgreedState {
             revision: self.agreed.revision,
             content: (!is_current && self.agreed.revision > 0).then(|| self.agreed.content.clone()),
@@ -679,6 +697,22 @@
         all.map(instance).collect()
     }
 
+    /// Returns for how long this instance has had its configuration; `None` without one.
+    pub fn revision_age(&self, now: Time) -> Option<Span> {
+        (self.agreed.revision > 0).then(|| now.since(self.configured_at))
+    }
+
+    /// Replaces the agreed state.
+    fn set_agreed(&mut self, agreed: replicated::State, now: Time) {
+        if agreed.revision > self.agreed.revision {
+            self.configured_at = now;
+        }
+        self.library
+            .archive
+            .insert(agreed.revision, agreed.content.clone());
+        self.agreed = Arc::new(agreed);
+    }
+
     /// Returns the time since the agreed state was known to be the newest; `None` if it never was.
     fn agreed_age(&self, now: Time) -> Option<Span> {
         if self.is_leader(now) {
--- a/crates/node/src/gateway/control/tasks.rs
+++ b/crates/node/src/gateway/control/tasks.rs
@@ -15,8 +15,8 @@
 /// Interval at which a control instance polls each other one.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Longest time that a poll may take.
-const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time until the reply to a poll begins.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Interval at which a replica that is not in the replica set asks to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
@@ -75,8 +75,8 @@
                 needs_peers,
             });
             let sent = self.clock.now();
-            match client.call(&request, POLL_TIMEOUT).await {
-                Ok(Reply::Update(update)) => {
+            match client.call(&request, REPLY_TIMEOUT).await {
+                Ok((Reply::Update(update), _)) => {
                     cursor = update.cursor;
                     let now = self.clock.now();
                     let has_unknown = self
@@ -127,14 +127,14 @@
             for address in contacts.filter(|a| *a != self.settings.address) {
                 let request = Request::Join(member.clone());
                 let reply = ControlClient::new(address)
-                    .call(&request, POLL_TIMEOUT)
+                    .call(&request, REPLY_TIMEOUT)
                     .await;
                 match reply {
-                    Ok(Reply::Refused(Refusal::Removed)) => {
+                    Ok((Reply::Refused(Refusal::Removed), _)) => {
                         self.ended.notify_one();
                         return;
                     }
-                    Ok(Reply::Done(_)) => break,
+                    Ok((Reply::Done(_), _)) => break,
                     Ok(_) => {}
                     Err(error) => log::debug!("can't ask {address} to join: {error}"),
                 }
--- a/crates/node/src/gateway/control_client.rs
+++ b/crates/node/src/gateway/control_client.rs
@@ -2,11 +2,11 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use tokio::{net::TcpStream, time::timeout};
+use tokio::net::TcpStream;
 
 use super::{
-    frame,
-    message::{Reply, Request},
+    frame::{self, Incoming},
+    message::{Extension, Reply, Request},
     socket::{Connector, TcpConnector},
 };
 
@@ -50,32 +50,36 @@
         self.received.get()
     }
 
-    /// Sends a request and returns its reply.
+    /// Sends a request and returns its reply, which begins within `limit` and then takes as long as
+    /// bytes come.
     ///
     /// After an error the connection is closed, so that a late reply is never mistaken for that of
     /// the next request.
     ///
     /// # Errors
     ///
-    /// Returns the error of the connection, or [`io::ErrorKind::TimedOut`] after `limit`.
-    pub async fn call(&mut self, request: &Request, limit: Duration) -> io::Result<Reply> {
+    /// Returns the error of the connection, [`io::ErrorKind::TimedOut`], or
+    /// [`io::ErrorKind::InvalidData`] for a reply that this build can't decode.
+    pub async fn call(
+        &mut self,
+        request: &Request,
+        limit: Duration,
+    ) -> io::Result<(Reply, Extension)> {
         // Cancelling the future drops the connection as well.
         let stream = self.stream.take();
         self.received.set(0);
-        let work = async {
-            let mut stream = match stream {
-                Some(stream) => stream,
-                None => self.connector.connect(self.address, limit).await?,
-            };
-            frame::write(&mut stream, request).await?;
-            let reply = frame::read_counted(&mut stream, &self.received).await?;
-            let reply = reply.ok_or(io::ErrorKind::ConnectionAborted)?;
-            Ok::<_, io::Error>((stream, reply))
+        let mut stream = match stream {
+            Some(stream) => stream,
+            None => self.connector.connect(self.address, limit).await?,
         };
-        let (stream, reply) = timeout(limit, work)
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        self.stream = Some(stream);
-        Ok(reply)
+        frame::write(&mut stream, request, &Extension::current()).await?;
+        let reply = frame::read(&mut stream, limit, &self.received).await?;
+        match reply.ok_or(io::ErrorKind::ConnectionAborted)? {
+            Incoming::Message(reply, extension) => {
+                self.stream = Some(stream);
+                Ok((reply, extension))
+            }
+            Incoming::Unreadable(reason) => Err(io::Error::new(io::ErrorKind::InvalidData, reason)),
+        }
     }
 }
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -69,6 +69,8 @@
     pub announcement_interval: Span,
     /// Time after which a revoked key must not work anywhere.
     pub revocation_limit: Span,
+    /// Time after which a configuration must be in force everywhere.
+    pub apply_limit: Span,
     /// Time between the stop request and the forced end.
     pub grace_period: Span,
     /// Maximum number of retries of a service, as a fraction of its requests.
@@ -133,7 +135,7 @@
 /// Returns an error if an address can't be bound or the control thread can't be started.
 pub async fn run<D, S>(settings: Settings, adapter: D, stop: S) -> io::Result<()>
 where
-    D: Fn() -> Box<dyn Adapter> + Send + 'static,
+    D: Fn() -> Box<dyn Adapter> + Send + Sync + 'static,
     S: Future<Output = ()>,
 {
     run_with(settings, adapter, Links::default(), stop).await
@@ -166,7 +168,7 @@
 /// Returns an error if an address can't be bound or the control thread can't be started.
 pub async fn run_with<D, S>(settings: Settings, adapter: D, links: Links, stop: S) -> io::Result<()>
 where
-    D: Fn() -> Box<dyn Adapter> + Send + 'static,
+    D: Fn() -> Box<dyn Adapter> + Send + Sync + 'static,
     S: Future<Output = ()>,
 {
     let clock = Clock::start();
@@ -187,11 +189,12 @@
     let seeds = settings.seeds.clone();
     let place = (settings.domain.clone(), settings.peer);
     let connect = links.control;
+    let create_adapter = Arc::new(adapter);
     thread::Builder::new()
         .name("control".into())
         .spawn(move || {
             let links = (connect(), seeds);
-            run_control(Poller::new(state, clock, adapter(), id, place, links));
+            run_control(Poller::new(state, clock, create_adapter, id, place, links));
         })?;
     let (stage_sender, stage_receiver) = watch::channel(Stage::Open);
     let reporter = proxy.clone();
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -10,6 +10,7 @@
     replicated::{Command, Rollout},
     report, suspect,
     time::Span,
+    transfer::{Fetch, Part},
 };
 
 plain! {
@@ -128,6 +129,8 @@
         Read,
         /// Asks the leader to add a replica.
         Join(Member),
+        /// Asks for a part of a newer configuration. Only for instances of [`FORMAT`] 2.
+        Fetch(Fetch),
     }
 
     /// Why a control instance did not carry out a request.
@@ -153,5 +156,96 @@
         Done(u64),
         /// The request was not carried out.
         Refused(Refusal),
+        /// A part of a configuration, or none if the sender has no newer one.
+        Part(Option<Part>),
+    }
+
+    /// A field of an [`Extension`].
+    #[derive(Eq)]
+    struct Field {
+        /// Kind of the field.
+        kind: u32,
+        /// Content.
+        body: Payload,
+    }
+}
+
+/// Format of the messages that this build sends.
+///
+/// Format 1 is that of the commit 5c52cd1, whose messages have no extension and don't name it. It
+/// ignores what follows a message.
+pub const FORMAT: u32 = 2;
+
+/// Kind of the field that holds [`Extension::format`].
+const FORMAT_FIELD: u32 = 0;
+
+/// Kind of the field that holds [`Extension::revision_age`].
+const REVISION_AGE_FIELD: u32 = 1;
+
+/// Fields that follow a message. Builds skip those that they don't know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Extension {
+    /// Highest format that the sender understands.
+    pub format: u32,
+    /// Time for which the sender of an update has had the newest configuration that it knows of.
+    pub revision_age: Option<Span>,
+}
+
+impl Default for Extension {
+    /// Returns the extension of a message without one.
+    fn default() -> Self {
+        Self {
+            format: 1,
+            revision_age: None,
+        }
+    }
+}
+
+impl Extension {
+    /// Returns the extension of a message of this build.
+    #[must_use]
+    pub fn current() -> Self {
+        Self {
+            format: FORMAT,
+            ..Self::default()
+        }
+    }
+
+    /// Appends the encoded fields to a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a field can't be encoded.
+    pub fn encode(&self, message: Vec<u8>) -> Result<Vec<u8>, postcard::Error> {
+        let field = |kind, body: Vec<u8>| Field {
+            kind,
+            body: body.into(),
+        };
+        let mut fields = vec![field(FORMAT_FIELD, postcard::to_stdvec(&self.format)?)];
+        if let Some(age) = &self.revision_age {
+            fields.push(field(REVISION_AGE_FIELD, postcard::to_stdvec(age)?));
+        }
+        postcard::to_extend(&fields, message)
+    }
+
+    /// Decodes the fields that follow a message; unknown ones are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a known field can't be decoded.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let mut extension = Self::default();
+        if bytes.is_empty() {
+            return Ok(extension);
+        }
+        for Field { kind, body } in postcard::from_bytes::<Vec<Field>>(bytes)? {
+            let body = body.as_bytes();
+            match kind {
+                FORMAT_FIELD => extension.format = postcard::from_bytes(body)?,
+                REVISION_AGE_FIELD => extension.revision_age = Some(postcard::from_bytes(body)?),
+                _ => log::debug!("skipped a field of kind {kind}, which this build doesn't know"),
+            }
+        }
+        Ok(extension)
     }
 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the gateway's processes in the Prometheus text format.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use hyper::StatusCode;
 use masticlock_core::{limit::Rate, plain, route::Kind, time::Span};
 use prometheus_client::{
@@ -13,6 +15,8 @@
     registry::Registry,
 };
 
+use super::view::Transfers;
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 10.0];
 
@@ -77,6 +81,46 @@
     brittle_upstreams: Gauge,
     brittle_rejections: Counter,
     crashes: Counter,
+    configuration: ConfigurationMetrics,
+}
+
+/// Metrics of the configurations and their transfers.
+struct ConfigurationMetrics {
+    newest: Gauge,
+    newer_age: Gauge,
+    bytes: Gauge,
+    discarded_bytes: Gauge,
+    resumed: Gauge,
+    completed: Gauge,
+    millis: Gauge,
+}
+
+impl ConfigurationMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::<i64>::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        Self {
+            newest: gauge(
+                "newest_revision",
+                "Number of the newest known configuration",
+            ),
+            newer_age: gauge(
+                "newer_revision_age_ms",
+                "Time for which a newer configuration than the one in force is known, 0 if none is",
+            ),
+            bytes: gauge("transfer_bytes", "Bytes of configurations that arrived"),
+            discarded_bytes: gauge(
+                "transfer_discarded_bytes",
+                "Bytes of configurations that were given up",
+            ),
+            resumed: gauge("transfers_resumed", "Transfers that were resumed"),
+            completed: gauge("transfers_completed", "Transfers that were completed"),
+            millis: gauge("transfer_ms", "Time that the completed transfers took"),
+        }
+    }
 }
 
 /// Returns the label value of a kind of route.
@@ -135,6 +179,7 @@
             "Requests under which an upstream may have crashed",
             crashes.clone(),
         );
+        let configuration = ConfigurationMetrics::register(&mut registry);
         Self {
             registry,
             answers,
@@ -149,6 +194,7 @@
             brittle_upstreams,
             brittle_rejections,
             crashes,
+            configuration,
         }
     }
 }
@@ -198,6 +244,22 @@
         self.upstreams.set(saturating_i64(upstreams));
     }
 
+    /// Sets the newest known revision, for how long a newer one than that in force is known, and
+    /// the statistics of transfers.
+    pub fn set_currency(&self, newest: u64, newer_age: Span, transfers: &Transfers) {
+        let metrics = &self.configuration;
+        let number = |counter: &AtomicU64| saturating_i64(counter.load(Ordering::Relaxed));
+        metrics.newest.set(saturating_i64(newest));
+        metrics.newer_age.set(saturating_i64(newer_age.as_millis()));
+        metrics.bytes.set(number(&transfers.bytes));
+        metrics
+            .discarded_bytes
+            .set(number(&transfers.discarded_bytes));
+        metrics.resumed.set(number(&transfers.resumed));
+        metrics.completed.set(number(&transfers.completed));
+        metrics.millis.set(number(&transfers.millis));
+    }
+
     /// Counts a request sent to an upstream that has stated a limit.
     pub fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
--- a/crates/node/src/gateway/peers.rs
+++ b/crates/node/src/gateway/peers.rs
@@ -7,13 +7,16 @@
     net::TcpStream,
     sync::mpsc,
     task::{JoinHandle, spawn_local},
-    time::timeout,
 };
 
-use super::{frame, message::Request, socket};
+use super::{
+    frame,
+    message::{Extension, Request},
+    socket,
+};
 
-/// Longest time to open a connection and write a message.
-const SEND_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Most messages queued for a slow peer. The replicated log sends lost messages again.
 const QUEUE_CAPACITY: usize = 256;
@@ -75,21 +78,18 @@
         let send = async {
             let mut open = match stream.take() {
                 Some(open) => open,
-                None => socket::connect(address, SEND_TIMEOUT).await?,
+                None => socket::connect(address, CONNECT_TIMEOUT).await?,
             };
-            frame::write(&mut open, &Request::Replica(message)).await?;
+            let request = Request::Replica(message);
+            frame::write(&mut open, &request, &Extension::current()).await?;
             Ok::<_, std::io::Error>(open)
         };
-        match timeout(SEND_TIMEOUT, send).await {
-            Ok(Ok(open)) => stream = Some(open),
-            Ok(Err(error)) => {
+        match send.await {
+            Ok(open) => stream = Some(open),
+            Err(error) => {
                 log::debug!("can't send to {address}: {error}");
                 discard_queued(&mut messages);
             }
-            Err(_) => {
-                log::debug!("sending to {address} timed out");
-                discard_queued(&mut messages);
-            }
         }
     }
 }
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use masticlock_core::{
+    consensus::Payload,
     fleet,
     limit::{Permit, Return, Want},
     notice, replicated,
@@ -10,14 +11,14 @@
     suspect,
     time::{Span, Time},
 };
-use tokio::time::sleep;
+use tokio::{sync::watch, task::spawn_local, time::sleep};
 
 use super::{
-    adapter::Adapter,
     control_client::ControlClient,
-    message::{AgreedState, ControlInstance, Cursor, Poll, Reply, Request, Update},
+    fetch::{Configuration, CreateAdapter, Fetcher, Offer},
+    message::{AgreedState, ControlInstance, Cursor, Extension, Poll, Reply, Request, Update},
     socket::Connector,
-    view::{SharedState, View},
+    view::{Publisher, SharedState, View},
 };
 use crate::clock::Clock;
 
@@ -27,8 +28,8 @@
 /// Shortest time between two polls while requests wait for permits or evidence is new.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Longest time that a poll may take before another control instance is polled.
-const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time until the reply to a poll begins before another control instance is polled.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Delay before another control instance is polled after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -44,7 +45,9 @@
 pub struct Poller {
     shared: Arc<SharedState>,
     clock: Clock,
-    adapter: Box<dyn Adapter>,
+    publisher: Rc<Publisher>,
+    configuration: Rc<Configuration>,
+    offers: watch::Sender<Offer>,
     instance: u64,
     domain: Arc<str>,
     /// Address for requests of other entry instances.
@@ -64,7 +67,6 @@
     commit_index: u64,
     /// Control process that has this instance's crash evidence, and up to which revision.
     reported_evidence: (u64, u64),
-    view: View,
     directory: fleet::Directory,
 }
 
@@ -86,16 +88,20 @@
     pub fn new(
         shared: Arc<SharedState>,
         clock: Clock,
-        adapter: Box<dyn Adapter>,
+        create_adapter: CreateAdapter,
         instance: u64,
         (domain, peer_address): (Arc<str>, SocketAddr),
         (connector, seeds): (Rc<dyn Connector>, Vec<SocketAddr>),
     ) -> Self {
         let selector = usize::try_from(instance % 1_024).unwrap_or_default();
+        let publisher = Rc::new(Publisher::new(shared.clone()));
+        let configuration = Configuration::new(publisher.clone(), clock, create_adapter);
         Self {
             shared,
             clock,
-            adapter,
+            publisher,
+            configuration: Rc::new(configuration),
+            offers: watch::Sender::default(),
             instance,
             domain,
             peer_address: peer_address.to_string().into(),
@@ -107,13 +113,19 @@
             selector,
             commit_index: 0,
             reported_evidence: (0, 0),
-            view: View::default(),
             directory: fleet::Directory::default(),
         }
     }
 
     /// Polls control instances without end.
     pub async fn run(mut self) {
+        let fetcher = Fetcher::new(
+            self.configuration.clone(),
+            self.connector.clone(),
+            self.clock,
+            self.offers.subscribe(),
+        );
+        spawn_local(fetcher.run());
         let mut lost = None;
         loop {
             let address = self.select(lost);
@@ -158,7 +170,7 @@
             let (evidence_revision, evidence) = self.new_evidence(cursor.process_id);
             let request = Request::Poll(Poll {
                 cursor,
-                config_revision: self.view.table.as_ref().map(|t| t.revision()),
+                config_revision: Some(self.configuration.revision()).filter(|r| *r > 0),
                 report: Some(self.next_report()),
                 spillover_services: self.spillover_services(),
                 control_address: None,
@@ -168,8 +180,8 @@
                 peer: Some(self.peer()),
                 needs_peers: self.needs_peers(),
             });
-            let update = match client.call(&request, POLL_TIMEOUT).await {
-                Ok(Reply::Update(update)) => *update,
+            let (update, extension) = match client.call(&request, REPLY_TIMEOUT).await {
+                Ok((Reply::Update(update), extension)) => (*update, extension),
                 Ok(_) => {
                     log::warn!("{} sent an unexpected reply to a poll", client.address());
                     return SwitchReason::Lost;
@@ -193,7 +205,10 @@
                 self.reported_evidence = (cursor.process_id, 0);
             }
             let age = update.agreed_age;
-            self.apply_update(update, sent);
+            let content = self.apply_update(update, &extension, client.address(), sent);
+            if let Some(content) = content {
+                self.configuration.replace(content).await;
+            }
             if age.is_none_or(|age| age > MAX_STATE_AGE) {
                 log::info!(
                     event = "control_stale", address:% = client.address(),
@@ -308,8 +323,15 @@
         }
     }
 
-    /// Applies the reply to a poll that was sent at `sent` and publishes the new view.
-    fn apply_update(&mut self, mut update: Update, sent: Time) {
+    /// Applies the reply to a poll that was sent at `sent`, publishes the new view and returns the
+    /// content of a configuration that came with it.
+    fn apply_update(
+        &mut self,
+        mut update: Update,
+        extension: &Extension,
+        address: SocketAddr,
+        sent: Time,
+    ) -> Option<Payload> {
         let now = self.clock.now();
         let mut changed = false;
         // Before the state is confirmed: an instance that returns knows the bans before it serves.
@@ -328,35 +350,77 @@
             }
         }
         self.directory.expire(now);
-        if changed {
-            self.view.directory = Arc::new(self.directory.clone());
-            self.view.directory_version += 1;
-        }
-        if !update.peers.is_empty() {
-            self.view.peers = (self.view.peers.0 + 1, update.peers.into());
-        }
-        if let Some(totals) = update.totals {
-            self.view.totals = Arc::new(totals);
-            changed = true;
-        }
         if update.has_permits {
             self.deliver_permits(update.permits, sent);
         }
+        self.set_control_instances(&update.control_instances);
         // The agreed state never goes back, whichever control instance is polled.
-        if update.commit_index >= self.commit_index {
-            self.commit_index = update.commit_index;
-            if let Some(agreed) = update.agreed {
-                changed |= self.apply_agreed(agreed);
+        let agreed = update
+            .agreed
+            .filter(|_| update.commit_index >= self.commit_index);
+        self.commit_index = self.commit_index.max(update.commit_index);
+        if let Some(agreed) = &agreed {
+            self.offer(agreed, extension, address);
+        }
+        let held = self.configuration.revision();
+        let directory = &self.directory;
+        let mut content = None;
+        self.publisher.change(|view| {
+            if changed {
+                view.directory = Arc::new(directory.clone());
+                view.directory_version += 1;
             }
-            if let Some(age) = update.agreed_age {
-                self.view.confirmed_at = self.view.confirmed_at.max(Some(sent - age));
+            if update.has_permits {
+                view.inbox_version += 1;
             }
+            if !update.peers.is_empty() {
+                view.peers = (view.peers.0 + 1, update.peers.into());
+            }
+            if let Some(totals) = update.totals {
+                view.totals = Arc::new(totals);
+                changed = true;
+            }
+            if let Some(agreed) = agreed {
+                let known_at = sent - extension.revision_age.unwrap_or(Span::ZERO);
+                view.currency.learn(agreed.revision, known_at, held);
+                content.clone_from(&agreed.content);
+                changed |= apply_agreed(view, agreed);
+                if let Some(age) = update.agreed_age {
+                    view.confirmed_at = view.confirmed_at.max(Some(sent - age));
+                }
+            }
+            if changed {
+                view.version += 1;
+            }
+        });
+        content
+    }
+
+    /// Lets the configuration be fetched if it is newer and the control instance sends it apart
+    /// from its replies to polls.
+    fn offer(&self, agreed: &AgreedState, extension: &Extension, address: SocketAddr) {
+        if extension.format < 2 || agreed.revision <= self.configuration.revision() {
+            return;
         }
-        self.set_control_instances(&update.control_instances);
-        if changed {
-            self.view.version += 1;
-        }
-        self.shared.view.store(Arc::new(self.view.clone()));
+        let others = &self.control_instances;
+        self.offers.send_if_modified(|offer| {
+            if agreed.revision > offer.revision {
+                log::info!(
+                    event = "configuration_known", revision = agreed.revision,
+                    age_ms = extension.revision_age.map_or(-1, |a| {
+                        i64::try_from(a.as_millis()).unwrap_or(i64::MAX)
+                    });
+                    "a newer configuration is known"
+                );
+            }
+            let is_new = agreed.revision != offer.revision || offer.source != Some(address);
+            *offer = Offer {
+                revision: offer.revision.max(agreed.revision),
+                source: Some(address),
+                others: others.clone(),
+            };
+            is_new
+        });
     }
 
     /// Hands permits over to the traffic thread.
@@ -366,7 +430,6 @@
         let mut inbox = inbox.unwrap_or_else(std::sync::PoisonError::into_inner);
         inbox.permits.extend(permits.into_iter().map(|p| (p, sent)));
         inbox.contact_at = Some(sent);
-        self.view.inbox_version += 1;
     }
 
     /// Replaces the control instances and keeps the seeds among them.
@@ -389,45 +452,23 @@
         local.sort_unstable();
         self.local_instances = local;
     }
+}
 
-    /// Applies the agreed state and returns whether the view has changed.
-    fn apply_agreed(&mut self, agreed: AgreedState) -> bool {
-        let mut changed = false;
-        if let Some(content) = &agreed.content {
-            let began = self.clock.now();
-            match self.adapter.parse_table(content.as_bytes()) {
-                Ok(table) => {
-                    log::info!(
-                        event = "configuration", revision = table.revision(),
-                        bytes = content.as_bytes().len(),
-                        parse_ms = self.clock.now().since(began).as_millis();
-                        "a configuration takes effect"
-                    );
-                    self.view.table = Some(Arc::new(table));
-                    changed = true;
-                }
-                Err(reason) => {
-                    log::error!(
-                        "can't parse the accepted configuration {}: {reason}",
-                        agreed.revision
-                    );
-                }
-            }
-        }
-        let state = &self.view.agreed;
-        if state.taken_out != agreed.taken_out || state.rollouts != agreed.rollouts {
-            log::info!(
-                event = "agreed", taken_out:? = agreed.taken_out, rollouts:? = agreed.rollouts;
-                "the agreed state has changed"
-            );
-            self.view.agreed = Arc::new(replicated::State {
-                revision: agreed.revision,
-                taken_out: agreed.taken_out,
-                rollouts: agreed.rollouts,
-                ..replicated::State::default()
-            });
-            changed = true;
-        }
-        changed
+/// Applies the rollouts and failure domains out of service, and returns whether they have changed.
+fn apply_agreed(view: &mut View, agreed: AgreedState) -> bool {
+    let state = &view.agreed;
+    if state.taken_out == agreed.taken_out && state.rollouts == agreed.rollouts {
+        return false;
     }
+    log::info!(
+        event = "agreed", taken_out:? = agreed.taken_out, rollouts:? = agreed.rollouts;
+        "the agreed state has changed"
+    );
+    view.agreed = Arc::new(replicated::State {
+        revision: agreed.revision,
+        taken_out: agreed.taken_out,
+        rollouts: agreed.rollouts,
+        ..replicated::State::default()
+    });
+    true
 }
--- a/crates/node/src/gateway/view.rs
+++ b/crates/node/src/gateway/view.rs
@@ -1,9 +1,16 @@
 //! State shared between the threads of an entry process.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    cell::RefCell,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use arc_swap::ArcSwap;
 use masticlock_core::{
+    currency::Currency,
     fleet,
     limit::{Permit, Return, Want},
     notice::{self, Departure},
@@ -11,7 +18,7 @@
     report::{self, VersionStats},
     route::Table,
     suspect::Screen,
-    time::Time,
+    time::{Span, Time},
 };
 use tokio::sync::Notify;
 
@@ -36,6 +43,8 @@
     pub inbox_version: u64,
     /// Latest time at which the agreed state was known to be the newest.
     pub confirmed_at: Option<Time>,
+    /// Newer configurations than the one in `table`.
+    pub currency: Currency,
 }
 
 /// Data of the traffic thread for the next report to a control instance.
@@ -84,6 +93,88 @@
     pub screen: Mutex<Screen>,
     /// Wakes the control thread when a request waits for a permit or there is new crash evidence.
     pub poll_wanted: Notify,
+    /// Written by the control thread.
+    pub transfers: Transfers,
+}
+
+/// Statistics of the transfers of configurations.
+#[derive(Debug, Default)]
+pub struct Transfers {
+    /// Bytes that have arrived.
+    pub bytes: AtomicU64,
+    /// Bytes that were given up.
+    pub discarded_bytes: AtomicU64,
+    /// Transfers that went on at another connection.
+    pub resumed: AtomicU64,
+    /// Transfers that have ended.
+    pub completed: AtomicU64,
+    /// Time that they have taken, in milliseconds.
+    pub millis: AtomicU64,
+    /// Expected time until the present transfer ends, in milliseconds; 0 if it is not known.
+    rest_millis: AtomicU64,
+}
+
+impl Transfers {
+    /// Records what has arrived of the present transfer.
+    pub fn set_progress(&self, elapsed: Span, received: u64, total: u64) {
+        let rest = elapsed.as_millis() * total.saturating_sub(received) / received.max(1);
+        self.rest_millis.store(rest, Ordering::Relaxed);
+    }
+
+    /// Records the end of the present transfer.
+    pub fn clear_progress(&self) {
+        self.rest_millis.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns the expected time until the present transfer ends; zero if it is not known.
+    #[must_use]
+    pub fn rest(&self) -> Span {
+        Span::from_millis(self.rest_millis.load(Ordering::Relaxed))
+    }
+}
+
+/// The view as the tasks of the control thread change and publish it.
+#[derive(Debug)]
+pub struct Publisher {
+    shared: Arc<SharedState>,
+    view: RefCell<View>,
+}
+
+impl Publisher {
+    /// Returns the publisher of an empty view.
+    #[must_use]
+    pub fn new(shared: Arc<SharedState>) -> Self {
+        Self {
+            shared,
+            view: RefCell::default(),
+        }
+    }
+
+    /// Changes the view and publishes it.
+    pub fn change<F>(&self, change: F)
+    where
+        F: FnOnce(&mut View),
+    {
+        let mut view = self.view.borrow_mut();
+        change(&mut view);
+        self.shared.view.store(Arc::new(view.clone()));
+    }
+
+    /// Returns the revision of the configuration in force; 0 without one.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.view
+            .borrow()
+            .table
+            .as_ref()
+            .map_or(0, |t| t.revision())
+    }
+
+    /// Returns the statistics of transfers.
+    #[must_use]
+    pub fn transfers(&self) -> &Transfers {
+        &self.shared.transfers
+    }
 }
 
 impl SharedState {
