Refuse requests while a configuration that must be in force is missing

An instance that knew of a newer configuration went on by the older one for as long as the content was on its way, and let revoked keys work.

Cause: the age of the agreed state says only that the instance has contact, not that it holds what was agreed.

Change: core::currency keeps since when a newer revision is known. Then requests are refused with 503 and the expected time until the transfer ends. The check is repeated right before the write. While a newer revision is known, an unknown route or key is no final answer.

--- a/crates/core/src/retry_after.rs
+++ b/crates/core/src/retry_after.rs
@@ -41,6 +41,9 @@
     Limited(Span),
     /// The instance's tables may be stale.
     Stale,
+    /// The instance lacks a configuration that has to be in force; it is expected to arrive after
+    /// this time, zero if that is not known.
+    Outdated(Span),
 }
 
 /// Returns the time after which a caller with `left` until its deadline should retry.
@@ -50,16 +53,17 @@
 pub fn delay(cause: Cause, left: Span, draw: u64) -> Span {
     let base = match cause {
         Cause::Full => FULL_DELAY,
-        Cause::Unavailable => UNAVAILABLE_DELAY,
+        Cause::Unavailable | Cause::Outdated(Span::ZERO) => UNAVAILABLE_DELAY,
         Cause::Backoff(backoff) => backoff,
         // An earlier time would be wrong, even if it is too late for the caller.
         Cause::Limited(turn) => return turn,
         Cause::Stale => STALE_DELAY,
+        Cause::Outdated(rest) => rest,
     };
     let latest = left.as_millis() / TIME_LEFT_DIVISOR;
     let base = base.as_millis().min(latest);
     let (min, max) = match cause {
-        Cause::Backoff(_) => BACKOFF_JITTER,
+        Cause::Backoff(_) | Cause::Outdated(_) => BACKOFF_JITTER,
         Cause::Full | Cause::Unavailable | Cause::Limited(_) | Cause::Stale => JITTER,
     };
     let permille = min + digest::mix(draw) % (max - min + 1);
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -234,19 +234,27 @@
     }
 
     /// Returns until when a request may be written to an upstream, or none if it has no client
-    /// account. The limit keeps a revoked key from being used.
+    /// account and no newer configuration is known. The limit keeps a revoked key from being used
+    /// and an outdated configuration from being obeyed.
     fn send_deadline(&self, resolved: &ResolvedRoute) -> Option<Time> {
         let limit =
             Span::from_millis(self.settings.revocation_limit.as_millis() * KEY_LEASE_PERCENT / 100);
-        let confirmed_at = self.shared.view.load().confirmed_at;
-        let until = confirmed_at.map_or(Time::ZERO, |at| at + limit);
-        (resolved.account.is_some() && !Fault::NoLease.is_injected()).then_some(until)
+        let view = self.shared.view.load();
+        let lease_end = view.confirmed_at.map_or(Time::ZERO, |at| at + limit);
+        let lease_end =
+            (resolved.account.is_some() && !Fault::NoLease.is_injected()).then_some(lease_end);
+        let obey_until = view.currency.obey_until(self.settings.apply_limit);
+        lease_end.into_iter().chain(obey_until).min()
     }
 
     /// Returns whether the instance is ready for new connections.
     pub fn is_ready(&self) -> bool {
         let view = self.view();
-        view.table.is_some() && self.is_state_within(&view, READINESS_PERCENT)
+        view.table.is_some()
+            && self.is_state_within(&view, READINESS_PERCENT)
+            && view
+                .currency
+                .is_ready(self.settings.apply_limit, self.now())
     }
 
     /// Returns the limits of a client's connection.
@@ -287,6 +295,10 @@
             revision,
             view.directory.entries().len(),
         );
+        let age = view.currency.age(self.now());
+        let newest = view.currency.newest().unwrap_or(revision);
+        self.metrics
+            .set_currency(newest, age.unwrap_or(Span::ZERO), &self.shared.transfers);
         let pool = self.pool.borrow();
         self.metrics
             .set_bounded_upstreams(pool.limited(), pool.brittle());
@@ -306,9 +318,16 @@
         let Some(table) = &view.table else {
             return Err(stale());
         };
-        let definitive = self
-            .state_age(view)
-            .is_some_and(|age| age < MAX_DEFINITIVE_AGE);
+        let obey_until = view.currency.obey_until(self.settings.apply_limit);
+        if obey_until.is_some_and(|until| self.now() >= until) {
+            let cause = Cause::Outdated(self.shared.transfers.rest());
+            let reason = "a newer configuration has not arrived";
+            return Err(ctx.retry_later(cause, reason, self.now()));
+        }
+        let definitive = obey_until.is_none()
+            && self
+                .state_age(view)
+                .is_some_and(|age| age < MAX_DEFINITIVE_AGE);
         let reject = |status, reason| {
             if definitive {
                 Refusal::new(status, reason)
