Repeat no entries in heartbeats while they are on their way

Cause: at each heartbeat, every 130 ms, the leader marked what it had sent as lost and sent the same entries again. An entry of 4 MB, the largest configuration, takes longer than that over a link of 200 Mbit/s or to a disk that is thirty times slower, so links, queues and followers carried it again each 130 ms: a fixed time for work whose size others decide, and a retry that discards progress.

Change: a heartbeat to a follower with entries in flight has none. An answer to a message that was sent after the entries shows that they were lost, because messages and answers keep their order on a connection; then they are sent again.

--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -209,7 +209,6 @@
         {
             leader.last_heartbeat = self.now;
             for follower in &mut leader.followers {
-                follower.in_flight = false;
                 follower.send_due = true;
             }
         }
@@ -218,7 +217,8 @@
     /// Sends followers the entries or the snapshot part that they lack, and heartbeats that are
     /// due.
     ///
-    /// Apart from heartbeats, each follower has one message in flight at a time.
+    /// Apart from heartbeats, each follower has one message in flight at a time. A heartbeat repeats
+    /// no entries, which may be large and still on their way.
     pub(super) fn replicate(&mut self) {
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -235,17 +235,22 @@
             follower.sent_commit = self.commit_index;
             let prev_index = follower.next_index - 1;
             let body = match self.log.term_at(prev_index) {
-                Some(prev_term) => Body::Append {
-                    prev_index,
-                    prev_term,
-                    entries: self.log.batch(
-                        follower.next_index,
-                        limits.batch_entries,
-                        limits.batch_bytes,
-                    ),
-                    commit: self.commit_index,
-                    sent: self.now,
-                },
+                Some(prev_term) => {
+                    let entries = if follower.in_flight {
+                        Vec::new()
+                    } else {
+                        follower.content_sent = self.now;
+                        let (count, bytes) = (limits.batch_entries, limits.batch_bytes);
+                        self.log.batch(follower.next_index, count, bytes)
+                    };
+                    Body::Append {
+                        prev_index,
+                        prev_term,
+                        entries,
+                        commit: self.commit_index,
+                        sent: self.now,
+                    }
+                }
                 None => follower.next_chunk(&self.log, self.now, limits.chunk_bytes),
             };
             follower.in_flight = true;
--- a/crates/core/src/consensus/leader_state.rs
+++ b/crates/core/src/consensus/leader_state.rs
@@ -36,6 +36,9 @@
     pub answered_send_time: Option<Time>,
     /// Whether entries or a snapshot part are in flight, that is, sent and not answered.
     pub in_flight: bool,
+    /// Send time of the latest entries or snapshot part. An answer to a later message shows that
+    /// they were lost, as messages and answers keep their order on a connection.
+    pub content_sent: Time,
     /// Whether a message is due even if one is in flight or nothing is new.
     pub send_due: bool,
     /// Commit index in the last message.
@@ -64,6 +67,7 @@
             match_index: 0,
             answered_send_time: None,
             in_flight: false,
+            content_sent: Time::ZERO,
             send_due: true,
             sent_commit: 0,
             transfer: None,
@@ -84,7 +88,7 @@
                 sent,
             } => {
                 self.answered_send_time = self.answered_send_time.max(Some(sent));
-                self.in_flight = false;
+                self.in_flight &= sent < self.content_sent;
                 if matched {
                     self.match_index = self.match_index.max(index);
                     self.next_index = self.next_index.max(self.match_index + 1);
--- a/crates/core/tests/consensus/rules.rs
+++ b/crates/core/tests/consensus/rules.rs
@@ -306,3 +306,74 @@
         assert_eq!(members.is_learner(learner), !is_voter, "{case}");
     }
 }
+
+/// Returns the entries in messages to `OTHER`, and the send time of the last message.
+fn sent_entries(actions: &[Action]) -> (usize, Option<Time>) {
+    let mut count = 0;
+    let mut last = None;
+    for action in actions {
+        if let Action::Send(Message {
+            body: Body::Append { entries, sent, .. },
+            ..
+        }) = action
+        {
+            count += entries.len();
+            last = Some(*sent);
+        }
+    }
+    (count, last)
+}
+
+/// Guards against a large entry that is sent again with each heartbeat while it is on its way, so
+/// that the links and the followers carry it many times.
+#[test]
+fn heartbeats_do_not_repeat_an_entry_that_is_on_its_way() {
+    let mut replica = replica(&[OWN, OTHER]);
+    let mut now = Time::ZERO + MAX_ELECTION_TIMEOUT;
+    let respond = |body| {
+        Event::Received(Message {
+            from: OTHER,
+            to: OWN,
+            term: 1,
+            body,
+        })
+    };
+    let mut write = 0;
+    let mut sync = |replica: &mut Replica, now| {
+        write += 1;
+        replica.step(Event::Synced(write), now)
+    };
+    replica.step(Event::Tick, now);
+    let pre = true;
+    let granted = true;
+    replica.step(respond(Body::Vote { pre, granted }), now);
+    sync(&mut replica, now);
+    let pre = false;
+    let actions = replica.step(respond(Body::Vote { pre, granted }), now);
+    let (_, sent) = sent_entries(&actions);
+    sync(&mut replica, now);
+    let appended = |index, sent| Body::Appended {
+        index,
+        matched: true,
+        sent,
+    };
+    replica.step(respond(appended(1, sent.unwrap())), now);
+    now = now + HEARTBEAT_INTERVAL;
+    let sent = sent_entries(&replica.step(Event::Tick, now)).1.unwrap();
+    replica.step(respond(appended(1, sent)), now);
+    let payload = Payload::from(vec![0; 1_000]);
+    let actions = replica.step(Event::Propose { ticket: 1, payload }, now);
+    assert_eq!(sent_entries(&actions).0, 1, "{actions:?}");
+    sync(&mut replica, now);
+
+    let mut heartbeat_sent = None;
+    for _ in 0..2 {
+        now = now + HEARTBEAT_INTERVAL;
+        let (entries, sent) = sent_entries(&replica.step(Event::Tick, now));
+        assert_eq!(entries, 0, "a heartbeat repeats the entry");
+        heartbeat_sent = sent;
+    }
+    // The answer to a later message shows that the entry was lost.
+    let actions = replica.step(respond(appended(1, heartbeat_sent.unwrap())), now);
+    assert_eq!(sent_entries(&actions).0, 1, "a lost entry is sent again");
+}
