--- a/scenario/src/lib.rs
+++ b/scenario/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 pub mod brittle;
+pub mod fan_out;
 pub mod invariant;
 pub mod limit;
 pub mod matrix;
--- a/soak/src/bin/soak.rs
+++ b/soak/src/bin/soak.rs
@@ -33,8 +33,13 @@
     /// Program with the entry and control processes; by default the one beside this program
     #[bpaf(long, argument("FILE"), optional)]
     program: Option<PathBuf>,
+    /// Program of another build, with which the processes begin before they are replaced one after
+    /// the other
+    #[bpaf(long, argument("FILE"), optional)]
+    from: Option<PathBuf>,
     /// Fault that is planted in a program built with the feature plant: repeat-unsafe, no-lease,
-    /// old-revision, no-sync, no-notice, no-quiet, no-limit, no-ban or no-brittle
+    /// old-revision, no-sync, no-notice, no-quiet, no-limit, no-ban, no-brittle, limit-transfer,
+    /// restart-transfer or obey-outdated
     #[bpaf(long, argument("NAME"), fallback(String::new()))]
     plant: String,
     /// Prints the faults of the seeds and plays nothing
@@ -104,6 +109,7 @@
         entries: args.entries,
         callers: args.callers,
         program,
+        from: args.from.clone(),
         guard: own,
         plant: args.plant.clone(),
         folder: folder.clone(),
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -77,6 +77,8 @@
     key: u64,
     /// Number of the newest route that comes and goes.
     extra: u64,
+    /// Number of routes that nobody uses.
+    unused: usize,
 }
 
 /// Returns a key of the changing account.
@@ -103,6 +105,7 @@
             newest: None,
             key: KEYS,
             extra: 1,
+            unused: 0,
         }
     }
 
@@ -113,12 +116,21 @@
     }
 
     fn routes(&self) -> Vec<Route> {
-        vec![
+        let mut routes = vec![
             route("book", Kind::Once),
             route("look", Kind::Repeatable),
             route("ask", Kind::Stream),
             route(&extra(self.extra), Kind::Repeatable),
-        ]
+        ];
+        let unused = |n: usize| route(&format!("unused-{n}-{}", n * n), Kind::Repeatable);
+        routes.extend((0..self.unused).map(unused));
+        routes
+    }
+
+    /// Changes the number of routes that nobody uses.
+    pub async fn resize(&mut self, routes: usize) {
+        self.unused = routes;
+        self.configure().await;
     }
 
     /// Sends a configuration and returns whether it was confirmed.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -43,6 +43,15 @@
 /// Pause between the starts of two such parts in milliseconds.
 const POISON_PAUSE_MS: std::ops::Range<u64> = 9_000..20_000;
 
+/// Routes of a configuration beside those that callers use.
+const SIZES: [usize; 6] = [0, 40, 400, 1_400, 3_500, 10_000];
+
+/// Pause between two changes of the size of the configuration in milliseconds.
+const SIZE_PAUSE_MS: std::ops::Range<u64> = 1_500..7_000;
+
+/// Pause between the replacements of two processes by those of another build in milliseconds.
+const REPLACE_PAUSE_MS: std::ops::Range<u64> = 1_200..3_000;
+
 /// A process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -93,6 +102,10 @@
     Keys,
     /// A route is replaced.
     Routes,
+    /// The configuration has so many routes beside those that callers use.
+    Resize(usize),
+    /// A process is asked to stop and starts again with the other build.
+    Replace(Target),
     /// An older configuration is sent again.
     Older,
     /// The configuration is read.
@@ -173,6 +186,7 @@
     steps.extend(draw_limits(seed, length_ms, layout));
     steps.extend(draw_poison(seed, length_ms));
     steps.extend(draw_brittle(seed, length_ms, layout));
+    steps.extend(draw_sizes(seed, length_ms));
     steps.sort_by_key(|(at, _)| *at);
     steps
 }
@@ -207,6 +221,43 @@
     steps
 }
 
+/// Draws the sizes of the configuration, from numbers of their own.
+fn draw_sizes(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    let mut steps = Vec::new();
+    let mut at = random.random_range(0..CALM_MS);
+    while at < length_ms {
+        let size = SIZES[random.random_range(0..SIZES.len())];
+        steps.push((at, Fault::Resize(size)));
+        at += random.random_range(SIZE_PAUSE_MS);
+    }
+    steps
+}
+
+/// Returns when each process is replaced by one of another build: control instances first with even
+/// seeds, entry instances first with odd ones.
+#[must_use]
+pub fn draw_replacements(seed: u64, layout: Layout) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(8));
+    let mut targets: Vec<_> = (0..DOMAINS.len())
+        .map(Target::Control)
+        .chain((0..layout.entries).map(Target::Entry))
+        .collect();
+    if !seed.is_multiple_of(2) {
+        targets.rotate_left(DOMAINS.len());
+    }
+    let mut at = CALM_MS;
+    let mut steps = Vec::new();
+    for target in targets {
+        steps.push((at, Fault::Replace(target)));
+        at += random.random_range(REPLACE_PAUSE_MS);
+        if matches!(target, Target::Control(_)) {
+            at += CONTROL_REST_MS;
+        }
+    }
+    steps
+}
+
 /// Draws the parts of prompts that crash upstreams, from numbers of their own.
 fn draw_poison(seed: u64, length_ms: u64) -> Vec<Step> {
     let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -92,6 +92,8 @@
     pub said: testing::Settings,
     role: &'static str,
     program: PathBuf,
+    /// Program that replaces it.
+    next_program: PathBuf,
     folder: PathBuf,
     /// Name of the fault that is planted in it.
     plant: String,
@@ -107,7 +109,8 @@
         Self {
             said,
             role,
-            program: options.program.clone(),
+            program: options.from.as_ref().unwrap_or(&options.program).clone(),
+            next_program: options.program.clone(),
             folder: options.folder.clone(),
             plant: options.plant.clone(),
             child: None,
@@ -125,6 +128,11 @@
         self.folder.join(format!("{}.{extension}", self.said.name))
     }
 
+    /// Lets it be of the other build from its next start on.
+    pub fn replace_program(&mut self) {
+        self.program.clone_from(&self.next_program);
+    }
+
     /// Starts it.
     ///
     /// # Errors
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -32,6 +32,9 @@
 /// Time between the request to stop and the forced end.
 const GRACE: Duration = Duration::from_secs(8);
 
+/// Time that a control instance has to stop.
+const CONTROL_STOP: Duration = Duration::from_millis(1_200);
+
 /// Pause between two looks at whether a process has ended.
 const LOOK: Duration = Duration::from_millis(25);
 
@@ -54,6 +57,8 @@
     pub callers: usize,
     /// Program with the entry and control processes.
     pub program: PathBuf,
+    /// Program of another build, with which the processes begin before they are replaced.
+    pub from: Option<PathBuf>,
     /// This program, started as a guard.
     pub guard: PathBuf,
     /// Name of the fault that is planted, if the program was built with planted faults.
@@ -116,7 +121,11 @@
         let seed = options.seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn_local(caller::run(system.callers.clone(), number, seed));
     }
-    let steps = plan(options.seed, options.length, options.entries);
+    let mut steps = plan(options.seed, options.length, options.entries);
+    if options.from.is_some() {
+        steps.extend(plan::draw_replacements(options.seed, layout));
+        steps.sort_by_key(|(at, _)| *at);
+    }
     let faults = steps.len();
     let start = system.ledger.borrow().now();
     let mut striking = JoinSet::new();
@@ -237,7 +246,13 @@
                 process.borrow().signal(Signal::CONT)?;
                 self.ledger.borrow_mut().calm(record);
             }
-            Fault::Stop(at) => self.stop(at).await?,
+            Fault::Stop(at) | Fault::Replace(Target::Entry(at)) => {
+                if matches!(fault, Fault::Replace(_)) {
+                    self.entries[at].borrow_mut().replace_program();
+                }
+                self.stop(at).await?;
+            }
+            Fault::Replace(Target::Control(at)) => self.replace_control(at).await?,
             Fault::Callers(at, mode, length) => {
                 let (proxy, part) = (&self.fronts[at], Part::Entry(at));
                 self.harm(proxy, part, mode, time(length)).await;
@@ -280,6 +295,9 @@
                 }
                 *self.callers.newest.borrow_mut() = operator.newest();
             }
+            Fault::Resize(routes) => {
+                self.operator.lock().await.resize(routes).await;
+            }
             Fault::Read(control) => self.operator.lock().await.read(control).await,
         }
         Ok(())
@@ -333,6 +351,21 @@
         Ok(())
     }
 
+    /// Asks a control instance to stop and starts it again with the other build.
+    async fn replace_control(&self, at: usize) -> io::Result<()> {
+        let process = &self.control[at];
+        let record = self.ledger.borrow_mut().disturb(Part::Control(at));
+        process.borrow_mut().replace_program();
+        process.borrow().signal(Signal::TERM)?;
+        sleep(CONTROL_STOP).await;
+        // Another fault may have ended and started it meanwhile.
+        process.borrow_mut().kill(&mut self.guard.borrow_mut())?;
+        process.borrow_mut().start(&mut self.guard.borrow_mut())?;
+        sleep(START).await;
+        self.ledger.borrow_mut().calm(record);
+        Ok(())
+    }
+
     /// Asks an entry instance to stop and starts it again when it has ended.
     async fn stop(&self, at: usize) -> io::Result<()> {
         let process = &self.entries[at];
