--- a/scenario/src/fan_out.rs
+++ b/scenario/src/fan_out.rs
@@ -1,5 +1,7 @@
 //! Simulated transfers of configurations from control instances to all entry instances at once.
 
+use std::fmt::Write;
+
 use masticlock_core::{
     consensus::Payload,
     digest,
@@ -185,3 +187,64 @@
         outcome
     }
 }
+
+/// Sizes of the parcels in the page, in bytes.
+const PAGE_SIZES: [usize; 2] = [1_000_000, 4 * 1_024 * 1_024];
+
+/// Numbers of entry instances in the page.
+const PAGE_RECEIVERS: [usize; 2] = [72, 320];
+
+/// Returns the section of the fault matrix.
+///
+/// # Panics
+///
+/// Never: writing to a string does not fail.
+#[must_use]
+pub fn page() -> String {
+    let mut text = String::from(
+        "## Configurations on their way
+
+Parcels from seven control instances with 1,000 Mbit/s to all entry instances with 10 Mbit/s at once, by the decisions of
+`core::transfer`. A cell gives the time until the last instance holds the last change, the bytes sent for each instance, and
+those given up.
+
+| fault | 72 entries, 1 MB | 72 entries, 4 MB | 320 entries, 1 MB | 320 entries, 4 MB |
+|---|---|---|---|---|
+",
+    );
+    for (label, loses, changes) in [
+        ("none", false, 1),
+        ("a control instance ends after 0.5 s", true, 1),
+        ("five changes in two seconds", false, 5),
+        ("both", true, 5),
+    ] {
+        write!(text, "| {label} |").expect("a string");
+        for receivers in PAGE_RECEIVERS {
+            for size in PAGE_SIZES {
+                let deployment = Deployment {
+                    receivers,
+                    senders: 7,
+                    receiver_rate: 1_250,
+                    sender_rate: 125_000,
+                    changes: (0..changes).map(|n| (400 * n, size)).collect(),
+                    lost_sender: loses.then_some((3, 500)),
+                };
+                let outcome = deployment.play(16_000);
+                let missing = receivers - outcome.in_force_at.len();
+                let last = outcome.in_force_at.last().copied().unwrap_or_default();
+                let each = |bytes: u64| bytes / receivers as u64 / 1_000;
+                write!(
+                    text,
+                    " {last} ms, {} KB, {} KB{} |",
+                    each(outcome.sent),
+                    each(outcome.discarded),
+                    if missing > 0 { ", **not all**" } else { "" }
+                )
+                .expect("a string");
+            }
+        }
+        text.push('\n');
+    }
+    text.push('\n');
+    text
+}
--- a/scenario/src/matrix.rs
+++ b/scenario/src/matrix.rs
@@ -9,7 +9,7 @@
 use masticlock_core::time::Time;
 
 use crate::{
-    brittle, invariant, limit,
+    brittle, fan_out, invariant, limit,
     run::{Placement, run_with},
     script::Script,
     syntax,
@@ -404,6 +404,7 @@
     counts(&mut out, cells);
     out.push_str(&limit::page());
     out.push_str(&brittle::page());
+    out.push_str(&fan_out::page());
     out.push_str(DELIBERATE);
     for (mutation, caught) in &matrix.caught {
         deliberate(&mut out, *mutation, caught, cells);
