--- a/crates/core/tests/consensus/rules.rs
+++ b/crates/core/tests/consensus/rules.rs
@@ -358,7 +358,7 @@
         sent,
     };
     replica.step(respond(appended(1, sent.unwrap())), now);
-    now = now + HEARTBEAT_INTERVAL;
+    now += HEARTBEAT_INTERVAL;
     let sent = sent_entries(&replica.step(Event::Tick, now)).1.unwrap();
     replica.step(respond(appended(1, sent)), now);
     let payload = Payload::from(vec![0; 1_000]);
@@ -368,7 +368,7 @@
 
     let mut heartbeat_sent = None;
     for _ in 0..2 {
-        now = now + HEARTBEAT_INTERVAL;
+        now += HEARTBEAT_INTERVAL;
         let (entries, sent) = sent_entries(&replica.step(Event::Tick, now));
         assert_eq!(entries, 0, "a heartbeat repeats the entry");
         heartbeat_sent = sent;
