Confirm the agreed state only with the configuration that belongs to it

Cause: since the content follows the reply that confirms the state, so for some 60 ms an instance that had started again used an older configuration with a state that counted as new. Change: the state is confirmed by the first reply after the content, which is asked for at once.

--- a/crates/node/src/gateway/fetch.rs
+++ b/crates/node/src/gateway/fetch.rs
@@ -131,6 +131,8 @@
             view.currency.hold(revision);
             view.version += 1;
         });
+        // The next reply confirms the configuration.
+        self.publisher.request_poll();
         true
     }
 }
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -384,8 +384,10 @@
                 let known_at = sent - extension.revision_age.unwrap_or(Span::ZERO);
                 view.currency.learn(agreed.revision, known_at, held);
                 content.clone_from(&agreed.content);
+                let is_held = agreed.revision <= held;
                 changed |= apply_agreed(view, agreed);
-                if let Some(age) = update.agreed_age {
+                // Without its content the state is not confirmed: keys of the older one may be revoked.
+                if let Some(age) = update.agreed_age.filter(|_| is_held) {
                     view.confirmed_at = view.confirmed_at.max(Some(sent - age));
                 }
             }
--- a/crates/node/src/gateway/view.rs
+++ b/crates/node/src/gateway/view.rs
@@ -170,6 +170,11 @@
             .map_or(0, |t| t.revision())
     }
 
+    /// Wakes the task that polls control instances.
+    pub fn request_poll(&self) {
+        self.shared.poll_wanted.notify_one();
+    }
+
     /// Returns the statistics of transfers.
     #[must_use]
     pub fn transfers(&self) -> &Transfers {
