--- a/review/build.sh
+++ b/review/build.sh
@@ -10,3 +10,5 @@
         rustc --edition 2024 -C opt-level=2 -o "target/review/case-$number" "$source"
     fi
 done
+# A trial that is no case.
+rustc --edition 2024 -C opt-level=2 -o target/review/case-gone review/trials/gone.rs
