--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,4 +1,4 @@
-//! An entry process answers nobody while a few servers send interim heads without end.
+//! A part of a prompt that crashes servers makes the parts beside it, which are sound, refused.
 
 #[path = "../common/harness.rs"]
 mod harness;
@@ -8,31 +8,37 @@
     net::TcpStream,
     process::ExitCode,
     sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Instant,
 };
 
 use harness::*;
 
-const SERVERS: usize = 4;
-/// Servers that spoil answers: half of them.
-const SPOILING_SERVERS: usize = 2;
-/// At most this part of such a server's answers is spoiled.
-const SPOILED_SHARE: f64 = 0.05;
-/// Spoiled answers at the same time.
-const SPOILED: u32 = 6;
-/// Bytes in a millisecond of each: all of them stay within 1,000 Mbit/s, the link of a machine.
-const BYTES_PER_MS: u64 = 18_000;
-const BOOKED: usize = 60;
-const TIMEOUT_MS: u64 = 800;
+const CONTACT_MS: u64 = 3_000;
+const SERVERS: usize = 9;
+const SOUND_CLIENTS: u64 = 24;
+/// Time after which a crashed server is back.
+const DOWN_MS: u64 = 2_500;
+/// Pause between two requests with the part that crashes servers.
+const POISON_EVERY_MS: u64 = 50;
+const POISON: &str = "dead01ff";
+/// First part of the prompts at the beginning.
+const OLD_FIRST: &str = "5c1e07a2";
+/// First part of the prompts from the time on at which the part that crashes servers comes too.
+const NEW_FIRST: &str = "91bd3f06";
 
 #[derive(Default)]
-struct Answers {
-    all: AtomicU32,
-    spoiled: AtomicU32,
+struct Seen {
+    /// Times at which servers crashed.
+    crashes: Vec<u64>,
+    /// Times at which a request with the part reached a server.
+    poison: Vec<u64>,
+    /// Servers that are down, with the times at which they crashed.
+    down: Vec<(usize, u64)>,
+    /// Times of sound first attempts, and whether they began.
+    sound: Vec<(u64, bool)>,
 }
 
 fn main() -> ExitCode {
@@ -41,82 +47,78 @@
         case,
         Shape {
             controls: 3,
-            entries: 2,
+            entries: 3,
         },
     )
 }
 
-/// Sends interim heads until the caller closes.
-fn spoil(stream: &TcpStream) -> io::Result<()> {
-    let heads = "HTTP/1.1 100 \r\n\r\n".repeat(1_200);
-    let began = Instant::now();
-    let mut sent = 0;
-    while began.elapsed() < ms(20_000) {
-        (&mut &*stream).write_all(heads.as_bytes())?;
-        sent += heads.len() as u64;
-        let now = began.elapsed().as_millis() as u64;
-        thread::sleep(ms((sent / BYTES_PER_MS).saturating_sub(now)));
-    }
-    Ok(())
-}
-
 fn serve(
+    at: usize,
     server: &Server,
     request: &Message,
     stream: &TcpStream,
-    answers: Option<&Answers>,
-    spoiled: &AtomicU32,
+    seen: &Mutex<Seen>,
 ) -> io::Result<bool> {
-    let id = request.id();
-    if let Some(answers) = answers {
-        let all = answers.all.fetch_add(1, Ordering::SeqCst) + 1;
-        let own = answers.spoiled.load(Ordering::SeqCst) + 1;
-        let may = f64::from(own) <= f64::from(all) * SPOILED_SHARE;
-        if id.starts_with("bb") && may && spoiled.load(Ordering::SeqCst) < SPOILED && has_trouble()
-        {
-            answers.spoiled.store(own, Ordering::SeqCst);
-            spoiled.fetch_add(1, Ordering::SeqCst);
-            record(&format!(
-                "server {} answers {id} with interim heads without end ({own} of its {all} answers)",
-                server.name()
-            ));
-            let ended = spoil(stream);
+    let id = request.id().to_owned();
+    let prompt = request.header("Prefix-Hash").unwrap_or_default();
+    let is_poison = prompt.split(',').any(|part| part.starts_with(POISON));
+    if is_poison {
+        seen.lock().unwrap().poison.push(now_ms());
+        record(&format!(
+            "server {} gets {id}, whose prompt has the part {POISON}",
+            server.name()
+        ));
+    }
+    // The prompt is read.
+    thread::sleep(ms(60));
+    // With `HEAD=0` the server crashes before it has sent the head; not part of the case.
+    let sends_head = std::env::var("HEAD").map_or(true, |v| v != "0");
+    let mut out = stream;
+    if sends_head || !is_poison {
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: proof.{id}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )?;
+    }
+    if is_poison {
+        thread::sleep(ms(70));
+        if server.crash() {
             record(&format!(
-                "server {}: the channel of {id} has ended: {ended:?}",
+                "server {} has crashed as it began to write the answer of {id}",
                 server.name()
             ));
-            return Ok(false);
+            let mut seen = seen.lock().unwrap();
+            seen.crashes.push(now_ms());
+            seen.down.push((at, now_ms()));
         }
+        return Ok(false);
     }
-    let mut out = stream;
-    let events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
-    write!(
-        out,
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: proof.{id}\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
-        events.len()
-    )?;
+    for number in 1..=40 {
+        let event = format!("id: {number}\ndata: {id}.{number}\n\n");
+        write!(out, "{:x}\r\n{event}\r\n", event.len())?;
+        thread::sleep(ms(75));
+    }
+    write!(out, "0\r\n\r\n")?;
     Ok(true)
 }
 
-fn text(id: &str) -> String {
-    let headers = format!("Model: daka510000\r\nToken-Usage: 600,14\r\nPrefix-Hash: {id}:600\r\n");
-    request(id, "POST", &format!("{STREAMS}2f"), 20_000, &headers, id)
+fn text(id: &str, first: &str, part: &str) -> String {
+    // A part that some requests share.
+    let user = format!("e4402b{:02x}", id.bytes().map(u32::from).sum::<u32>() % 24);
+    let headers = format!(
+        "Model: daka510000\r\nToken-Usage: 600,70\r\nPrefix-Hash: {first}:300,{part}:100,{user}:80,{id}:200\r\n"
+    );
+    request(id, "POST", &format!("{STREAMS}2f"), 15_000, &headers, id)
 }
 
 fn case(deployment: &mut Deployment) -> io::Result<bool> {
-    let spoiled = Arc::new(AtomicU32::new(0));
+    let seen: Arc<Mutex<Seen>> = Arc::default();
     let mut servers = Vec::new();
     for at in 0..SERVERS {
-        let (answers, spoiled) = (Answers::default(), spoiled.clone());
+        let seen = seen.clone();
         let handler = move |server: &Server, request: &Message, stream: &TcpStream| {
-            serve(
-                server,
-                request,
-                stream,
-                (at < SPOILING_SERVERS).then_some(&answers),
-                &spoiled,
-            )
+            serve(at, server, request, stream, &seen)
         };
         servers.push(Server::start(
             deployment,
@@ -130,13 +132,12 @@
     }
     for at in 0..3 {
         let handler = |_: &Server, request: &Message, stream: &TcpStream| {
-            thread::sleep(ms(15));
             answer(stream, 200, request.id(), "", "booked")?;
             Ok(true)
         };
         servers.push(Server::start(
             deployment,
-            10 + at,
+            20 + at,
             &format!("i-app{at}"),
             PLAIN,
             "v1",
@@ -146,66 +147,121 @@
     }
     deployment.configure(&manifest(7))?;
     thread::sleep(ms(2_000));
-    let front = deployment.front(0);
-    let first: Vec<_> = (0..8)
-        .map(|client: usize| {
-            thread::spawn(move || {
-                for number in 0..60 {
-                    let _ = send(
-                        front,
-                        &text(&format!("aa{client:06x}{number:08x}")),
-                        ms(5_000),
-                    );
-                }
-            })
-        })
-        .collect();
-    for client in first {
-        let _ = client.join();
-    }
-    record("clients got 480 streams");
-    for number in 0..40 {
-        if spoiled.load(Ordering::SeqCst) >= SPOILED {
-            break;
-        }
-        thread::spawn(move || {
-            let id = format!("bb{number:014x}");
-            let _ = send(front, &text(&id), ms(21_000));
-        });
-        thread::sleep(ms(10));
-    }
-    if has_trouble() && spoiled.load(Ordering::SeqCst) == 0 {
-        return Err(io::Error::other("no answer was spoiled"));
-    }
-    thread::sleep(ms(300));
+    let stop = Arc::new(AtomicBool::new(false));
+    let is_new = Arc::new(AtomicBool::new(false));
+    let fronts = [
+        deployment.front(0),
+        deployment.front(1),
+        deployment.front(2),
+    ];
     let mut clients = Vec::new();
-    for number in 0..BOOKED {
+    for client in 0..SOUND_CLIENTS {
+        let (stop, seen, is_new) = (stop.clone(), seen.clone(), is_new.clone());
         clients.push(thread::spawn(move || {
-            let id = format!("cc{number:014x}");
-            let text = request(&id, "POST", &format!("{BOOKINGS}2f"), 1_500, "", "{}");
-            record(&format!("client sends {id}"));
-            let sent = Instant::now();
-            let ending = send(front, &text, ms(1_500));
-            let took = sent.elapsed().as_millis() as u64;
-            let result = match ending {
-                Ending::Answer(answer) => answer.status.to_string(),
-                Ending::Broken(_, _) => "no answer".to_owned(),
-            };
-            record(&format!("client: {result} for {id} after {took} ms"));
-            // A client that has waited until its deadline has no answer.
-            if result == "no answer" {
-                took.max(1_500)
-            } else {
-                took
+            let mut number = 0;
+            while !stop.load(Ordering::SeqCst) {
+                number += 1;
+                let id = format!("{client:04x}{number:012x}");
+                let sent = now_ms();
+                let first = if is_new.load(Ordering::SeqCst) {
+                    NEW_FIRST
+                } else {
+                    OLD_FIRST
+                };
+                let part = format!("91bd3f0{:x}", client % 5);
+                let ending = send(
+                    fronts[client as usize % 3],
+                    &text(&id, first, &part),
+                    ms(10_000),
+                );
+                let (Ending::Answer(answer) | Ending::Broken(answer, _)) = ending;
+                seen.lock()
+                    .unwrap()
+                    .sound
+                    .push((sent, answer.status == 200));
+                thread::sleep(ms(200));
             }
         }));
-        thread::sleep(ms(100));
     }
-    let times: Vec<u64> = clients.into_iter().filter_map(|c| c.join().ok()).collect();
-    let unanswered = times.iter().filter(|t| **t > TIMEOUT_MS).count();
-    let late = times.iter().filter(|t| **t > TIMEOUT_MS + 500).count();
+    thread::sleep(ms(6_000));
+    let began = now_ms();
+    is_new.store(true, Ordering::SeqCst);
+    if has_trouble() {
+        let stop = stop.clone();
+        clients.push(thread::spawn(move || {
+            let mut number = 0;
+            while !stop.load(Ordering::SeqCst) {
+                number += 1;
+                let id = format!("bad{number:013x}");
+                record(&format!("client sends {id} with the part {POISON}"));
+                thread::spawn(move || {
+                    send(
+                        fronts[number % 3],
+                        &text(&id, NEW_FIRST, POISON),
+                        ms(10_000),
+                    )
+                });
+                thread::sleep(ms(POISON_EVERY_MS));
+            }
+        }));
+    }
+    let mut lifetime = 0;
+    while now_ms() < began + 18_000 {
+        let due: Vec<usize> = {
+            let mut seen = seen.lock().unwrap();
+            let due = seen
+                .down
+                .extract_if(.., |(_, at)| *at + DOWN_MS <= now_ms());
+            due.map(|(server, _)| server).collect()
+        };
+        for at in due {
+            lifetime += 1;
+            servers[at].restart(&format!("i-llm{at}-{lifetime}"))?;
+        }
+        thread::sleep(ms(20));
+    }
+    stop.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    let seen = seen.lock().unwrap();
+    let fifth = seen.crashes.get(4).copied();
+    // The fifth crash, or the last one if there are fewer.
+    let known = fifth.or(seen.crashes.last().copied());
+    record(&format!(
+        "{} crashes; {} requests with the part reached servers",
+        seen.crashes.len(),
+        seen.poison.len()
+    ));
+    if let Some(fifth) = fifth {
+        let late = seen.poison.iter().filter(|at| **at > fifth + CONTACT_MS);
+        record(&format!(
+            "{} of them later than ContactMs after the fifth crash",
+            late.count()
+        ));
+    }
+    let share = |from: u64, to: u64| {
+        let of_time = seen
+            .sound
+            .iter()
+            .filter(|(sent, _)| (from..to).contains(sent));
+        let all = of_time.clone().count();
+        (of_time.filter(|(_, began)| *began).count(), all)
+    };
+    let before = share(0, began);
+    let from = known.unwrap_or(began) + 2 * CONTACT_MS;
+    let after = share(from, u64::MAX);
     record(&format!(
-        "of {BOOKED} bookings, {unanswered} were unanswered at their route's TimeoutMs, {late} of these half a second later"
+        "sound requests of the route with the same key that began before: {} of {}",
+        before.0, before.1
     ));
-    Ok(2 * late <= unanswered)
+    record(&format!(
+        "from 2 x ContactMs after the fifth or last crash: {} of {}",
+        after.0, after.1
+    ));
+    if before.1 < 20 || after.1 < 20 {
+        return Err(io::Error::other("fewer than 20 requests to compare"));
+    }
+    // Less than half as often.
+    Ok(2 * after.0 * before.1 >= before.0 * after.1)
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -10,5 +10,7 @@
         rustc --edition 2024 -C opt-level=2 -o "target/review/case-$number" "$source"
     fi
 done
-# A trial that is no case.
-rustc --edition 2024 -C opt-level=2 -o target/review/case-gone review/trials/gone.rs
+# Trials that are no cases.
+for trial in gone interim; do
+    rustc --edition 2024 -C opt-level=2 -o "target/review/case-$trial" "review/trials/$trial.rs"
+done
--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -713,15 +713,19 @@
         Ok(())
     }
 
-    /// Ends as a process does that is killed: the listener closes first, then all channels.
-    pub fn crash(&self) {
-        self.alive.store(false, Ordering::SeqCst);
+    /// Ends as a process does that is killed: the listener closes first, then all channels. Returns
+    /// whether it was running.
+    pub fn crash(&self) -> bool {
+        if !self.alive.swap(false, Ordering::SeqCst) {
+            return false;
+        }
         while self.listens.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_micros(100));
         }
         for (_, stream) in self.channels.lock().unwrap().drain() {
             let _ = stream.shutdown(Shutdown::Both);
         }
+        true
     }
 
     /// Starts again as a new lifetime at the same address.
