Give the right to write a request to an upstream in one place

Cause: whether a request that may have run may run again was asked by each caller for itself. Retries and silence asked for the kind of the route, resumed streams for StreamResume, larger models for the number of attempts only. The `sent` lines show a second run with another model and no `silent` or `lost` line between, at no peer: no retry and no hand-over.

Change: core::run::History counts the runs and is the only maker of a run::Right, which PooledConnection::send takes. Both kinds have to allow a second run if a configuration changes the kind of the route between two attempts.

--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -4,6 +4,9 @@
 //! fraction of the largest one's. Its answer is kept if its confidence reaches a threshold. The
 //! threshold falls as the upstreams slow down, because the time of a larger model is then taken from
 //! other requests. An available answer is never dropped for one that is likely to be late.
+//!
+//! The answer to a request that may run only once is final. The recent confidence of the smallest
+//! model on its route then takes the place of the answer's own, before the first run.
 
 use std::sync::Arc;
 
@@ -41,17 +44,24 @@
 /// start. The rest covers the error of the forecast.
 const TIMELY_PERCENT: u64 = 80;
 
-/// Time constant of the exponential decay of the mean. Without decay by time, an instance with few
-/// requests would keep the threshold low for seconds after the upstreams have recovered.
-const DECAY: Span = Span::from_millis(700);
+/// Time constant of the exponential decay of the mean latency. Without decay by time, an instance
+/// with few requests would keep the threshold low for seconds after the upstreams have recovered.
+const LATENCY_DECAY: Span = Span::from_millis(700);
+
+/// Time constant of the exponential decay of the mean confidence. After it, the smallest model is
+/// tried again.
+const CONFIDENCE_DECAY: Span = Span::from_secs(10);
 
-/// Weight of the prior that the upstreams are fast, in answers.
+/// Weight of the prior that the upstreams are fast and the smallest model is confident, in answers.
 const PRIOR_WEIGHT: f64 = 0.5;
 
+/// Confidence of the smallest model without answers.
+const PRIOR_CONFIDENCE: f64 = 100.0;
+
 /// Upper bound of one answer's latency as a fraction of the objective.
 const MAX_RATIO: f64 = 1.5;
 
-/// Sum and weight of times to the first event as fractions of the objective, decayed by age.
+/// Sum and weight of values, decayed by age.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Mean {
     sum: f64,
@@ -60,9 +70,9 @@
 }
 
 impl Mean {
-    fn decayed(self, now: Time) -> Self {
+    fn decayed(self, decay: Span, now: Time) -> Self {
         #[expect(clippy::cast_precision_loss)]
-        let elapsed = now.since(self.at).as_millis() as f64 / DECAY.as_millis() as f64;
+        let elapsed = now.since(self.at).as_millis() as f64 / decay.as_millis() as f64;
         let factor = (-elapsed).exp();
         Self {
             sum: self.sum * factor,
@@ -72,42 +82,96 @@
     }
 }
 
-/// The recent latency of the upstreams of each service, as a fraction of the objective.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Pressure {
-    /// Sorted by service.
-    services: Vec<(Arc<str>, Mean)>,
+/// Recent means by name.
+#[derive(Clone, Debug, PartialEq)]
+struct Means {
+    decay: Span,
+    /// Value of [`PRIOR_WEIGHT`] answers.
+    prior: f64,
+    /// Sorted by name.
+    entries: Vec<(Arc<str>, Mean)>,
 }
 
-impl Pressure {
-    /// Records the time to the first event of an answer.
-    pub fn observe(&mut self, service: &Arc<str>, took: Span, objective: Span, now: Time) {
-        #[expect(clippy::cast_precision_loss)]
-        let ratio = took.as_millis() as f64 / objective.as_millis().max(1) as f64;
-        let found = self.services.binary_search_by(|(s, _)| s.cmp(service));
+impl Means {
+    const fn new(decay: Span, prior: f64) -> Self {
+        Self {
+            decay,
+            prior,
+            entries: Vec::new(),
+        }
+    }
+
+    fn observe(&mut self, name: &Arc<str>, value: f64, now: Time) {
+        let found = self.entries.binary_search_by(|(n, _)| n.cmp(name));
         let at = found.unwrap_or_else(|at| {
             let empty = Mean {
                 sum: 0.0,
                 weight: 0.0,
                 at: now,
             };
-            self.services.insert(at, (service.clone(), empty));
+            self.entries.insert(at, (name.clone(), empty));
             at
         });
-        let mean = &mut self.services[at].1;
-        *mean = mean.decayed(now);
-        mean.sum += ratio.min(MAX_RATIO);
+        let mean = &mut self.entries[at].1;
+        *mean = mean.decayed(self.decay, now);
+        mean.sum += value;
         mean.weight += 1.0;
     }
 
+    fn of(&self, name: &str, now: Time) -> f64 {
+        let found = self.entries.binary_search_by(|(n, _)| (**n).cmp(name));
+        found.map_or(self.prior, |at| {
+            let mean = self.entries[at].1.decayed(self.decay, now);
+            (mean.sum + self.prior * PRIOR_WEIGHT) / (mean.weight + PRIOR_WEIGHT)
+        })
+    }
+}
+
+/// The recent latency of the upstreams of each service, as a fraction of the objective.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pressure(Means);
+
+impl Default for Pressure {
+    fn default() -> Self {
+        Self(Means::new(LATENCY_DECAY, 0.0))
+    }
+}
+
+impl Pressure {
+    /// Records the time to the first event of an answer.
+    pub fn observe(&mut self, service: &Arc<str>, took: Span, objective: Span, now: Time) {
+        #[expect(clippy::cast_precision_loss)]
+        let ratio = took.as_millis() as f64 / objective.as_millis().max(1) as f64;
+        self.0.observe(service, ratio.min(MAX_RATIO), now);
+    }
+
     /// Returns the mean time to the first event as a fraction of the objective.
     #[must_use]
     pub fn of(&self, service: &Arc<str>, now: Time) -> f64 {
-        let found = self.services.binary_search_by(|(s, _)| s.cmp(service));
-        found.map_or(0.0, |at| {
-            let mean = self.services[at].1.decayed(now);
-            mean.sum / (mean.weight + PRIOR_WEIGHT)
-        })
+        self.0.of(service, now)
+    }
+}
+
+/// The recent confidence of the smallest model of each route, from 0 to 100.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Confidence(Means);
+
+impl Default for Confidence {
+    fn default() -> Self {
+        Self(Means::new(CONFIDENCE_DECAY, PRIOR_CONFIDENCE))
+    }
+}
+
+impl Confidence {
+    /// Records the confidence of the smallest model in an answer.
+    pub fn observe(&mut self, route: &Arc<str>, confidence: u8, now: Time) {
+        self.0.observe(route, f64::from(confidence), now);
+    }
+
+    /// Returns the mean confidence of the smallest model.
+    #[must_use]
+    pub fn of(&self, route: &str, now: Time) -> f64 {
+        self.0.of(route, now)
     }
 }
 
@@ -133,7 +197,23 @@
         return None;
     }
     let confidence = f64::from(answer.confidence?);
-    (confidence < ESCALATION.at(answer.pressure)).then_some(largest)
+    is_unsure(confidence, answer.pressure).then_some(largest)
+}
+
+/// Returns the index of the model that is to answer a request that runs only once.
+///
+/// `confidence` is the mean confidence of the smallest model on the route.
+#[must_use]
+pub fn only_level(confidence: f64, models: usize, pressure: f64) -> usize {
+    if is_unsure(confidence, pressure) {
+        models.saturating_sub(1)
+    } else {
+        0
+    }
+}
+
+fn is_unsure(confidence: f64, pressure: f64) -> bool {
+    confidence < ESCALATION.at(pressure)
 }
 
 /// Returns whether an answer that is expected to start `delay` after the caller's request is likely
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod route;
+pub mod run;
 pub mod session;
 pub mod settings;
 pub mod slot;
--- a/crates/node/src/gateway/connection_pool.rs
+++ b/crates/node/src/gateway/connection_pool.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use masticlock_core::{
     placement::Target,
+    run::Right,
     time::{Span, Time},
 };
 use tokio::task::{AbortHandle, spawn_local};
@@ -195,7 +196,7 @@
         self.reused
     }
 
-    /// Sends a request and returns the head of the response.
+    /// Sends a client's request by the right to do so and returns the head of the response.
     ///
     /// No byte of the request is written after `until`.
     ///
@@ -203,6 +204,27 @@
     ///
     /// Returns an error that tells whether the upstream may have run the request.
     pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        _right: Right,
+        until: Option<Time>,
+    ) -> Result<Response<Incoming>, Error> {
+        self.write(request, until).await
+    }
+
+    /// Sends a health check, which is no client's request, and returns the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response.
+    pub async fn check_health(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        self.write(request, None).await
+    }
+
+    async fn write(
         &mut self,
         request: Request<Full<Bytes>>,
         until: Option<Time>,
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -19,7 +19,7 @@
 
 use hyper::{Response, StatusCode};
 use masticlock_core::{
-    cascade::Pressure,
+    cascade::{self, Confidence, Pressure},
     digest,
     fault::Fault,
     forecast::Forecast,
@@ -116,6 +116,7 @@
     /// Moving mean of the time until a response head, in milliseconds, by route.
     mean_head_times: RefCell<Vec<(Arc<str>, f64)>>,
     pressure: RefCell<Pressure>,
+    confidence: RefCell<Confidence>,
     forecast: RefCell<Forecast>,
     /// Answers of the stable versions.
     reference: RefCell<Reference>,
@@ -164,6 +165,7 @@
             version_stats: RefCell::default(),
             mean_head_times: RefCell::default(),
             pressure: RefCell::default(),
+            confidence: RefCell::default(),
             forecast: RefCell::default(),
             reference: RefCell::default(),
             reach: RefCell::default(),
@@ -372,6 +374,7 @@
                 if ctx.peer_place.is_none() {
                     self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
                 }
+                self.choose_only_model(&ctx, &resolved);
                 let left = ctx.deadline(&resolved.route).since(self.now());
                 let attempts = self.clone().try_upstreams(ctx.clone());
                 let result = timeout(left.to_std(), attempts).await;
@@ -383,7 +386,7 @@
             Ok(response) => {
                 log::info!(
                     event = "answered", request = ctx.id(), status = response.status().as_u16(),
-                    runs = ctx.runs.get(), tried = ctx.tried.borrow().len(),
+                    runs = ctx.run_count(), tried = ctx.tried.borrow().len(),
                     waited_ms = self.now().since(ctx.received_at).as_millis();
                     "an upstream's response is forwarded"
                 );
@@ -432,7 +435,7 @@
         let view = self.shared.view.load();
         log::info!(
             event = "refused", request = ctx.id(), status = refusal.status.as_u16(),
-            reason = refusal.reason, runs = ctx.runs.get(), tried = ctx.tried.borrow().len(),
+            reason = refusal.reason, runs = ctx.run_count(), tried = ctx.tried.borrow().len(),
             waited_ms = self.now().since(ctx.received_at).as_millis(),
             retry_after_ms = refusal.retry_after.map_or(0, Span::as_millis),
             revision = view.table.as_ref().map_or(0, |t| t.revision()),
@@ -441,6 +444,25 @@
         );
     }
 
+    /// Chooses the model of a request that can't be sent to a larger one after its first answer.
+    fn choose_only_model(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
+        let route = &resolved.route;
+        if !ctx.meta.any_model || (route.is_repeatable() && route.attempts > 1) {
+            return;
+        }
+        let now = self.now();
+        let confidence = self.confidence.borrow().of(&route.name, now);
+        let pressure = self.pressure.borrow().of(&resolved.service.name, now);
+        let level = cascade::only_level(confidence, route.models.len(), pressure);
+        if level == 0 {
+            return;
+        }
+        let begin = self.forecast_start(ctx, resolved, level);
+        if begin.is_some_and(|begin| cascade::is_timely(begin, route.objective)) {
+            ctx.level.set(level);
+        }
+    }
+
     /// Sends the request to one upstream after another until one responds or no attempt is left.
     async fn try_upstreams(
         self: Rc<Self>,
@@ -449,7 +471,7 @@
         loop {
             let resolved = match self.resolve(&ctx, &self.view()) {
                 Ok(resolved) => resolved,
-                Err(refusal) if ctx.runs.get() == 0 => return Err(refusal),
+                Err(refusal) if ctx.run_count() == 0 => return Err(refusal),
                 Err(refusal) => return Err(Refusal::new(StatusCode::BAD_GATEWAY, refusal.reason)),
             };
             let Some((target, pass)) = self.select_upstream(&ctx, &resolved).await? else {
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -104,23 +104,25 @@
         }
         let demand = ctx.demand(resolved);
         let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + demand.prefill;
+        let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
+        let Some(right) = ctx.begin_attempt(&resolved.route, false) else {
+            return AttemptResult::Refused(RequestContext::refuse_repeat());
+        };
         let (send_by, rejection) = pass.consume();
         let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
         let sent_at = self.now();
-        let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
-        ctx.begin_attempt();
         self.log_sent(ctx, resolved, target);
         let deadline = earliest(self.send_deadline(resolved), send_by);
         let limit = Self::head_timeout(ctx, resolved, sent_at);
-        let can_retry = Self::can_retry(ctx, resolved);
+        let can_retry = ctx.runs.get().may_repeat(&resolved.route);
         let sent = tokio::select! {
-            sent = timeout(limit, conn.send(request, deadline)) => sent.ok(),
+            sent = timeout(limit, conn.send(request, right, deadline)) => sent.ok(),
             () = self.cut_off.notified(), if can_retry => None,
         };
         let response = match sent {
             Some(Ok(response)) => response,
             Some(Err(Error::NotSent(reason))) => {
-                ctx.runs.set(ctx.runs.get() - 1);
+                ctx.runs.set(ctx.runs.get().without_last());
                 log::debug!("{} was not sent: {reason}", ctx.id());
                 return AttemptResult::NotRun;
             }
@@ -176,15 +178,10 @@
         .await
     }
 
-    /// Returns whether a request that may have run may be sent to another upstream.
-    fn can_retry(ctx: &RequestContext, resolved: &ResolvedRoute) -> bool {
-        resolved.route.is_repeatable() && ctx.runs.get() < resolved.route.attempts
-    }
-
     /// Returns how long to wait for the head of the response to a request sent at `sent_at`.
     fn head_timeout(ctx: &RequestContext, resolved: &ResolvedRoute, sent_at: Time) -> Duration {
         let left = ctx.deadline(&resolved.route).since(sent_at);
-        if Self::can_retry(ctx, resolved) {
+        if ctx.runs.get().may_repeat(&resolved.route) {
             Self::retry_timeout(resolved, left).to_std()
         } else {
             left.to_std()
@@ -217,7 +214,7 @@
             upstream = &*target.upstream, domain = &*target.domain, version = &*target.version,
             model = ctx.model(&resolved.route).map_or("-", |m| &**m),
             session = ctx.session_digest().unwrap_or_default(), parts = ctx.part_list(),
-            runs = ctx.runs.get(),
+            runs = ctx.run_count(),
             limit_milli = limit_milli(self.pool.borrow().limit(target)),
             waited_ms = self.now().since(ctx.received_at).as_millis();
             "a request is sent to an upstream"
@@ -337,7 +334,7 @@
         self.count_attempt(resolved, target, "lost");
         log::info!(
             event = "lost", request = ctx.id(), upstream = &*target.upstream, reason,
-            runs = ctx.runs.get();
+            runs = ctx.run_count();
             "an upstream gave no answer"
         );
         self.check_crash(ctx, target).await;
@@ -362,7 +359,7 @@
     /// Returns whether a request that may have run may be retried, and takes the retry from the
     /// budget if so.
     fn withdraw_retry(&self, ctx: &RequestContext, resolved: &ResolvedRoute) -> bool {
-        Self::can_retry(ctx, resolved)
+        ctx.runs.get().may_repeat(&resolved.route)
             && self.with_budget(&resolved.service.name, |b| b.withdraw(self.now()))
     }
 
@@ -451,7 +448,7 @@
         conn: PooledConnection,
         meta: &ResponseHeaders,
     ) -> AttemptResult {
-        ctx.runs.set(ctx.runs.get() - 1);
+        ctx.runs.set(ctx.runs.get().without_last());
         let status = response.status();
         log::info!(
             event = "not_run", request = ctx.id(), upstream = &*target.upstream,
@@ -502,6 +499,14 @@
         }
         self.metrics
             .observe_response_head(route.kind, received.head_time);
+        let is_smallest = ctx.meta.any_model && ctx.level.get() == 0;
+        if good
+            && is_smallest
+            && let Some(confidence) = received.meta.confidence
+        {
+            let mut means = self.confidence.borrow_mut();
+            means.observe(&route.name, confidence, self.now());
+        }
         if good && let Some(level) = self.escalation(ctx, resolved, &received.meta) {
             self.count_attempt(resolved, target, "larger_model");
             return AttemptResult::Escalate(level);
@@ -549,7 +554,7 @@
 
     /// Returns how long after the client's request a response of the model at `level` is expected
     /// to begin, or none if no upstream has capacity for it.
-    fn forecast_start(
+    pub(super) fn forecast_start(
         &self,
         ctx: &RequestContext,
         resolved: &ResolvedRoute,
@@ -576,7 +581,7 @@
         meta: &ResponseHeaders,
     ) -> Option<usize> {
         let route = &resolved.route;
-        if !ctx.meta.any_model || ctx.runs.get() >= route.attempts {
+        if !ctx.meta.any_model || !ctx.runs.get().may_repeat(route) {
             return None;
         }
         let answer = cascade::Answer {
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -12,6 +12,7 @@
     request::Fingerprint,
     retry_after::{self, Cause},
     route::{Kind, Route},
+    run::{History, Right},
     suspect::{Subject, Trial},
     time::{Span, Time},
 };
@@ -58,8 +59,8 @@
     pub fingerprint: u64,
     /// Kind of the route, once it is resolved.
     pub kind: Cell<Option<Kind>>,
-    /// Number of attempts that may have run.
-    pub runs: Cell<u32>,
+    /// Attempts that may have run.
+    pub runs: Cell<History>,
     /// Position of the current model among those of the route.
     pub level: Cell<usize>,
     /// Upstreams that were tried and are not chosen again.
@@ -107,7 +108,7 @@
 
     /// Returns the refusal of a request for which no upstream was chosen in time.
     pub(super) fn refuse(&self, cause: Cause, reason: &'static str, now: Time) -> Refusal {
-        if self.runs.get() > 0 {
+        if self.run_count() > 0 {
             Refusal::new(StatusCode::BAD_GATEWAY, reason)
         } else {
             self.retry_later(cause, reason, now)
@@ -119,17 +120,35 @@
         self.refuse(Cause::Unavailable, reason, now)
     }
 
-    /// Records that the request is sent. Its next attempt needs another permit.
-    pub(super) fn begin_attempt(&self) {
-        self.runs.set(self.runs.get() + 1);
+    /// Returns the number of attempts that may have run.
+    pub(super) const fn run_count(&self) -> u32 {
+        self.runs.get().count()
+    }
+
+    /// Records that the request is sent and returns the right to do so, unless it may have run and
+    /// may not run again. Its next attempt needs another permit.
+    pub(super) fn begin_attempt(&self, route: &Route, is_peer: bool) -> Option<Right> {
+        let mut runs = self.runs.get();
+        let right = if is_peer {
+            runs.begin_at_peer(route)
+        } else {
+            runs.begin(route)
+        }?;
+        self.runs.set(runs);
         self.has_begun.set(false);
         self.held_since.set(None);
         self.trial.borrow_mut().take();
+        Some(right)
+    }
+
+    /// Returns the final refusal of a request that may have run and may not run again.
+    pub(super) fn refuse_repeat() -> Refusal {
+        Refusal::new(StatusCode::BAD_GATEWAY, "may have run")
     }
 
     /// Returns the final refusal of a request that crashes upstreams.
     pub(super) fn ban(&self, reason: &'static str) -> Refusal {
-        let status = if self.runs.get() > 0 {
+        let status = if self.run_count() > 0 {
             StatusCode::BAD_GATEWAY
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -152,7 +171,7 @@
 
     /// Returns the refusal of a request whose deadline has passed.
     pub(super) fn timed_out(&self, now: Time) -> Refusal {
-        if self.runs.get() > 0 {
+        if self.run_count() > 0 {
             Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
         } else {
             self.retry_later(Cause::Full, "no upstream in time", now)
--- a/crates/node/src/gateway/forward/hand_over.rs
+++ b/crates/node/src/gateway/forward/hand_over.rs
@@ -166,7 +166,7 @@
         let adapter = self.adapter();
         let mut headers = adapter.peer_headers(&ctx.headers, left, last_event_id);
         strip_hop_headers(&mut headers);
-        headers.insert(HANDED_OVER, HeaderValue::from(ctx.runs.get()));
+        headers.insert(HANDED_OVER, HeaderValue::from(ctx.run_count()));
         headers
     }
 
@@ -186,11 +186,12 @@
         let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
         let sent_at = self.now();
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
-        ctx.begin_attempt();
-        ctx.runs.set(resolved.route.attempts.max(runs + 1));
+        let Some(right) = ctx.begin_attempt(&resolved.route, true) else {
+            return AttemptResult::Refused(RequestContext::refuse_repeat());
+        };
         self.log_sent(ctx, resolved, target);
         let left = ctx.deadline(&resolved.route).since(sent_at);
-        let sent = conn.send(request, self.send_deadline(resolved));
+        let sent = conn.send(request, right, self.send_deadline(resolved));
         let response = match timeout(left.to_std(), sent).await {
             Ok(Ok(response)) => response,
             Ok(Err(Error::NotSent(reason))) => {
@@ -201,7 +202,7 @@
             Ok(Err(Error::OutcomeUnknown(reason))) => {
                 log::info!(
                     event = "lost", request = ctx.id(), upstream = &*target.upstream,
-                    reason, runs;
+                    reason, runs = runs.count();
                     "a peer gave no answer"
                 );
                 let status = StatusCode::BAD_GATEWAY;
@@ -276,7 +277,7 @@
             Err(error) => {
                 log::info!(
                     event = "lost", request = ctx.id(), upstream = &*target.upstream,
-                    reason = error.to_string(), runs = ctx.runs.get();
+                    reason = error.to_string(), runs = ctx.run_count();
                     "a peer gave no complete answer"
                 );
                 let status = StatusCode::BAD_GATEWAY;
--- a/crates/node/src/gateway/forward/inquiry.rs
+++ b/crates/node/src/gateway/forward/inquiry.rs
@@ -97,7 +97,7 @@
         let mut request = Request::new(Full::default());
         *request.headers_mut() = self.adapter().forward_headers(&HeaderMap::new(), &out);
         *request.uri_mut() = path.parse().map_err(io::Error::other)?;
-        let response = conn.send(request, None).await.map_err(io::Error::other)?;
+        let response = conn.check_health(request).await.map_err(io::Error::other)?;
         let meta = self.adapter().parse_response(response.headers());
         Ok((response.status(), meta))
     }
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -155,7 +155,7 @@
                 proxy.record_answer(ctx);
                 log::info!(
                     event = "stream_end", request = ctx.id(), upstream = &*target.upstream,
-                    last_event = events.last_id().unwrap_or(0), runs = ctx.runs.get(),
+                    last_event = events.last_id().unwrap_or(0), runs = ctx.run_count(),
                     waited_ms = proxy.now().since(ctx.received_at).as_millis();
                     "a stream is complete"
                 );
@@ -173,7 +173,7 @@
                 }
                 log::info!(
                     event = "stream_broken", request = ctx.id(), upstream = &*target.upstream,
-                    reason, last_event = events.last_id().unwrap_or(0), runs = ctx.runs.get();
+                    reason, last_event = events.last_id().unwrap_or(0), runs = ctx.run_count();
                     "the stream of an upstream has failed"
                 );
                 proxy.check_crash(ctx, &target).await;
@@ -224,9 +224,7 @@
                 return StreamEnd::Broken(reason);
             }
         }
-        let can_resume = resolved.route.resumable
-            && ctx.runs.get() < resolved.route.attempts
-            && !source.target.is_peer;
+        let can_resume = ctx.runs.get().may_repeat(&resolved.route) && !source.target.is_peer;
         let frame = tokio::select! {
             frame = timeout_at(stall_at, source.body.frame()) => frame,
             () = proxy.cut_off.notified(), if can_resume => {
@@ -289,7 +287,7 @@
         let mut tried = ctx.tried.borrow().clone();
         tried.push(target.upstream.clone());
         let other = self.choose_excluding(ctx, resolved, &tried);
-        let allowed = route.resumable && ctx.runs.get() < route.attempts;
+        let allowed = ctx.runs.get().may_repeat(route);
         if !allowed || !matches!(other, Choice::Upstream(_)) {
             return None;
         }
@@ -366,7 +364,7 @@
     last_event_id: Option<u64>,
 ) -> Result<UpstreamStream, String> {
     loop {
-        if !resolved.route.resumable || ctx.runs.get() >= resolved.route.attempts {
+        if !ctx.runs.get().may_repeat(&resolved.route) {
             return Err("no attempt is left".into());
         }
         let view = proxy.view();
@@ -395,6 +393,10 @@
         if !proxy.may_send(ctx) {
             continue;
         }
+        let runs = ctx.runs.get();
+        let Some(right) = ctx.begin_attempt(&resolved.route, target.is_peer) else {
+            return Err("no attempt is left".into());
+        };
         let (send_by, rejection) = pass.consume();
         let guard = InFlightGuard::begin(
             proxy,
@@ -403,17 +405,11 @@
             ctx.demand(&resolved),
         );
         let request = proxy.build_request(ctx, &resolved, &target, last_event_id);
-        let runs = ctx.runs.get();
-        ctx.begin_attempt();
-        if target.is_peer {
-            // How often the peer sends it is unknown here.
-            ctx.runs.set(resolved.route.attempts.max(runs + 1));
-        }
         proxy.log_sent(ctx, &resolved, &target);
         let deadline = earliest(proxy.send_deadline(&resolved), send_by);
         let left = ctx.deadline(&resolved.route).since(proxy.now());
         let limit = Proxy::retry_timeout(&resolved, left).to_std();
-        let response = match timeout(limit, conn.send(request, deadline)).await {
+        let response = match timeout(limit, conn.send(request, right, deadline)).await {
             Ok(Ok(response)) => response,
             failed => {
                 guard.set_outcome(Outcome::Failed);
--- a/crates/node/src/gateway/handler.rs
+++ b/crates/node/src/gateway/handler.rs
@@ -10,6 +10,7 @@
 use masticlock_core::{
     digest,
     route::{Account, Route, Service},
+    run::History,
     time::Span,
 };
 
@@ -148,7 +149,9 @@
         body,
         meta,
         received_at,
-        runs: Cell::new(handed_over.as_ref().map_or(0, |(runs, _)| *runs)),
+        runs: Cell::new(History::of_count(
+            handed_over.as_ref().map_or(0, |(runs, _)| *runs),
+        )),
         peer_place: handed_over.map(|(_, place)| place),
         ..RequestContext::default()
     };
