Tell sound parts of prompts from guilty ones by answers under way and experiments

Cause: the shared part and the guilty one are charged with the same crashes and are guilty together.

Change: an answer that goes on well past its beginning speaks for its parts. A guilty part is in doubt for requests without the parts that explain its crashes; one of them at a time, over all instances, is the experiment. A ban is lifted once its subject is cleared of all crashes on record, and an upstream has one trial at a time. A line `judged` shows each change of a standing.

--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -22,6 +22,8 @@
     NoLimit,
     /// Sends requests although they crash upstreams.
     NoBan,
+    /// Makes no experiment with parts of prompts that only ran together.
+    NoExperiment,
     /// Ignores how many requests upstreams can reject.
     NoBrittle,
     /// Gives up a transfer that takes longer than half a second.
@@ -46,6 +48,7 @@
             Self::NoQuiet => "no-quiet",
             Self::NoLimit => "no-limit",
             Self::NoBan => "no-ban",
+            Self::NoExperiment => "no-experiment",
             Self::NoBrittle => "no-brittle",
             Self::LimitTransfer => "limit-transfer",
             Self::RestartTransfer => "restart-transfer",
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -1,7 +1,8 @@
 //! Suspects: requests and parts of prompts that may crash upstreams.
 //!
-//! Each crash names what ran on the upstream; complete answers clear what they are about. The
-//! judgement follows from the [`EvidenceSet`] alone. The [`Screen`] of an entry instance of the
+//! Each crash names what ran on the upstream; complete answers, and answers that go on, clear what
+//! they are about. Parts that only ran together can't be told apart by crashes: a request with some
+//! of them, one at a time over all instances, is the experiment that does. The judgement follows from the [`EvidenceSet`] alone. The [`Screen`] of an entry instance of the
 //! gateway applies it to requests and their prompt parts, the [`Tracker`] of a peer to requests.
 //!
 //! The load pattern: requests with one part in common, otherwise all different, arrive dozens of
@@ -9,15 +10,17 @@
 //! and each of them crashes the upstream that begins to answer it.
 
 mod evidence;
+mod progress;
 mod screen;
 
 use serde::{Deserialize, Serialize};
 
 pub use self::{
     evidence::{
-        Answer, Ban, Charge, Crash, EvidenceSet, Message, PART_CRASHES, REQUEST_CRASHES, Standing,
-        Subject, is_permit_name,
+        Answer, Ban, Change, Charge, Crash, EXPERIMENT_PERMIT, EvidenceSet, Message, PART_CRASHES,
+        REQUEST_CRASHES, Standing, Subject, is_permit_name,
     },
+    progress::Progress,
     screen::{Probe, Screen, Trial, is_crash},
 };
 use crate::{
--- a/crates/core/src/suspect/evidence.rs
+++ b/crates/core/src/suspect/evidence.rs
@@ -1,7 +1,12 @@
 //! Crash evidence and the judgement that follows from it.
 
+mod judgement;
+
 use std::sync::Arc;
 
+pub use self::judgement::Change;
+use self::judgement::Judgement;
+
 use crate::{
     limit::Rate,
     request::Fingerprint,
@@ -14,9 +19,6 @@
 /// Crashes at which a part of a prompt is guilty.
 pub const PART_CRASHES: u32 = 3;
 
-/// Crashes that don't count against a part that was answered shortly before the first of them.
-const CRASHES_AFTER_ANSWER: u32 = 3;
-
 /// Time for which a crash counts.
 const RETENTION: Span = Span::from_secs(120);
 
@@ -46,6 +48,10 @@
 /// Prefix of the names under which permits for subjects are requested.
 const PERMIT_PREFIX: &str = "suspect/";
 
+/// Name under which the permit for an experiment is requested: one request, over all instances,
+/// that tells parts apart which ran together.
+pub const EXPERIMENT_PERMIT: &str = "suspect/experiment";
+
 plain! {
     /// What a crash may be due to.
     #[derive(Copy, Eq, PartialOrd, Ord)]
@@ -56,7 +62,7 @@
         Request(Fingerprint),
     }
 
-    /// Which complete answer speaks for a subject.
+    /// Which answer speaks for a subject.
     #[derive(Copy, Eq, PartialOrd, Ord)]
     pub enum Answer {
         /// None.
@@ -137,24 +143,6 @@
     revision: u64,
 }
 
-/// The judgement about a subject that is not clear.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Judgement {
-    subject: Subject,
-    standing: Standing,
-    since: Time,
-}
-
-/// The unexplained crashes of a subject.
-#[derive(Clone, Debug)]
-struct Count {
-    subject: Subject,
-    missing: u32,
-    before: u32,
-    /// Positions of the crashes.
-    crashes: Vec<usize>,
-}
-
 /// All crash evidence that an instance has, and the bans.
 ///
 /// Crashes are merged by upstream and incarnation, charges by subject and bans by round, each to the
@@ -168,6 +156,8 @@
     bans: Vec<KnownBan>,
     /// Sorted by subject.
     judgements: Vec<Judgement>,
+    /// Changes of judgements that were not taken yet.
+    changes: Vec<Change>,
     /// Number of changes.
     revision: u64,
 }
@@ -209,13 +199,6 @@
     }
 }
 
-impl Count {
-    /// Returns the number of crashes that count.
-    const fn total(&self) -> u32 {
-        self.missing + self.before.saturating_sub(CRASHES_AFTER_ANSWER)
-    }
-}
-
 impl EvidenceSet {
     /// Returns the number of changes of the set.
     #[must_use]
@@ -339,13 +322,13 @@
         }
     }
 
-    /// Applies what is known about complete answers to the subjects of all crashes.
+    /// Applies what is known about answers to the subjects of all crashes.
     ///
-    /// `answer` returns which complete answer speaks for a subject that was charged with a crash at
-    /// that time. Returns whether that changed the evidence.
+    /// `answer` returns which answer speaks for the subject of a charge with a crash at that time.
+    /// Returns whether that changed the evidence.
     pub fn apply_answers<F>(&mut self, answer: F, now: Time) -> bool
     where
-        F: Fn(Subject, Time) -> Answer,
+        F: Fn(&Charge, Time) -> Answer,
     {
         let next = self.revision + 1;
         let mut is_new = false;
@@ -354,7 +337,7 @@
                 if charge.answer == Answer::After {
                     continue;
                 }
-                let answer = answer(charge.subject, known.at);
+                let answer = answer(charge, known.at);
                 if answer > charge.answer {
                     charge.answer = answer;
                     known.revision = next;
@@ -375,14 +358,40 @@
         if self.crashes.is_empty() && self.bans.is_empty() {
             return false;
         }
-        let cleared = |subject, _| {
-            if subjects.contains(&subject) {
+        let cleared = |charge: &Charge, _| {
+            if subjects.contains(&charge.subject) {
                 Answer::After
             } else {
                 Answer::Missing
             }
         };
-        let mut is_new = self.apply_answers(cleared, now);
+        let is_new = self.apply_answers(cleared, now);
+        self.lift_bans(subjects, is_new, now)
+    }
+
+    /// Records an answer on the parts that goes on well past the time at which a guilty part crashes
+    /// its upstream. Returns whether that changed the evidence.
+    ///
+    /// It clears the parts of crashes before which no answer on them is known. A part that crashes
+    /// upstreams late has such answers, so the crashes after them count until one is complete.
+    pub fn progressed(&mut self, parts: &[Subject], now: Time) -> bool {
+        if self.crashes.is_empty() && self.bans.is_empty() {
+            return false;
+        }
+        let cleared = |charge: &Charge, _| {
+            if charge.answer == Answer::Missing && parts.contains(&charge.subject) {
+                Answer::After
+            } else {
+                Answer::Missing
+            }
+        };
+        let is_new = self.apply_answers(cleared, now);
+        self.lift_bans(parts, is_new, now)
+    }
+
+    /// Lifts the bans of subjects for which an answer speaks. `is_new` is whether the answer has
+    /// changed the evidence, and so is the result.
+    fn lift_bans(&mut self, subjects: &[Subject], mut is_new: bool, now: Time) -> bool {
         for subject in subjects {
             let lifted = self.ban(*subject).map(|ban| Ban {
                 lifted: true,
@@ -396,6 +405,11 @@
         is_new
     }
 
+    /// Returns the changes of judgements since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Returns the crashes of which a subject was not cleared, as upstreams and incarnations.
     #[must_use]
     pub fn crashes(&self, subject: Subject) -> Vec<(Arc<str>, u64)> {
@@ -446,93 +460,6 @@
         (!known.ban.lifted).then_some(known)
     }
 
-    /// Counts the crashes of all subjects of a kind that no guilty part explains, sorted by subject.
-    fn counts<F>(&self, guilty: &[Subject], of_kind: F) -> Vec<Count>
-    where
-        F: Fn(Subject) -> bool,
-    {
-        let mut counts: Vec<Count> = Vec::new();
-        for (at, known) in self.crashes.iter().enumerate() {
-            let open = known.crash.charges.iter();
-            let open = open.filter(|c| c.answer < Answer::After);
-            let is_cause =
-                |c: &Charge| matches!(c.subject, Subject::Part(_)) && guilty.contains(&c.subject);
-            if open.clone().any(is_cause) {
-                continue;
-            }
-            for charge in open.filter(|c| of_kind(c.subject)) {
-                let found = counts.binary_search_by_key(&charge.subject, |c| c.subject);
-                let slot = found.unwrap_or_else(|slot| {
-                    let empty = Count {
-                        subject: charge.subject,
-                        missing: 0,
-                        before: 0,
-                        crashes: Vec::new(),
-                    };
-                    counts.insert(slot, empty);
-                    slot
-                });
-                let count = &mut counts[slot];
-                count.crashes.push(at);
-                match charge.answer {
-                    Answer::Missing => count.missing += 1,
-                    Answer::Before | Answer::After => count.before += 1,
-                }
-            }
-        }
-        counts
-    }
-
-    /// Judges all subjects anew.
-    ///
-    /// The part with the most crashes explains them for all other subjects. Parts that only ever ran
-    /// together can't be told apart.
-    fn judge(&mut self, now: Time) {
-        let is_part = |s: Subject| matches!(s, Subject::Part(_));
-        let banned = self.bans.iter().filter(|b| !b.ban.lifted);
-        let mut guilty: Vec<Subject> = banned.map(|b| b.ban.subject).collect();
-        let parts = loop {
-            let counts = self.counts(&guilty, is_part);
-            let worst = counts.iter().max_by_key(|c| c.total());
-            let Some(worst) = worst.filter(|w| w.total() >= w.subject.limit()) else {
-                break counts;
-            };
-            let alike = counts
-                .iter()
-                .filter(|c| c.total() == worst.total() && c.crashes == worst.crashes);
-            guilty.extend(alike.map(|c| c.subject));
-        };
-        let requests = self.counts(&guilty, |s| !is_part(s));
-        let mut judgements: Vec<Judgement> = Vec::new();
-        let mut add = |subject, standing| {
-            let known = self
-                .judgements
-                .binary_search_by_key(&subject, |j| j.subject)
-                .map(|at| self.judgements[at]);
-            let since = known.ok().filter(|k| k.standing == standing);
-            judgements.push(Judgement {
-                subject,
-                standing,
-                since: since.map_or(now, |k| k.since),
-            });
-        };
-        for subject in &guilty {
-            add(*subject, Standing::Guilty);
-        }
-        for count in parts.iter().chain(&requests) {
-            if guilty.contains(&count.subject) {
-                continue;
-            }
-            if count.total() >= count.subject.limit() {
-                add(count.subject, Standing::Guilty);
-            } else if count.total() > 0 {
-                add(count.subject, Standing::Suspect);
-            }
-        }
-        judgements.sort_unstable_by_key(|j| j.subject);
-        self.judgements = judgements;
-    }
-
     /// Bans the subjects that have been guilty for some time and returns them.
     pub fn ban_guilty(&mut self, now: Time) -> Vec<Subject> {
         let due = self.judgements.iter().filter(|j| {
@@ -559,6 +486,9 @@
     /// Only the leader of the control instances makes permits, so only it decides on a trial.
     #[must_use]
     pub fn permit_rate(&self, name: &str, round: u64, is_leader: bool, now: Time) -> Option<Rate> {
+        if name == EXPERIMENT_PERMIT {
+            return (!self.is_clear()).then_some(SUSPECT_RATE);
+        }
         let judgement = self
             .judgements
             .iter()
--- a/crates/core/src/suspect/screen.rs
+++ b/crates/core/src/suspect/screen.rs
@@ -1,13 +1,14 @@
 //! Screening of requests by one entry instance of the gateway.
 //!
-//! A guilty part is refused. A suspect one runs by a permit of the control instances' leader, which
-//! hands out one at a time over all instances. Both are checked again right before the request is
+//! A guilty part is refused. A suspect one, or a guilty one in doubt, runs by a permit of the control
+//! instances' leader, which hands out one at a time over all instances. Both are checked again right before the request is
 //! written, whatever it is for: a first attempt, a retry, a larger model or the rest of a stream.
 
 use std::sync::Arc;
 
 use super::evidence::{
-    Answer, Charge, Crash, EvidenceSet, Message, Standing, Subject, is_permit_name,
+    Answer, Change, Charge, Crash, EXPERIMENT_PERMIT, EvidenceSet, Message, Standing, Subject,
+    is_permit_name,
 };
 use crate::{
     fault::Fault,
@@ -15,10 +16,10 @@
     time::{Span, Time},
 };
 
-/// Time after a complete answer on a part for which it speaks for the part.
+/// Time after an answer on a part for which it speaks for the part.
 const ANSWER_MEMORY: Span = Span::from_secs(30);
 
-/// Maximum number of parts whose last complete answers are kept.
+/// Maximum number of parts whose last answers are kept.
 const MAX_ANSWERED: usize = 2_048;
 
 /// Time for which a request's want for a permit counts.
@@ -27,6 +28,9 @@
 /// Maximum number of subjects for which permits are wanted at once.
 const MAX_WANTS: usize = 64;
 
+/// Time for which no second trial is made on an upstream: a crash would tell nothing of either.
+const TRIAL_TIME: Span = Span::from_secs(1);
+
 /// Time for which it is remembered that a connection broke whose upstream's fate is unknown.
 const BREAK_TTL: Span = Span::from_secs(10);
 
@@ -72,16 +76,37 @@
     at: Time,
 }
 
+/// The last answers on a part.
+#[derive(Clone, Copy, Debug)]
+struct Answered {
+    part: u64,
+    /// Time of the last complete answer.
+    complete: Option<Time>,
+    /// Time at which an answer last went on well past its beginning.
+    progress: Option<Time>,
+}
+
+impl Answered {
+    /// Returns the later time of the two.
+    fn last(&self) -> Option<Time> {
+        self.complete.max(self.progress)
+    }
+}
+
 /// The evidence of an entry instance and its permits.
 #[derive(Clone, Debug, Default)]
 pub struct Screen {
     set: EvidenceSet,
-    /// Time of the last complete answer by part, sorted.
-    answered: Vec<(u64, Time)>,
+    /// Sorted by part.
+    answered: Vec<Answered>,
     stock: Stock,
     /// Subjects for which requests want permits, sorted, with the time of the last want.
     wants: Vec<(Subject, Time)>,
+    /// Time of the last want for an experiment.
+    experiment_wanted: Option<Time>,
     breaks: Vec<Break>,
+    /// Upstreams on which trials were made, with their times.
+    trials: Vec<(Arc<str>, Time)>,
 }
 
 impl Screen {
@@ -128,7 +153,7 @@
             self.want(*subject, now);
         }
         if !lacking.is_empty() {
-            return None;
+            return self.try_experiment(subjects, restricted, now);
         }
         let mut until = None;
         for subject in &restricted {
@@ -141,6 +166,34 @@
         })
     }
 
+    /// Takes the permit for an experiment with a request that may be sound and needs more than the
+    /// permit for one suspect part, or records that it is wanted and returns `None`.
+    fn try_experiment(
+        &mut self,
+        subjects: &[Subject],
+        restricted: Vec<Subject>,
+        now: Time,
+    ) -> Option<Trial> {
+        let is_single = restricted.len() == 1 && self.standing(subjects) < Standing::Guilty;
+        if is_single || Fault::NoExperiment.is_injected() || !self.is_in_doubt(subjects) {
+            return None;
+        }
+        let Some(until) = self.stock.take(EXPERIMENT_PERMIT, 0, now) else {
+            self.experiment_wanted = Some(now);
+            return None;
+        };
+        Some(Trial {
+            subjects: restricted,
+            until,
+        })
+    }
+
+    /// Returns whether a request with these subjects may be sound although it is restricted.
+    #[must_use]
+    pub fn is_in_doubt(&self, subjects: &[Subject]) -> bool {
+        self.set.is_in_doubt(subjects)
+    }
+
     fn want(&mut self, subject: Subject, now: Time) {
         match self.wants.binary_search_by_key(&subject, |w| w.0) {
             Ok(at) => self.wants[at].1 = now,
@@ -161,6 +214,19 @@
         self.restricted(subjects).iter().all(is_covered)
     }
 
+    /// Records that a trial is made on an upstream.
+    pub fn begin_trial(&mut self, upstream: &Arc<str>, now: Time) {
+        self.trials.retain(|(_, at)| now.since(*at) < TRIAL_TIME);
+        self.trials.push((upstream.clone(), now));
+    }
+
+    /// Returns the upstreams on which a trial was made a moment ago.
+    pub fn trials(&self, now: Time) -> impl Iterator<Item = &Arc<str>> {
+        let is_recent = move |at: Time| now.since(at) < TRIAL_TIME;
+        let recent = self.trials.iter().filter(move |(_, at)| is_recent(*at));
+        recent.map(|(upstream, _)| upstream)
+    }
+
     /// Returns the permits that this instance wants.
     pub fn permit_wants(&mut self, now: Time) -> Vec<Want> {
         self.wants.retain(|(_, at)| now.since(*at) < WANT_TTL);
@@ -170,7 +236,16 @@
             count: 1,
             demand: Rate::default(),
         };
-        self.wants.iter().map(want).collect()
+        let experiment = self.experiment_wanted;
+        let experiment = experiment
+            .filter(|at| now.since(*at) < WANT_TTL)
+            .map(|_| Want {
+                upstream: EXPERIMENT_PERMIT.into(),
+                incarnation: 0,
+                count: 1,
+                demand: Rate::default(),
+            });
+        self.wants.iter().map(want).chain(experiment).collect()
     }
 
     /// Takes over the permits for subjects among those of an answer to a poll sent at `sent`.
@@ -199,7 +274,7 @@
         subjects.dedup();
         let charge = |subject: &Subject| Charge {
             subject: *subject,
-            answer: self.answer(*subject, now),
+            answer: self.answer(*subject, Answer::Missing, now),
         };
         let crash = Crash {
             upstream: upstream.clone(),
@@ -249,24 +324,33 @@
         }
     }
 
-    /// Returns which complete answer speaks for a subject that was charged with a crash at `at`.
-    fn answer(&self, subject: Subject, at: Time) -> Answer {
+    /// Returns which answer speaks for a subject that was charged with a crash at `at`, if `known`
+    /// did so far.
+    fn answer(&self, subject: Subject, known: Answer, at: Time) -> Answer {
         let Subject::Part(part) = subject else {
             return Answer::Missing;
         };
-        let found = self.answered.binary_search_by_key(&part, |a| a.0);
-        match found.map(|index| self.answered[index].1) {
-            Ok(answered) if answered > at => Answer::After,
-            Ok(answered) if at.since(answered) < ANSWER_MEMORY => Answer::Before,
-            Ok(_) | Err(_) => Answer::Missing,
+        let Ok(index) = self.answered.binary_search_by_key(&part, |a| a.part) else {
+            return Answer::Missing;
+        };
+        let answered = self.answered[index];
+        let is_cleared = answered.complete.is_some_and(|t| t > at)
+            || (known == Answer::Missing && answered.progress.is_some_and(|t| t > at));
+        let is_recent = |t: Option<Time>| t.is_some_and(|t| t > at || at.since(t) < ANSWER_MEMORY);
+        if is_cleared {
+            Answer::After
+        } else if is_recent(answered.last()) {
+            Answer::Before
+        } else {
+            Answer::Missing
         }
     }
 
-    /// Returns whether all parts among the subjects were answered completely a short time ago.
+    /// Returns whether all parts among the subjects were answered a short time ago.
     #[must_use]
     pub fn are_trusted(&self, subjects: &[Subject], now: Time) -> bool {
         let is_trusted = |s: &Subject| match s {
-            Subject::Part(_) => self.answer(*s, now) != Answer::Missing,
+            Subject::Part(_) => self.answer(*s, Answer::Missing, now) != Answer::Missing,
             Subject::Request(_) => true,
         };
         subjects.iter().all(is_trusted)
@@ -276,30 +360,55 @@
     ///
     /// Returns whether that is new evidence.
     pub fn answered(&mut self, subjects: &[Subject], now: Time) -> bool {
+        self.remember(subjects, |answered| answered.complete = Some(now), now);
+        self.set.answered(subjects, now)
+    }
+
+    /// Records an answer to a request with these subjects that goes on well past its beginning.
+    ///
+    /// It speaks for the parts only. Returns whether that is new evidence.
+    pub fn progressed(&mut self, subjects: &[Subject], now: Time) -> bool {
+        let is_part = |s: &&Subject| matches!(s, Subject::Part(_));
+        let parts: Vec<Subject> = subjects.iter().filter(is_part).copied().collect();
+        self.remember(&parts, |answered| answered.progress = Some(now), now);
+        self.set.progressed(&parts, now)
+    }
+
+    /// Calls `set` with the entries of the parts among the subjects.
+    fn remember<F>(&mut self, subjects: &[Subject], set: F, now: Time)
+    where
+        F: Fn(&mut Answered),
+    {
         for subject in subjects {
-            let Subject::Part(part) = subject else {
+            let Subject::Part(part) = *subject else {
                 continue;
             };
-            match self.answered.binary_search_by_key(part, |a| a.0) {
-                Ok(at) => self.answered[at].1 = now,
-                Err(_) => self.remember(*part, now),
+            if let Ok(at) = self.answered.binary_search_by_key(&part, |a| a.part) {
+                set(&mut self.answered[at]);
+                continue;
+            }
+            if self.answered.len() >= MAX_ANSWERED {
+                let is_recent = |t: Time| now.since(t) < ANSWER_MEMORY;
+                self.answered.retain(|a| a.last().is_some_and(is_recent));
+                if self.answered.len() >= MAX_ANSWERED {
+                    continue;
+                }
+            }
+            if let Err(at) = self.answered.binary_search_by_key(&part, |a| a.part) {
+                let mut answered = Answered {
+                    part,
+                    complete: None,
+                    progress: None,
+                };
+                set(&mut answered);
+                self.answered.insert(at, answered);
             }
         }
-        self.set.answered(subjects, now)
     }
 
-    fn remember(&mut self, part: u64, now: Time) {
-        if self.answered.len() >= MAX_ANSWERED {
-            let before = self.answered.len();
-            self.answered
-                .retain(|(_, at)| now.since(*at) < ANSWER_MEMORY);
-            if self.answered.len() == before {
-                return;
-            }
-        }
-        if let Err(at) = self.answered.binary_search_by_key(&part, |a| a.0) {
-            self.answered.insert(at, (part, now));
-        }
+    /// Returns the changes of judgements since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        self.set.take_changes()
     }
 
     /// Merges evidence from a control instance. Returns whether this instance knows more about it,
@@ -310,7 +419,7 @@
         }
         self.set.merge(message, now);
         let mut set = std::mem::take(&mut self.set);
-        let is_new = set.apply_answers(|subject, at| self.answer(subject, at), now);
+        let is_new = set.apply_answers(|c, at| self.answer(c.subject, c.answer, at), now);
         self.set = set;
         is_new
     }
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -7,7 +7,9 @@
 use masticlock_core::{
     limit::{PERMIT_LIFETIME, Permit},
     request::Fingerprint,
-    suspect::{EvidenceSet, Probe, Screen, Standing, Subject, is_crash},
+    suspect::{
+        EXPERIMENT_PERMIT, EvidenceSet, Probe, Progress, Screen, Standing, Subject, is_crash,
+    },
     time::{Span, Time},
 };
 
@@ -132,6 +134,130 @@
     assert_eq!(screen.standing(&[GUILTY]), Standing::Guilty);
 }
 
+/// Records crashes of new upstreams at once under requests that share two parts.
+fn crash_together(screen: &mut Screen, numbers: std::ops::RangeInclusive<u64>, now: Time) {
+    for number in numbers {
+        crash(screen, number, &[SHARED, GUILTY], now);
+    }
+}
+
+/// Guards against a sound part that is refused for good because it only ever ran with a guilty one.
+#[test]
+fn a_sound_request_is_the_experiment_that_tells_parts_apart() {
+    let mut screen = Screen::default();
+    crash_together(&mut screen, 1..=9, at(100));
+    let (sound, guilty) = ([SHARED, RARE, request(20)], [SHARED, GUILTY, request(21)]);
+    assert_eq!(screen.standing(&sound), Standing::Guilty);
+    assert!(screen.is_in_doubt(&sound) && !screen.is_in_doubt(&guilty));
+    assert_eq!(screen.try_out(&guilty, at(150)), None);
+    assert_eq!(screen.try_out(&sound, at(150)), None);
+    let wants = screen.permit_wants(at(160));
+    let count = |name: &str| wants.iter().filter(|w| &*w.upstream == name).count();
+    assert_eq!(count(EXPERIMENT_PERMIT), 1);
+    let experiment = Permit {
+        upstream: EXPERIMENT_PERMIT.into(),
+        ..permit(SHARED)
+    };
+    screen.take_permits(&mut vec![experiment.clone()], at(200), at(210));
+    assert_eq!(
+        screen.try_out(&guilty, at(220)),
+        None,
+        "it is no experiment"
+    );
+    let trial = screen.try_out(&sound, at(220));
+    assert!(screen.may_send(&sound, trial.as_ref(), at(230)));
+    assert!(screen.progressed(&sound, at(1_400)));
+    assert_eq!(screen.standing(&sound), Standing::Clear);
+    assert_eq!(screen.standing(&guilty), Standing::Guilty);
+}
+
+/// Guards against a ban that reaches an instance after the answer that refutes it.
+#[test]
+fn a_ban_of_a_part_that_was_cleared_meanwhile_is_lifted() {
+    let mut entry = Screen::default();
+    crash_together(&mut entry, 1..=3, at(100));
+    let mut control = EvidenceSet::default();
+    control.merge(&entry.set().since(0, at(200)), at(200));
+    entry.progressed(&[SHARED, RARE, request(20)], at(2_150));
+    assert_eq!(control.ban_guilty(at(2_200)).len(), 2);
+    entry.merge(&control.since(0, at(2_250)), at(2_250));
+    assert_eq!(entry.standing(&[SHARED]), Standing::Clear);
+    control.merge(&entry.set().since(0, at(2_300)), at(2_300));
+    assert_eq!(control.standing(SHARED), Standing::Clear);
+    assert_eq!(control.standing(GUILTY), Standing::Guilty);
+}
+
+/// Guards against experiments without end with a part that is the cause.
+#[test]
+fn a_part_that_crashes_experiments_is_in_doubt_no_more() {
+    let mut screen = Screen::default();
+    for number in 1..=9 {
+        crash(&mut screen, number, &[SHARED, GUILTY, SECOND], at(100));
+    }
+    let suspects = [SHARED, GUILTY, request(30)];
+    let mut experiments = 0;
+    while screen.is_in_doubt(&suspects) {
+        experiments += 1;
+        assert!(experiments <= 3, "{experiments}");
+        let now = at(100 + experiments * 1_000);
+        crash(&mut screen, 30 + experiments, &[SHARED, GUILTY], now);
+    }
+    assert!(screen.is_in_doubt(&[SHARED, RARE, request(31)]));
+}
+
+/// Guards against a part that hides behind a shared one, which is in all crashes of two guilty parts.
+#[test]
+fn a_part_in_all_crashes_is_in_doubt_while_others_explain_them() {
+    let mut screen = Screen::default();
+    for number in 1..=4 {
+        let part = if number % 2 == 0 { GUILTY } else { SECOND };
+        crash(&mut screen, number, &[SHARED, part], at(100));
+    }
+    let sound = [SHARED, RARE, request(20)];
+    assert_eq!(screen.standing(&[SHARED]), Standing::Guilty);
+    assert!(screen.is_in_doubt(&sound));
+    screen.progressed(&sound, at(1_300));
+    assert_eq!(screen.standing(&[SHARED]), Standing::Clear);
+    for part in [GUILTY, SECOND] {
+        assert_eq!(screen.standing(&[part]), Standing::Suspect, "two crashes");
+    }
+}
+
+/// Guards against a part that crashes upstreams long after the beginning of an answer, and is cleared
+/// by each of its answers.
+#[test]
+fn an_answer_under_way_clears_no_part_that_had_one_before_its_crashes() {
+    let mut screen = Screen::default();
+    for number in 1..=6 {
+        let now = number * 3_000;
+        screen.progressed(&[GUILTY, request(number)], at(now));
+        crash(&mut screen, number, &[GUILTY], at(now + 500));
+    }
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Guilty);
+}
+
+/// Guards against an answer that speaks for its parts too early: events that were received before a
+/// crash and are read late, and the first events of a slow upstream.
+#[test]
+fn an_answer_speaks_for_its_parts_after_some_events_and_waiting() {
+    let mut read_late = Progress::default();
+    assert!((0..100).all(|_| !read_late.observe(1, Span::ZERO)));
+    let mut slow = Progress::default();
+    assert!((0..2).all(|_| !slow.observe(1, Span::from_millis(1_500))));
+    let mut sound = Progress::default();
+    let reports = (0..100).filter(|_| sound.observe(1, Span::from_millis(75)));
+    assert_eq!(reports.count(), 1, "once");
+}
+
+/// Guards against two trials on one upstream, whose crash would tell nothing of either.
+#[test]
+fn an_upstream_has_one_trial_at_a_time() {
+    let mut screen = Screen::default();
+    screen.begin_trial(&"engine-1".into(), at(100));
+    assert_eq!(screen.trials(at(900)).count(), 1);
+    assert_eq!(screen.trials(at(1_100)).count(), 0);
+}
+
 /// Guards against two guilty parts of which only the first is found.
 #[test]
 fn two_guilty_parts_are_told_apart() {
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -730,6 +730,13 @@
         self.issuer.expire(now);
         self.evidence.expire(now);
         self.detect_new_versions(now);
+        for change in self.evidence.take_changes() {
+            log::warn!(
+                event = "judged", subject:? = change.subject, standing:? = change.standing,
+                missing = change.missing, before = change.before;
+                "crash evidence about a request or a part of prompts has changed its standing"
+            );
+        }
         for subject in self.evidence.ban_guilty(now) {
             log::warn!(
                 event = "banned", subject:? = subject;
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -577,10 +577,21 @@
         tried: &[Arc<str>],
     ) -> Choice {
         let view = self.view();
-        Self::with_criteria(ctx, resolved, tried, |criteria| {
-            let pool = self.pool.borrow();
-            pool.choose(criteria, &view.agreed, self.now())
-        })
+        let choose = |tried: &[Arc<str>]| {
+            Self::with_criteria(ctx, resolved, tried, |criteria| {
+                let pool = self.pool.borrow();
+                pool.choose(criteria, &view.agreed, self.now())
+            })
+        };
+        if ctx.trial.borrow().is_some() {
+            let mut avoided = tried.to_vec();
+            avoided.extend(self.shared.screen().trials(self.now()).cloned());
+            let choice = choose(&avoided);
+            if matches!(choice, Choice::Upstream(_)) {
+                return choice;
+            }
+        }
+        choose(tried)
     }
 
     /// Records once for each attempt that permits are wanted for upstreams with limits.
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -105,7 +105,7 @@
         let demand = ctx.demand(resolved);
         let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + demand.prefill;
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
-        let Some(right) = ctx.begin_attempt(&resolved.route, false) else {
+        let Some(right) = self.begin_attempt(ctx, &resolved.route, target) else {
             return AttemptResult::Refused(RequestContext::refuse_repeat());
         };
         let (send_by, rejection) = pass.consume();
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -125,9 +125,9 @@
         self.runs.get().count()
     }
 
-    /// Records that the request is sent and returns the right to do so, unless it may have run and
-    /// may not run again. Its next attempt needs another permit.
-    pub(super) fn begin_attempt(&self, route: &Route, is_peer: bool) -> Option<Right> {
+    /// Counts an attempt and returns the right to send it, unless the request may have run and may
+    /// not run again.
+    pub(super) fn count_attempt(&self, route: &Route, is_peer: bool) -> Option<Right> {
         let mut runs = self.runs.get();
         let right = if is_peer {
             runs.begin_at_peer(route)
@@ -137,7 +137,6 @@
         self.runs.set(runs);
         self.has_begun.set(false);
         self.held_since.set(None);
-        self.trial.borrow_mut().take();
         Some(right)
     }
 
--- a/crates/node/src/gateway/forward/hand_over.rs
+++ b/crates/node/src/gateway/forward/hand_over.rs
@@ -186,7 +186,7 @@
         let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
         let sent_at = self.now();
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
-        let Some(right) = ctx.begin_attempt(&resolved.route, true) else {
+        let Some(right) = self.begin_attempt(ctx, &resolved.route, target) else {
             return AttemptResult::Refused(RequestContext::refuse_repeat());
         };
         self.log_sent(ctx, resolved, target);
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -10,6 +10,8 @@
 use masticlock_core::{
     placement::{Choice, Outcome, Target},
     rollout::lateness::Pace,
+    suspect::Progress,
+    time::Span,
 };
 use tokio::{
     sync::mpsc,
@@ -212,6 +214,8 @@
     let mut stalls = 0;
     let mut has_events = false;
     let mut pace = Pace::default();
+    let mut progress = Progress::default();
+    let mut waited = Span::ZERO;
     let mut stall_at = Instant::now() + stall;
     loop {
         if Instant::now() >= stall_at {
@@ -225,6 +229,7 @@
             }
         }
         let can_resume = ctx.runs.get().may_repeat(&resolved.route) && !source.target.is_peer;
+        let wait_from = proxy.now();
         let frame = tokio::select! {
             frame = timeout_at(stall_at, source.body.frame()) => frame,
             () = proxy.cut_off.notified(), if can_resume => {
@@ -232,6 +237,7 @@
             }
             () = sender.closed() => return StreamEnd::ClientClosed,
         };
+        waited = waited.plus(proxy.now().since(wait_from));
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return StreamEnd::Broken(error.to_string()),
@@ -262,6 +268,9 @@
             let count = events.last_id().unwrap_or(0).saturating_sub(before);
             let service = &resolved.service.name;
             proxy.record_events(service, &source.target, ctx.level.get(), &mut pace, count);
+            if progress.observe(count, std::mem::take(&mut waited)) {
+                proxy.record_progress(ctx);
+            }
         }
         if sender.send(Ok(complete.bytes)).await.is_err() {
             return StreamEnd::ClientClosed;
@@ -394,7 +403,7 @@
             continue;
         }
         let runs = ctx.runs.get();
-        let Some(right) = ctx.begin_attempt(&resolved.route, target.is_peer) else {
+        let Some(right) = proxy.begin_attempt(ctx, &resolved.route, &target) else {
             return Err("no attempt is left".into());
         };
         let (send_by, rejection) = pass.consume();
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -5,6 +5,8 @@
 use masticlock_core::{
     placement::Target,
     retry_after::Cause,
+    route::Route,
+    run::Right,
     suspect::{Probe, Standing, Subject, is_crash},
     time::Span,
 };
@@ -53,6 +55,7 @@
         }
         drop(trial);
         let trial = screen.try_out(ctx.subjects(), now);
+        let is_in_doubt = screen.is_in_doubt(ctx.subjects());
         drop(screen);
         let has_trial = trial.is_some();
         *ctx.trial.borrow_mut() = trial;
@@ -64,7 +67,7 @@
             );
             return Ok(true);
         }
-        if standing == Standing::Guilty {
+        if standing == Standing::Guilty && !is_in_doubt {
             return Err(ctx.ban("crashes upstreams"));
         }
         let since = ctx.held_since.get().unwrap_or_else(|| {
@@ -87,6 +90,22 @@
             || screen.may_send(ctx.subjects(), ctx.trial.borrow().as_ref(), self.now())
     }
 
+    /// Records that the request is sent and returns the right to do so, unless it may have run and
+    /// may not run again. Its next attempt needs another permit.
+    pub(super) fn begin_attempt(
+        &self,
+        ctx: &RequestContext,
+        route: &Route,
+        target: &Target,
+    ) -> Option<Right> {
+        let right = ctx.count_attempt(route, target.is_peer)?;
+        if ctx.trial.borrow_mut().take().is_some() {
+            let mut screen = self.shared.screen();
+            screen.begin_trial(&target.upstream, self.now());
+        }
+        Some(right)
+    }
+
     /// Records a complete answer, which clears what the request consists of.
     pub(super) fn record_answer(&self, ctx: &RequestContext) {
         if self.shared.screen().answered(ctx.subjects(), self.now()) {
@@ -94,6 +113,17 @@
         }
     }
 
+    /// Records an answer that goes on, which speaks for the parts of the prompt.
+    pub(super) fn record_progress(&self, ctx: &RequestContext) {
+        if self.shared.screen().progressed(ctx.subjects(), self.now()) {
+            log::info!(
+                event = "progress", request = ctx.id(), parts = ctx.part_list();
+                "an answer that goes on speaks for suspect parts of its prompt"
+            );
+            self.shared.poll_wanted.notify_one();
+        }
+    }
+
     /// Returns whether so many upstreams have crashed under the request that it ends.
     pub(super) fn is_crash_limit_reached(ctx: &RequestContext) -> bool {
         ctx.crashes.get() >= MAX_REQUEST_CRASHES
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -336,7 +336,15 @@
         let mut changed = false;
         // Before the state is confirmed: an instance that returns knows the bans before it serves.
         let mut screen = self.shared.screen();
-        if screen.merge(&update.evidence, now) {
+        let is_news = screen.merge(&update.evidence, now);
+        for change in screen.take_changes() {
+            log::debug!(
+                event = "judged", subject:? = change.subject, standing:? = change.standing,
+                missing = change.missing, before = change.before;
+                "crash evidence about a request or a part of prompts has changed its standing"
+            );
+        }
+        if is_news {
             self.shared.poll_wanted.notify_one();
         }
         screen.take_permits(&mut update.permits, sent, now);
--- a/scenario/src/lib.rs
+++ b/scenario/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 pub mod brittle;
+pub mod crash;
 pub mod fan_out;
 pub mod invariant;
 pub mod limit;
