--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -116,6 +116,15 @@
     }
 }
 
+/// Returns the confidence of a model in its answer: any for the smaller one.
+fn confidence(id: &str, model: Option<&str>) -> u64 {
+    if model == Some(testing::SMALL) {
+        id.bytes().map(u64::from).sum::<u64>() * 37 % 101
+    } else {
+        100
+    }
+}
+
 fn wall_ms() -> u64 {
     let passed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     passed.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
@@ -353,6 +362,7 @@
                     &id,
                     None,
                     Some(0),
+                    None,
                     Notice::None,
                 ))
                 .await;
@@ -369,6 +379,7 @@
                     &id,
                     None,
                     Some(0),
+                    None,
                     word,
                 ))
                 .await;
@@ -381,7 +392,7 @@
             if is_rejected {
                 let word = Notice::Brittle(rejects);
                 self.tell(word, &id);
-                let head = testing::encode_response_head(503, &id, None, Some(0), word);
+                let head = testing::encode_response_head(503, &id, None, Some(0), None, word);
                 return out.write_all(&head).await;
             }
         }
@@ -392,6 +403,7 @@
             return Err(io::ErrorKind::InvalidData.into());
         }
         let proof = signature(&id);
+        let confidence = Some(confidence(&id, fields.model.as_deref()));
         let word = if self.departs.get() {
             Notice::Leaving
         } else if let Some(rejects) = self.brittle.get() {
@@ -402,8 +414,9 @@
         if self.service == BOOKINGS {
             sleep(BOOKING).await;
             let text = format!("{id} done");
+            let length = Some(text.len());
             let mut answer =
-                testing::encode_response_head(200, &id, Some(&proof), Some(text.len()), word);
+                testing::encode_response_head(200, &id, Some(&proof), length, confidence, word);
             answer.extend_from_slice(text.as_bytes());
             out.write_all(&answer).await?;
             self.tell(word, &id);
@@ -414,6 +427,7 @@
             &id,
             Some(&proof),
             None,
+            confidence,
             word,
         ))
         .await?;
