--- a/crates/core/src/suspect/screen.rs
+++ b/crates/core/src/suspect/screen.rs
@@ -1,8 +1,9 @@
 //! Screening of requests by one entry instance of the gateway.
 //!
 //! A guilty part is refused. A suspect one, or a guilty one in doubt, runs by a permit of the control
-//! instances' leader, which hands out one at a time over all instances. Both are checked again right before the request is
-//! written, whatever it is for: a first attempt, a retry, a larger model or the rest of a stream.
+//! instances' leader, which hands out one at a time over all instances. Both are checked again right
+//! before the request is written, whatever it is for: a first attempt, a retry, a larger model or
+//! the rest of a stream.
 
 use std::sync::Arc;
 
