Draw the upstream when instances outnumber the slots of a plain service

Cause: 66 instances place 214 requests a second on four upstreams of six slots by loads that are 100 to 300 ms old. All chose the least loaded one, which turned requests away while the others were idle.

Change: placement::crowd draws the upstream in proportion to its expected room by its mean load over a second, the own failure domain first as far as its slots are little used. An upstream that has just turned away a request of this instance comes last. If a slot ends a request or more within the age of the loads, an old load no longer counts as full.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -7,13 +7,14 @@
 //! trip. The loads from other instances are known with a delay; the upstream's own queue absorbs
 //! the resulting error.
 
+mod crowd;
 mod limit;
 mod peer;
 mod rejects;
 
 use std::sync::Arc;
 
-use self::{limit::Passes, peer::Peers};
+use self::{crowd::Crowd, limit::Passes, peer::Peers};
 pub use self::{
     limit::{Pass, Shortage},
     peer::sample_peers,
@@ -201,6 +202,10 @@
     restart: Option<Restart>,
     /// Earliest time of this instance's next request during the cold start.
     next_cold_request: Time,
+    /// Means of its load.
+    mean: crowd::Mean,
+    /// Time at which it last rejected a request of this instance.
+    turned_away_at: Option<Time>,
 }
 
 /// A sign that the process has ended, so that the next one at its address may be cold: a refused
@@ -358,6 +363,9 @@
             let id = &upstream.entry.announcement.upstream;
             let found = totals.loads.binary_search_by(|l| l.upstream.cmp(id));
             upstream.others = found.map_or_else(|_| Load::default(), |at| totals.loads[at].clone());
+            let (others, slots) = (upstream.others.running, upstream.entry.announcement.slots);
+            let busy = slots.min(upstream.running + others);
+            upstream.mean.update(others, busy, now);
         }
     }
 
@@ -473,8 +481,9 @@
             return backoff.map_or(Choice::Unavailable, Choice::Backoff);
         }
         let healthy = healthy(&candidates);
+        let crowd = self.crowd(criteria, &candidates);
         let is_available = |u: &&Upstream| {
-            self.has_capacity(u, criteria, now)
+            self.has_capacity(u, criteria, crowd, now)
                 && (!needs_permits || self.may_be_rejected_by(u, now))
         };
         let available: Vec<_> = healthy.into_iter().filter(is_available).collect();
@@ -484,21 +493,30 @@
         } else {
             candidates = available;
         }
-        self.prefer_local(&mut candidates, criteria, now);
-        let chosen = match criteria.affinity {
-            Some(affinity) => preferred(&candidates, &self.domain, affinity),
-            None => self.least_loaded(&candidates, criteria.draw),
+        self.retain_reachable(&mut candidates, now);
+        let chosen = if crowd.is_some() {
+            self.draw(&candidates, criteria.draw, now)
+        } else {
+            self.prefer_local(&mut candidates, criteria);
+            match criteria.affinity {
+                Some(affinity) => preferred(&candidates, &self.domain, affinity),
+                None => self.least_loaded(&candidates, criteria.draw),
+            }
         };
         chosen.map_or(Choice::Full, |u| Choice::Upstream(u.target()))
     }
 
-    /// Keeps only the candidates of reachable failure domains, and only those of the local one while it
-    /// has enough spare capacity and the shared prefix is short.
-    fn prefer_local(&self, candidates: &mut Vec<&Upstream>, criteria: &Criteria<'_>, now: Time) {
+    /// Keeps only the candidates of reachable failure domains, if there are any.
+    fn retain_reachable(&self, candidates: &mut Vec<&Upstream>, now: Time) {
         let is_reachable = |u: &&Upstream| u.is_local(&self.domain) || !self.is_avoided(u, now);
         if candidates.iter().any(is_reachable) {
             candidates.retain(is_reachable);
         }
+    }
+
+    /// Keeps only the candidates of the local failure domain while it has enough spare capacity and
+    /// the shared prefix is short.
+    fn prefer_local(&self, candidates: &mut Vec<&Upstream>, criteria: &Criteria<'_>) {
         if criteria.affinity.is_some() && criteria.shared_tokens >= GLOBAL_PREFIX_TOKENS {
             return;
         }
@@ -581,12 +599,22 @@
         suitable.filter_map(|u| self.backoff(u, now)).min()
     }
 
-    fn has_capacity(&self, upstream: &Upstream, criteria: &Criteria<'_>, now: Time) -> bool {
+    fn has_capacity(
+        &self,
+        upstream: &Upstream,
+        criteria: &Criteria<'_>,
+        crowd: Option<Crowd>,
+        now: Time,
+    ) -> bool {
         let running = upstream.running + upstream.others.running;
-        let announcement = &upstream.entry.announcement;
+        let slots = upstream.entry.announcement.slots;
         let rejects = self.bounds_of(upstream).rejects;
         let has_memory = criteria.memory_tokens > 0;
-        if running >= rejects::capacity(announcement.slots, has_memory, rejects) {
+        let has_room = match crowd {
+            Some(crowd) if crowd.is_fast && rejects.is_none() => true,
+            _ => running < rejects::capacity(slots, has_memory, rejects),
+        };
+        if !has_room {
             return false;
         }
         #[expect(clippy::cast_precision_loss)]
@@ -910,6 +938,8 @@
             down: None,
             restart: None,
             next_cold_request: Time::ZERO,
+            mean: crowd::Mean::default(),
+            turned_away_at: None,
         }
     }
 
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -304,6 +304,8 @@
         let pool = self.pool.borrow();
         self.metrics
             .set_bounded_upstreams(pool.limited(), pool.brittle());
+        self.metrics
+            .set_crowded_services(pool.crowded_services().len());
         drop(pool);
         self.metrics.text()
     }
@@ -484,6 +486,9 @@
                 AttemptResult::ConnectFailed => ctx.mark_tried(&target.upstream, self.now())?,
                 AttemptResult::Held => {}
                 AttemptResult::NotRun => {
+                    let mut pool = self.pool.borrow_mut();
+                    pool.turned_away(&target.upstream, self.now());
+                    drop(pool);
                     ctx.mark_tried(&target.upstream, self.now())?;
                     if !self.with_budget(&resolved.service.name, |b| b.withdraw(self.now())) {
                         return Err(ctx.give_up("no retry budget", self.now()));
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -80,6 +80,7 @@
     limited_attempts: Counter,
     brittle_upstreams: Gauge,
     brittle_rejections: Counter,
+    crowded_services: Gauge,
     crashes: Counter,
     configuration: ConfigurationMetrics,
 }
@@ -162,6 +163,12 @@
             "Requests sent to upstreams that have stated a limit",
             limited_attempts.clone(),
         );
+        let crowded_services = Gauge::default();
+        registry.register(
+            "crowded_services",
+            "Services with fewer slots than entry instances, whose upstreams are drawn",
+            crowded_services.clone(),
+        );
         let (brittle_upstreams, brittle_rejections) = (Gauge::default(), Counter::default());
         registry.register(
             "brittle_upstreams",
@@ -193,6 +200,7 @@
             limited_attempts,
             brittle_upstreams,
             brittle_rejections,
+            crowded_services,
             crashes,
             configuration,
         }
@@ -281,6 +289,11 @@
         self.brittle_upstreams.set(saturating_i64(brittle));
     }
 
+    /// Sets the number of services with fewer slots than entry instances.
+    pub fn set_crowded_services(&self, count: usize) {
+        self.crowded_services.set(saturating_i64(count));
+    }
+
     /// Returns all metrics as text.
     #[must_use]
     pub fn text(&self) -> String {
