--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -5,6 +5,10 @@
 //! threshold falls as the upstreams slow down, because the time of a larger model is then taken from
 //! other requests. An available answer is never dropped for one that is likely to be late.
 //!
+//! Where the routes of a service differ in rank, the threshold also falls as its slots run out, and
+//! it falls first for requests that take much and are less urgent: a burst of long prompts of the
+//! last rank must not take the slots in which short urgent ones would be answered.
+//!
 //! The answer to a request that may run only once is final. The recent confidence of the smallest
 //! model on its route then takes the place of the answer's own, before the first run.
 
@@ -28,6 +32,12 @@
         self.confidence
             * ((self.zero_at - pressure) / (self.zero_at - self.falls_from)).clamp(0.0, 1.0)
     }
+
+    /// Returns how far the pressure is on the way from where the threshold falls (0) to where it is
+    /// 0 (1 and more).
+    fn scarcity(self, pressure: f64) -> f64 {
+        (pressure - self.falls_from) / (self.zero_at - self.falls_from)
+    }
 }
 
 /// Confidence below which the largest model is asked.
@@ -40,6 +50,14 @@
     zero_at: 0.4,
 };
 
+/// Share of the slots in use above which the threshold falls: with more, a burst to twice the load
+/// fills them all.
+const UTILIZATION_FALLS_FROM: f64 = 0.5;
+
+/// Part of the way from spare to no capacity over which the threshold of one request falls: of three
+/// ranks, each has yielded before the next one begins to.
+const FALL_WIDTH: f64 = 1.0 / 3.0;
+
 /// Percentage of the latency objective within which a larger model's answer must be expected to
 /// start. The rest covers the error of the forecast.
 const TIMELY_PERCENT: u64 = 80;
@@ -52,6 +70,10 @@
 /// tried again.
 const CONFIDENCE_DECAY: Span = Span::from_secs(10);
 
+/// Time constant of the exponential decay of the mean work: some hundreds of a busy instance's
+/// requests.
+const WORK_DECAY: Span = Span::from_secs(10);
+
 /// Weight of the prior that the upstreams are fast and the smallest model is confident, in answers.
 const PRIOR_WEIGHT: f64 = 0.5;
 
@@ -118,6 +140,14 @@
         mean.weight += 1.0;
     }
 
+    /// Returns the mean of the observed values without a prior, or none before the first one.
+    fn mean(&self, name: &str) -> Option<f64> {
+        let found = self.entries.binary_search_by(|(n, _)| (**n).cmp(name));
+        found
+            .ok()
+            .map(|at| self.entries[at].1.sum / self.entries[at].1.weight)
+    }
+
     fn of(&self, name: &str, now: Time) -> f64 {
         let found = self.entries.binary_search_by(|(n, _)| (**n).cmp(name));
         found.map_or(self.prior, |at| {
@@ -175,6 +205,53 @@
     }
 }
 
+/// The recent work of runs of the largest model, by service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work(Means);
+
+impl Default for Work {
+    fn default() -> Self {
+        Self(Means::new(WORK_DECAY, 0.0))
+    }
+}
+
+impl Work {
+    /// Records what a run of the largest model takes for a request, and returns it relative to the
+    /// mean of the service's requests.
+    #[expect(clippy::cast_precision_loss)]
+    pub fn observe(&mut self, service: &Arc<str>, work: u64, now: Time) -> f64 {
+        self.0.observe(service, work as f64, now);
+        work as f64 / self.0.mean(service).unwrap_or_default().max(1.0)
+    }
+}
+
+/// How a request compares with the others that compete for the slots of its service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Contention {
+    /// Share of the service's slots in use.
+    pub utilization: f64,
+    /// Position of the request's rank among those of the service's routes, from 0 (most urgent) to 1.
+    pub rank: f64,
+    /// Work of a run of the largest model relative to the mean of the service's requests.
+    pub work: f64,
+}
+
+impl Contention {
+    /// Returns how early the request yields to others, from 0 (last) to 1 (first).
+    fn yielding(self) -> f64 {
+        let work = self.work / (1.0 + self.work);
+        self.rank.midpoint(work).clamp(0.0, 1.0)
+    }
+
+    /// Returns the threshold of the request.
+    fn threshold(self, pressure: f64) -> f64 {
+        let of_slots = (self.utilization - UTILIZATION_FALLS_FROM) / (1.0 - UTILIZATION_FALLS_FROM);
+        let scarcity = ESCALATION.scarcity(pressure).max(of_slots);
+        let zero_at = 1.0 - self.yielding() * (1.0 - FALL_WIDTH);
+        ESCALATION.confidence * ((zero_at - scarcity) / FALL_WIDTH).clamp(0.0, 1.0)
+    }
+}
+
 /// The inputs of the decision, known once the head of an answer has arrived.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Answer {
@@ -186,6 +263,8 @@
     pub models: usize,
     /// Mean time to the first event as a fraction of the objective.
     pub pressure: f64,
+    /// `None` if the routes of the service have the same rank.
+    pub contention: Option<Contention>,
 }
 
 /// Returns the index of the model that is to answer instead, or `None` if the answer is kept.
@@ -197,23 +276,28 @@
         return None;
     }
     let confidence = f64::from(answer.confidence?);
-    is_unsure(confidence, answer.pressure).then_some(largest)
+    is_unsure(confidence, answer.pressure, answer.contention).then_some(largest)
 }
 
 /// Returns the index of the model that is to answer a request that runs only once.
 ///
 /// `confidence` is the mean confidence of the smallest model on the route.
 #[must_use]
-pub fn only_level(confidence: f64, models: usize, pressure: f64) -> usize {
-    if is_unsure(confidence, pressure) {
+pub fn only_level(
+    confidence: f64,
+    models: usize,
+    pressure: f64,
+    contention: Option<Contention>,
+) -> usize {
+    if is_unsure(confidence, pressure, contention) {
         models.saturating_sub(1)
     } else {
         0
     }
 }
 
-fn is_unsure(confidence: f64, pressure: f64) -> bool {
-    confidence < ESCALATION.at(pressure)
+fn is_unsure(confidence: f64, pressure: f64, contention: Option<Contention>) -> bool {
+    confidence < contention.map_or_else(|| ESCALATION.at(pressure), |c| c.threshold(pressure))
 }
 
 /// Returns whether an answer that is expected to start `delay` after the caller's request is likely
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -388,6 +388,34 @@
         services
     }
 
+    /// Returns the share of a service's slots in use, at the upstreams of the local failure domain
+    /// if it has enough of them: only their loads are always known. It is above 1 while requests
+    /// wait at the upstreams, and 1 if no upstream is usable.
+    #[must_use]
+    pub fn utilization(&self, service: &str, now: Time) -> f64 {
+        let is_usable = |u: &&Upstream| {
+            let announcement = &u.entry.announcement;
+            *announcement.service == *service
+                && u.is_ready()
+                && u.down.is_none_or(|d| now >= d.until)
+                && !self
+                    .notices
+                    .is_leaving(&announcement.upstream, announcement.incarnation)
+        };
+        let usable = self.upstreams.iter().filter(is_usable);
+        let local = usable.clone().filter(|u| u.is_local(&self.domain));
+        let has_local = local.count() >= MIN_LOCAL_UPSTREAMS;
+        let (mut slots, mut running) = (0, 0);
+        for upstream in usable.filter(|u| !has_local || u.is_local(&self.domain)) {
+            slots += upstream.entry.announcement.slots;
+            running += upstream.running + upstream.others.running;
+        }
+        if slots == 0 {
+            return 1.0;
+        }
+        f64::from(running) / f64::from(slots)
+    }
+
     /// Returns this instance's loads by upstream.
     #[must_use]
     pub fn loads(&mut self, now: Time) -> Vec<Load> {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -167,6 +167,8 @@
     routes: Vec<Arc<Route>>,
     /// Sorted by name.
     services: Vec<Arc<Service>>,
+    /// Lowest and highest priority among the routes of each service, in the order of `services`.
+    ranks: Vec<(u8, u8)>,
     /// Sorted by key.
     keys: Vec<(Arc<str>, Arc<Account>)>,
     has_accounts: bool,
@@ -212,9 +214,11 @@
                 pair[1].1.name.clone(),
             ));
         }
+        let ranks = services.iter().map(|s| ranks_of(&s.name, &routes));
         Ok(Self {
             revision: raw.revision,
             limits: raw.limits,
+            ranks: ranks.collect(),
             routes,
             services,
             has_accounts: !accounts.is_empty(),
@@ -244,6 +248,18 @@
     }
 }
 
+/// Returns the lowest and the highest priority among the routes of a service.
+fn ranks_of(service: &str, routes: &[Arc<Route>]) -> (u8, u8) {
+    let has_share = |r: &&Arc<Route>| {
+        r.shares
+            .iter()
+            .any(|s| *s.service == *service && s.weight > 0)
+    };
+    let ranks = routes.iter().filter(has_share).map(|r| r.priority);
+    let lowest = ranks.clone().min().unwrap_or_default();
+    (lowest, ranks.max().unwrap_or_default())
+}
+
 impl Table {
     /// Returns the revision number that the operator assigned.
     #[must_use]
@@ -272,6 +288,18 @@
         found.ok().map(|at| &self.services[at])
     }
 
+    /// Returns the position of a priority among those of the service's routes, from 0 (highest
+    /// priority) to 1 (lowest), or none if all its routes have the same.
+    #[must_use]
+    pub fn relative_rank(&self, service: &str, priority: u8) -> Option<f64> {
+        let found = self.services.binary_search_by(|s| (*s.name).cmp(service));
+        let (lowest, highest) = self.ranks[found.ok()?];
+        let range = highest.checked_sub(lowest).filter(|range| *range > 0)?;
+        // The priority of a client account may be outside of the range.
+        let position = priority.clamp(lowest, highest) - lowest;
+        Some(f64::from(position) / f64::from(range))
+    }
+
     /// Returns the services, sorted by name.
     #[must_use]
     pub fn services(&self) -> &[Arc<Service>] {
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -22,6 +22,7 @@
         level: 0,
         models: 3,
         pressure,
+        contention: None,
     }
 }
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -631,3 +631,21 @@
         "its prefill was already complete"
     );
 }
+
+/// Guards against spare capacity that is counted at upstreams that take no requests, or at those of
+/// other failure domains, whose loads may be unknown.
+#[test]
+fn utilization_counts_the_slots_of_usable_upstreams() {
+    let directory = warm_upstreams(8);
+    let mut pool = pool(1, &directory);
+    assert!(pool.utilization("engines", NOW) <= 0.0);
+    assert!(pool.utilization("other", NOW) >= 1.0);
+    let target = match pool.choose(&criteria(Some(1)), &State::default(), NOW) {
+        Choice::Upstream(target) => target,
+        other => panic!("{other:?}"),
+    };
+    pool.begin(&target.upstream, Demand::default(), NOW);
+    assert!(pool.utilization("engines", NOW) > 0.0);
+    pool.mark_leaving(&target, NOW);
+    assert!(pool.utilization("engines", NOW) <= 0.0);
+}
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -155,3 +155,27 @@
         assert_eq!(route.is_repeatable(), expected, "{kind:?} {resumable}");
     }
 }
+
+/// Guards against ranks of other services' routes, and against a difference where all routes of the
+/// service have the same rank.
+#[test]
+fn ranks_are_relative_to_those_of_the_service() {
+    let ranked = |name: &str, service: &str, priority: u8| Route {
+        priority,
+        shares: vec![Share {
+            service: service.into(),
+            weight: 1,
+        }],
+        ..route(name, &format!("/{name}/"))
+    };
+    let routes = vec![
+        ranked("a", "one", 1),
+        ranked("b", "one", 3),
+        ranked("c", "two", 9),
+    ];
+    let table = Table::try_from(raw(routes)).unwrap();
+    let of_one = [0, 1, 2, 3, 9].map(|priority| table.relative_rank("one", priority));
+    assert_eq!(of_one, [0.0, 0.0, 0.5, 1.0, 1.0].map(Some));
+    assert_eq!(table.relative_rank("two", 9), None);
+    assert_eq!(table.relative_rank("three", 9), None);
+}
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Request forwarding: routing, selection of an upstream, attempts and retries.
 
 mod attempt;
+mod cascading;
 mod context;
 mod hand_over;
 mod in_flight;
@@ -19,7 +20,7 @@
 
 use hyper::{Response, StatusCode};
 use masticlock_core::{
-    cascade::{self, Confidence, Pressure},
+    cascade::{Confidence, Pressure, Work},
     digest,
     fault::Fault,
     forecast::Forecast,
@@ -117,6 +118,8 @@
     mean_head_times: RefCell<Vec<(Arc<str>, f64)>>,
     pressure: RefCell<Pressure>,
     confidence: RefCell<Confidence>,
+    /// What runs of the largest models take.
+    large_work: RefCell<Work>,
     forecast: RefCell<Forecast>,
     /// Answers of the stable versions.
     reference: RefCell<Reference>,
@@ -166,6 +169,7 @@
             mean_head_times: RefCell::default(),
             pressure: RefCell::default(),
             confidence: RefCell::default(),
+            large_work: RefCell::default(),
             forecast: RefCell::default(),
             reference: RefCell::default(),
             reach: RefCell::default(),
@@ -444,25 +448,6 @@
         );
     }
 
-    /// Chooses the model of a request that can't be sent to a larger one after its first answer.
-    fn choose_only_model(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
-        let route = &resolved.route;
-        if !ctx.meta.any_model || (route.is_repeatable() && route.attempts > 1) {
-            return;
-        }
-        let now = self.now();
-        let confidence = self.confidence.borrow().of(&route.name, now);
-        let pressure = self.pressure.borrow().of(&resolved.service.name, now);
-        let level = cascade::only_level(confidence, route.models.len(), pressure);
-        if level == 0 {
-            return;
-        }
-        let begin = self.forecast_start(ctx, resolved, level);
-        if begin.is_some_and(|begin| cascade::is_timely(begin, route.objective)) {
-            ctx.level.set(level);
-        }
-    }
-
     /// Sends the request to one upstream after another until one responds or no attempt is left.
     async fn try_upstreams(
         self: Rc<Self>,
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -9,10 +9,9 @@
     header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
 };
 use masticlock_core::{
-    cascade,
     fault::Fault,
     limit::{Bounds, Rate, Statement},
-    placement::{Choice, Failure, Outcome, Target},
+    placement::{Failure, Outcome, Target},
     rollout::lateness::{Measure, micros},
     route::Kind,
     time::{Span, Time},
@@ -552,65 +551,6 @@
         }
     }
 
-    /// Returns how long after the client's request a response of the model at `level` is expected
-    /// to begin, or none if no upstream has capacity for it.
-    pub(super) fn forecast_start(
-        &self,
-        ctx: &RequestContext,
-        resolved: &ResolvedRoute,
-        level: usize,
-    ) -> Option<Span> {
-        let (choice, own) = ctx.with_level(level, || {
-            (self.choose(ctx, resolved), ctx.demand(resolved).prefill)
-        });
-        let Choice::Upstream(target) = choice else {
-            return None;
-        };
-        let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + own;
-        let forecast = self.forecast.borrow();
-        let wait = forecast.time_to_first_token(&resolved.service.name, queued_prefill);
-        Some(self.now().since(ctx.received_at).plus(wait))
-    }
-
-    /// Returns the position of the larger model that is to answer instead, if the cascade asks for
-    /// it and time and retry budget allow it.
-    fn escalation(
-        &self,
-        ctx: &RequestContext,
-        resolved: &ResolvedRoute,
-        meta: &ResponseHeaders,
-    ) -> Option<usize> {
-        let route = &resolved.route;
-        if !ctx.meta.any_model || !ctx.runs.get().may_repeat(route) {
-            return None;
-        }
-        let answer = cascade::Answer {
-            confidence: meta.confidence,
-            level: ctx.level.get(),
-            models: route.models.len(),
-            pressure: self
-                .pressure
-                .borrow()
-                .of(&resolved.service.name, self.now()),
-        };
-        let level = cascade::escalation(&answer)?;
-        let begin = self.forecast_start(ctx, resolved, level)?;
-        if !cascade::is_timely(begin, route.objective) {
-            log::debug!(
-                event = "cascade", request = ctx.id(), level, begin_ms = begin.as_millis();
-                "a larger model would answer too late"
-            );
-            return None;
-        }
-        let allowed = self.with_budget(&resolved.service.name, |b| b.withdraw_optional(self.now()));
-        log::debug!(
-            event = "cascade", request = ctx.id(), level, allowed,
-            confidence = answer.confidence.unwrap_or_default(), pressure = answer.pressure;
-            "a larger model is wanted"
-        );
-        allowed.then_some(level)
-    }
-
     /// Returns whether a response head took much longer than the mean, and updates the mean.
     fn observe_head_time(&self, route: &Arc<str>, head_time: Span) -> bool {
         #[expect(clippy::cast_precision_loss)]
--- /dev/null
+++ b/crates/node/src/gateway/forward/cascading.rs
@@ -0,0 +1,114 @@
+//! Choice of the model that answers a request.
+
+use masticlock_core::{
+    cascade::{self, Contention},
+    placement::Choice,
+    time::Span,
+};
+
+use super::{Proxy, RequestContext};
+use crate::gateway::{adapter::ResponseHeaders, handler::ResolvedRoute};
+
+impl Proxy {
+    /// Chooses the model of a request that can't be sent to a larger one after its first answer.
+    pub(super) fn choose_only_model(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
+        let route = &resolved.route;
+        if !ctx.meta.any_model || (route.is_repeatable() && route.attempts > 1) {
+            return;
+        }
+        let now = self.now();
+        let confidence = self.confidence.borrow().of(&route.name, now);
+        let pressure = self.pressure.borrow().of(&resolved.service.name, now);
+        let contention = self.contention(ctx, resolved);
+        let level = cascade::only_level(confidence, route.models.len(), pressure, contention);
+        if level == 0 {
+            return;
+        }
+        let begin = self.forecast_start(ctx, resolved, level);
+        if begin.is_some_and(|begin| cascade::is_timely(begin, route.objective)) {
+            ctx.level.set(level);
+        }
+    }
+
+    /// Returns the position of the larger model that is to answer instead, if the cascade asks for
+    /// it and time and retry budget allow it.
+    pub(super) fn escalation(
+        &self,
+        ctx: &RequestContext,
+        resolved: &ResolvedRoute,
+        meta: &ResponseHeaders,
+    ) -> Option<usize> {
+        let route = &resolved.route;
+        if !ctx.meta.any_model || ctx.level.get() > 0 || !ctx.runs.get().may_repeat(route) {
+            return None;
+        }
+        let answer = cascade::Answer {
+            confidence: meta.confidence,
+            level: ctx.level.get(),
+            models: route.models.len(),
+            pressure: self
+                .pressure
+                .borrow()
+                .of(&resolved.service.name, self.now()),
+            contention: self.contention(ctx, resolved),
+        };
+        let level = cascade::escalation(&answer)?;
+        let begin = self.forecast_start(ctx, resolved, level)?;
+        if !cascade::is_timely(begin, route.objective) {
+            log::debug!(
+                event = "cascade", request = ctx.id(), level, begin_ms = begin.as_millis();
+                "a larger model would answer too late"
+            );
+            return None;
+        }
+        let allowed = self.with_budget(&resolved.service.name, |b| b.withdraw_optional(self.now()));
+        log::debug!(
+            event = "cascade", request = ctx.id(), level, allowed,
+            confidence = answer.confidence.unwrap_or_default(), pressure = answer.pressure,
+            utilization = answer.contention.map_or(0.0, |c| c.utilization),
+            work = answer.contention.map_or(0.0, |c| c.work);
+            "a larger model is wanted"
+        );
+        allowed.then_some(level)
+    }
+
+    /// Returns how the request compares with the others of its service, or none if the routes of
+    /// the service have the same rank or the request has no larger model.
+    fn contention(&self, ctx: &RequestContext, resolved: &ResolvedRoute) -> Option<Contention> {
+        let largest = resolved.route.models.len().checked_sub(1)?;
+        if largest == 0 {
+            return None;
+        }
+        let service = &resolved.service.name;
+        let view = self.shared.view.load();
+        let table = view.table.as_ref()?;
+        let rank = table.relative_rank(service, resolved.priority())?;
+        let now = self.now();
+        let work = ctx.with_level(largest, || ctx.demand(resolved).work);
+        Some(Contention {
+            utilization: self.pool.borrow().utilization(service, now),
+            rank,
+            work: self.large_work.borrow_mut().observe(service, work, now),
+        })
+    }
+
+    /// Returns how long after the client's request a response of the model at `level` is expected
+    /// to begin, or none if no upstream has capacity for it.
+    fn forecast_start(
+        &self,
+        ctx: &RequestContext,
+        resolved: &ResolvedRoute,
+        level: usize,
+    ) -> Option<Span> {
+        let (choice, own) = ctx.with_level(level, || {
+            (self.choose(ctx, resolved), ctx.demand(resolved).prefill)
+        });
+        let Choice::Upstream(target) = choice else {
+            return None;
+        };
+        let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + own;
+        let forecast = self.forecast.borrow();
+        let wait = forecast.time_to_first_token(&resolved.service.name, queued_prefill);
+        Some(self.now().since(ctx.received_at).plus(wait))
+    }
+}
