Weigh what an upstream holds of a prompt against the wait there

Each entry instance of a large deployment sees one or two percent of the requests. The bound on the load moved a prompt away from the upstream that holds it whenever a few requests coincided, and each move cost another prefill of the shared parts.

An entry instance now records what it has sent where, takes the rank in the hash order for what other instances have sent, and compares the wait, the prefill that is left, what that evicts and the link for the first upstreams in hash order. The existing tests only get the new field of the criteria.

--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -58,6 +58,16 @@
         };
     }
 
+    /// Returns the observed milliseconds of prefill per weighted token, or 0 if nothing was observed.
+    #[must_use]
+    pub fn token_ms(&self, service: &str) -> f64 {
+        let found = self.services.binary_search_by(|(s, _)| (**s).cmp(service));
+        found.map_or(0.0, |at| {
+            let rate = self.services[at].1;
+            rate.millis / (rate.tokens + PRIOR_TOKENS)
+        })
+    }
+
     /// Returns the expected time until an answer starts that has to wait for `prefill` weighted
     /// tokens.
     #[must_use]
@@ -67,11 +77,7 @@
         clippy::cast_sign_loss
     )]
     pub fn time_to_first_token(&self, service: &Arc<str>, prefill: u64) -> Span {
-        let found = self.services.binary_search_by(|(s, _)| s.cmp(service));
-        found.map_or(Span::ZERO, |at| {
-            let rate = self.services[at].1;
-            let millis = prefill as f64 * rate.millis / (rate.tokens + PRIOR_TOKENS);
-            Span::from_millis(millis as u64)
-        })
+        let millis = prefill as f64 * self.token_ms(service);
+        Span::from_millis(millis as u64)
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod placement;
 pub mod planner;
 pub mod policy;
+pub mod prompt_cache;
 pub mod reach;
 pub mod replicated;
 pub mod report;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -7,34 +7,30 @@
 //! trip. The loads from other instances are known with a delay; the upstream's own queue absorbs
 //! the resulting error.
 
+mod affinity;
 mod limit;
 mod peer;
 mod rejects;
 
 use std::sync::Arc;
 
-use self::{limit::Passes, peer::Peers};
 pub use self::{
+    affinity::{Expectation, Prompt},
     limit::{Pass, Shortage},
     peer::sample_peers,
     rejects::{ACCEPTANCE_TIME, RejectPermit},
 };
+use self::{limit::Passes, peer::Peers};
 use crate::{
     digest,
     fleet::{Entry, Phase},
     limit::Bounds,
-    notice,
+    notice, prompt_cache,
     replicated::{Eligibility, State},
     report::{Load, Totals},
     time::{Span, Time},
 };
 
-/// Factor on the mean load up to which an upstream is preferred over the next one in hash order.
-const LOAD_FACTOR: f64 = 1.25;
-
-/// Load that is always allowed in addition to [`LOAD_FACTOR`] times the mean, in requests.
-const LOAD_SLACK: f64 = 3.0;
-
 /// Work that counts as one request in a comparison of loads, in tokens of the largest model.
 const WORK_PER_REQUEST: f64 = 4_000.0;
 
@@ -100,6 +96,8 @@
     pub affinity: Option<u64>,
     /// Tokens of the shared prefix.
     pub shared_tokens: u64,
+    /// The prompt; empty for plain services.
+    pub prompt: Prompt<'a>,
     /// Number from 0 to 999 that assigns the request to a canary if it is below the canary's share.
     pub draw: u16,
     /// Prompt and output tokens.
@@ -182,6 +180,8 @@
 #[derive(Clone, Debug)]
 struct Upstream {
     entry: Entry,
+    /// When its incarnation was first listed, or zero if that was before this instance started.
+    since: Time,
     /// Running requests of this instance, and their demand.
     running: u32,
     tokens: u64,
@@ -263,6 +263,7 @@
     /// Whether this instance has lost its way to all upstreams.
     is_cut_off: bool,
     peers: Peers,
+    prompts: prompt_cache::Store,
     upstreams: Vec<Upstream>,
 }
 
@@ -282,6 +283,7 @@
             has_limits: false,
             is_cut_off: false,
             peers: Peers::default(),
+            prompts: prompt_cache::Store::default(),
             upstreams: Vec::new(),
         }
     }
@@ -289,6 +291,7 @@
     /// Updates the pool from the directory's records, which are sorted by identity.
     pub fn update(&mut self, entries: &[Entry], now: Time) {
         let old = std::mem::take(&mut self.upstreams);
+        let since = if old.is_empty() { Time::ZERO } else { now };
         let mut old = old.into_iter().peekable();
         for entry in entries {
             while old
@@ -303,6 +306,7 @@
                         known.entry.announcement.incarnation != entry.announcement.incarnation;
                     if restarted {
                         (known.ok, known.failed) = (0.0, 0.0);
+                        known.since = now;
                     }
                     if known.entry.silent && !entry.silent {
                         known.down = None;
@@ -318,7 +322,7 @@
                     known.entry = entry.clone();
                     known
                 }
-                None => Upstream::new(entry.clone(), now),
+                None => Upstream::new(entry.clone(), since, now),
             };
             let incarnation = upstream.entry.announcement.incarnation;
             self.notices
@@ -486,7 +490,7 @@
         }
         self.prefer_local(&mut candidates, criteria, now);
         let chosen = match criteria.affinity {
-            Some(affinity) => preferred(&candidates, &self.domain, affinity),
+            Some(affinity) => self.choose_by_affinity(&candidates, criteria, affinity, now),
             None => self.least_loaded(&candidates, criteria.draw),
         };
         chosen.map_or(Choice::Full, |u| Choice::Upstream(u.target()))
@@ -896,9 +900,10 @@
 }
 
 impl Upstream {
-    fn new(entry: Entry, now: Time) -> Self {
+    fn new(entry: Entry, since: Time, now: Time) -> Self {
         Self {
             entry,
+            since,
             running: 0,
             tokens: 0,
             work: 0,
@@ -1010,33 +1015,3 @@
         healthy
     }
 }
-
-/// Returns the first upstream in the rendezvous order of the affinity key whose load is within the
-/// bound, or the first of all if none is.
-///
-/// The bound refers to the mean of the local failure domain, whose loads are always known, unless it
-/// has fewer than [`MIN_LOCAL_UPSTREAMS`] candidates.
-fn preferred<'a>(candidates: &[&'a Upstream], domain: &str, affinity: u64) -> Option<&'a Upstream> {
-    let mut order: Vec<_> = candidates
-        .iter()
-        .map(|u| {
-            (
-                digest::mix(digest::of(u.entry.announcement.upstream.as_bytes()) ^ affinity),
-                *u,
-            )
-        })
-        .collect();
-    order.sort_unstable_by_key(|(rank, _)| *rank);
-    let local = candidates.iter().filter(|u| u.is_local(domain));
-    let local: Vec<f64> = local.map(|u| u.load_score()).collect();
-    let loads = if local.len() < MIN_LOCAL_UPSTREAMS {
-        candidates.iter().map(|u| u.load_score()).collect()
-    } else {
-        local
-    };
-    #[expect(clippy::cast_precision_loss)]
-    let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
-    let bound = mean * LOAD_FACTOR + LOAD_SLACK;
-    let within = order.iter().find(|(_, u)| u.load_score() <= bound);
-    within.or_else(|| order.first()).map(|(_, u)| *u)
-}
--- a/crates/core/tests/hand_over.rs
+++ b/crates/core/tests/hand_over.rs
@@ -7,7 +7,7 @@
 
 use masticlock_core::{
     digest,
-    placement::{Choice, Criteria, Pool, sample_peers},
+    placement::{Choice, Criteria, Pool, Prompt, sample_peers},
     replicated::State,
     report::Peer,
     time::{Span, Time},
@@ -35,6 +35,7 @@
     service: "s",
     affinity: None,
     shared_tokens: 0,
+    prompt: Prompt::EMPTY,
     draw: 0,
     tokens: 0,
     memory_tokens: 0,
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -5,7 +5,7 @@
 use masticlock_core::{
     digest::mix,
     fleet::{Announcement, Directory, Phase, Record},
-    placement::{Choice, Criteria, Demand, Failure, Outcome, Pool},
+    placement::{Choice, Criteria, Demand, Failure, Outcome, Pool, Prompt},
     replicated::{Command, Phase as RolloutPhase, Rollout, State},
     report::{Load, Totals},
     time::{Span, Time},
@@ -57,6 +57,7 @@
         service: "engines",
         affinity,
         shared_tokens: 0,
+        prompt: Prompt::EMPTY,
         draw: 500,
         tokens: 1_000,
         memory_tokens: 100_000,
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -4,7 +4,7 @@
 
 use masticlock_core::{
     fleet::{Announcement, Directory, Phase, Record},
-    placement::{Choice, Criteria, Failure, Pool, Target},
+    placement::{Choice, Criteria, Failure, Pool, Prompt, Target},
     reach::{Change, Reach, Trial},
     replicated::State,
     report::Peer,
@@ -122,6 +122,7 @@
         service: "s",
         affinity: None,
         shared_tokens: 0,
+        prompt: Prompt::EMPTY,
         draw: 0,
         tokens: 0,
         memory_tokens: 0,
--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -5,7 +5,7 @@
 use masticlock_core::{
     fleet::{Announcement, Directory, Limit, Phase, Record},
     limit::{Bounds, Issuer, PERMIT_LIFETIME, Permit, Rate, Want},
-    placement::{Choice, Criteria, Demand, Pool, Target},
+    placement::{Choice, Criteria, Demand, Pool, Prompt, Target},
     replicated::State,
     report::Totals,
     time::{Span, Time},
@@ -66,6 +66,7 @@
         service: "s",
         affinity: None,
         shared_tokens: 0,
+        prompt: Prompt::EMPTY,
         draw: 0,
         tokens: 0,
         memory_tokens: 0,
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -23,7 +23,7 @@
     digest,
     fault::Fault,
     forecast::Forecast,
-    placement::{Choice, Criteria, Pool, Target},
+    placement::{Choice, Criteria, Pool, Prompt, Target},
     reach::Reach,
     report::VersionStats,
     retry_after::Cause,
@@ -578,7 +578,7 @@
     ) -> Choice {
         let view = self.view();
         let choose = |tried: &[Arc<str>]| {
-            Self::with_criteria(ctx, resolved, tried, |criteria| {
+            self.with_criteria(ctx, resolved, tried, |criteria| {
                 let pool = self.pool.borrow();
                 pool.choose(criteria, &view.agreed, self.now())
             })
@@ -594,6 +594,17 @@
         choose(tried)
     }
 
+    /// Records that an upstream has begun to answer and holds the prompt of the request.
+    fn record_prompt(&self, ctx: &RequestContext, resolved: &ResolvedRoute, target: &Target) {
+        if resolved.service.engine.is_none() || target.is_peer {
+            return;
+        }
+        self.with_criteria(ctx, resolved, &[], |criteria| {
+            let mut pool = self.pool.borrow_mut();
+            pool.record_prompt(target, criteria, self.now());
+        });
+    }
+
     /// Records once for each attempt that permits are wanted for upstreams with limits.
     fn want_permits(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
         if ctx.has_wanted.replace(true) {
@@ -603,7 +614,7 @@
         if !self.pool.borrow().has_limits() {
             return;
         }
-        let has_unmet = Self::with_criteria(ctx, resolved, &ctx.tried.borrow(), |criteria| {
+        let has_unmet = self.with_criteria(ctx, resolved, &ctx.tried.borrow(), |criteria| {
             let mut pool = self.pool.borrow_mut();
             pool.want(criteria, &view.agreed, self.now())
         });
@@ -620,6 +631,7 @@
 
     /// Calls `act` with the placement criteria of a request.
     fn with_criteria<A, T>(
+        &self,
         ctx: &RequestContext,
         resolved: &ResolvedRoute,
         tried: &[Arc<str>],
@@ -634,10 +646,17 @@
         let affinity_key = has_affinity.then(|| ctx.affinity_key(&resolved.route));
         let session = ctx.session_digest().unwrap_or(ctx.fingerprint);
         let draw = digest::mix(session ^ digest::of(service.name.as_bytes()));
+        let prompt = Prompt {
+            model: ctx.model_digest(&resolved.route),
+            parts: &ctx.meta.prompt_parts,
+            prefill_weight: ctx.token_weight(resolved),
+            token_ms: self.forecast.borrow().token_ms(&service.name),
+        };
         act(&Criteria {
             service: &service.name,
             affinity: affinity_key,
             shared_tokens: ctx.shared_tokens(),
+            prompt,
             // A remainder below 1,000 fits.
             draw: u16::try_from(draw % 1_000).unwrap_or_default(),
             tokens: ctx.tokens(),
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -25,7 +25,7 @@
     connection_pool::{Error, MAX_IDLE_NON_REPEATABLE, PooledConnection},
     entry::ResponseBody,
     handler::{Refusal, ResolvedRoute},
-    metrics::limit_milli,
+    metrics::{limit_milli, whole},
 };
 
 /// Largest body, in bytes, of a response that reports that the request was not run. The connection
@@ -208,13 +208,22 @@
 
     /// Logs that a request is sent to an upstream.
     pub(super) fn log_sent(&self, ctx: &RequestContext, resolved: &ResolvedRoute, target: &Target) {
+        let expected = self.with_criteria(ctx, resolved, &[], |criteria| {
+            let pool = self.pool.borrow();
+            pool.expectation(&target.upstream, criteria, self.now())
+        });
+        if let Some(expected) = &expected {
+            self.metrics.count_weighed(expected);
+        }
+        let expected = expected.unwrap_or_default();
         log::info!(
             event = "sent", request = ctx.id(), route = &*resolved.route.name,
             account = resolved.account.as_ref().map_or("-", |a| &*a.name),
             upstream = &*target.upstream, domain = &*target.domain, version = &*target.version,
             model = ctx.model(&resolved.route).map_or("-", |m| &**m),
             session = ctx.session_digest().unwrap_or_default(), parts = ctx.part_list(),
-            runs = ctx.run_count(),
+            runs = ctx.run_count(), held_tokens = whole(expected.held_tokens),
+            saved_ms = whole(expected.saved_ms), wait_ms = whole(expected.wait_ms),
             limit_milli = limit_milli(self.pool.borrow().limit(target)),
             waited_ms = self.now().since(ctx.received_at).as_millis();
             "a request is sent to an upstream"
@@ -489,6 +498,9 @@
             forecast.observe(service, received.queued_prefill, received.head_time, now);
         }
         self.record_outcome(service, &target.version, good, slow);
+        if good {
+            self.record_prompt(ctx, resolved, target);
+        }
         if good && route.kind != Kind::Stream {
             let measure = Measure::Head(route.name.clone());
             self.record_timing(service, target, &measure, micros(received.head_time));
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -182,13 +182,9 @@
         self.meta.prompt_tokens + self.meta.max_output_tokens
     }
 
-    /// Returns the capacity of an upstream that the request needs.
-    #[expect(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss
-    )]
-    pub fn demand(&self, resolved: &ResolvedRoute) -> Demand {
+    /// Returns the processing time of a prompt token of the current model relative to that of the
+    /// largest one.
+    pub(super) fn token_weight(&self, resolved: &ResolvedRoute) -> f64 {
         let models = resolved
             .service
             .engine
@@ -198,7 +194,18 @@
         let model = self.model(&resolved.route);
         let cost = model.and_then(|name| models.iter().find(|m| m.name == *name));
         let weight = cost.map_or(1.0, |m| m.cost / largest.max(f64::MIN_POSITIVE));
-        let weighted = |tokens: u64| (tokens as f64 * weight.max(MIN_TOKEN_WORK)) as u64;
+        weight.max(MIN_TOKEN_WORK)
+    }
+
+    /// Returns the capacity of an upstream that the request needs.
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    pub fn demand(&self, resolved: &ResolvedRoute) -> Demand {
+        let weight = self.token_weight(resolved);
+        let weighted = |tokens: u64| (tokens as f64 * weight) as u64;
         let prompt = self.meta.prompt_tokens;
         Demand {
             tokens: self.tokens(),
@@ -274,10 +281,15 @@
         self.shared_parts().iter().map(|(_, tokens)| tokens).sum()
     }
 
+    /// Returns a digest of the model that the router chose, or 0 if the client names it.
+    pub(super) fn model_digest(&self, route: &Route) -> u64 {
+        self.model(route).map_or(0, |m| digest::of(m.as_bytes()))
+    }
+
     /// Returns a digest of the model and the shared prefix of the prompt, or of the request if its
     /// prompt has none.
     pub(super) fn affinity_key(&self, route: &Route) -> u64 {
-        let model = self.model(route).map_or(0, |m| digest::of(m.as_bytes()));
+        let model = self.model_digest(route);
         digest::mix(model ^ self.session_digest().unwrap_or(self.fingerprint))
     }
 }
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -440,6 +440,7 @@
         rejection.settle(meta.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST);
         if own && meta.signed && response.status() == StatusCode::OK {
             guard.finish_prefill();
+            proxy.record_prompt(ctx, &resolved, &target);
             log::info!(
                 event = "resumed", request = ctx.id(), upstream = &*target.upstream,
                 last_event = last_event_id.unwrap_or(0);
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hyper::StatusCode;
-use masticlock_core::{limit::Rate, plain, route::Kind, time::Span};
+use masticlock_core::{limit::Rate, placement::Expectation, plain, route::Kind, time::Span};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{
@@ -48,6 +48,14 @@
         pub outcome: String,
     }
 
+    /// Labels of the counter of prompts that were weighed.
+    #[derive(Eq, Hash, EncodeLabelSet)]
+    pub struct PromptLabels {
+        /// Whether the chosen upstream is expected to hold more than half of the shared tokens: `yes`
+        /// or `no`.
+        pub held: String,
+    }
+
     /// Labels of the histogram of response times.
     #[derive(Eq, Hash, EncodeLabelSet)]
     pub struct RouteLabels {
@@ -81,6 +89,8 @@
     brittle_upstreams: Gauge,
     brittle_rejections: Counter,
     crashes: Counter,
+    prompts: Family<PromptLabels, Counter>,
+    held_tokens: Counter,
     configuration: ConfigurationMetrics,
 }
 
@@ -123,6 +133,13 @@
     }
 }
 
+/// Returns a quantity that is not negative without its fraction.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+#[must_use]
+pub const fn whole(quantity: f64) -> u64 {
+    quantity as u64
+}
+
 /// Returns the label value of a kind of route.
 const fn kind_label(kind: Kind) -> &'static str {
     match kind {
@@ -179,6 +196,17 @@
             "Requests under which an upstream may have crashed",
             crashes.clone(),
         );
+        let (prompts, held_tokens) = (Family::default(), Counter::default());
+        registry.register(
+            "weighed_prompts",
+            "Prompts placed by what upstreams hold and the wait there",
+            prompts.clone(),
+        );
+        registry.register(
+            "expected_held_tokens",
+            "Prompt tokens expected to be held by the chosen upstreams",
+            held_tokens.clone(),
+        );
         let configuration = ConfigurationMetrics::register(&mut registry);
         Self {
             registry,
@@ -194,6 +222,8 @@
             brittle_upstreams,
             brittle_rejections,
             crashes,
+            prompts,
+            held_tokens,
             configuration,
         }
     }
@@ -209,6 +239,14 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Counts a prompt that was placed by what upstreams hold and the wait there.
+    pub fn count_weighed(&self, expected: &Expectation) {
+        let held = if expected.is_held() { "yes" } else { "no" };
+        let labels = PromptLabels { held: held.into() };
+        self.prompts.get_or_create(&labels).inc();
+        self.held_tokens.inc_by(whole(expected.held_tokens));
+    }
+
     /// Counts a refusal.
     pub fn count_refusal(&self, reason: &str) {
         let reason = reason.to_owned();
--- a/scenario/src/limit.rs
+++ b/scenario/src/limit.rs
@@ -8,7 +8,7 @@
 use masticlock_core::{
     fleet::{Announcement, Directory, Limit, Phase, Record},
     limit::{Bounds, Issuer, Permit, Rate, Want},
-    placement::{Choice, Criteria, Pool},
+    placement::{Choice, Criteria, Pool, Prompt},
     replicated::State,
     report::Totals,
     time::{Span, Time},
@@ -175,6 +175,7 @@
     service: "s",
     affinity: None,
     shared_tokens: 0,
+    prompt: Prompt::EMPTY,
     draw: 0,
     tokens: 0,
     memory_tokens: 0,
