--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -180,8 +180,8 @@
 #[derive(Clone, Debug)]
 struct Upstream {
     entry: Entry,
-    /// When its incarnation was first listed, or zero if that was before this instance started.
-    since: Time,
+    /// When its incarnation was first listed; `None` if it was listed when this instance started.
+    listed_at: Option<Time>,
     /// Running requests of this instance, and their demand.
     running: u32,
     tokens: u64,
@@ -291,7 +291,7 @@
     /// Updates the pool from the directory's records, which are sorted by identity.
     pub fn update(&mut self, entries: &[Entry], now: Time) {
         let old = std::mem::take(&mut self.upstreams);
-        let since = if old.is_empty() { Time::ZERO } else { now };
+        let listed_at = (!old.is_empty()).then_some(now);
         let mut old = old.into_iter().peekable();
         for entry in entries {
             while old
@@ -306,7 +306,7 @@
                         known.entry.announcement.incarnation != entry.announcement.incarnation;
                     if restarted {
                         (known.ok, known.failed) = (0.0, 0.0);
-                        known.since = now;
+                        known.listed_at = Some(now);
                     }
                     if known.entry.silent && !entry.silent {
                         known.down = None;
@@ -322,7 +322,7 @@
                     known.entry = entry.clone();
                     known
                 }
-                None => Upstream::new(entry.clone(), since, now),
+                None => Upstream::new(entry.clone(), listed_at, now),
             };
             let incarnation = upstream.entry.announcement.incarnation;
             self.notices
@@ -900,10 +900,10 @@
 }
 
 impl Upstream {
-    fn new(entry: Entry, since: Time, now: Time) -> Self {
+    fn new(entry: Entry, listed_at: Option<Time>, now: Time) -> Self {
         Self {
             entry,
-            since,
+            listed_at,
             running: 0,
             tokens: 0,
             work: 0,
--- a/crates/core/src/placement/affinity.rs
+++ b/crates/core/src/placement/affinity.rs
@@ -8,7 +8,7 @@
 //! All instances rank the upstreams alike by a hash of the deepest shared part, so the rank tells
 //! what an upstream holds from the requests of other instances, without messages.
 
-use super::{MIN_LOCAL_UPSTREAMS, Pool, Target, Upstream};
+use super::{MIN_LOCAL_UPSTREAMS, Pool, Upstream};
 use crate::{
     digest,
     placement::{Criteria, GLOBAL_PREFIX_TOKENS},
@@ -29,9 +29,12 @@
 const MIN_INSTANCES: usize = 16;
 
 /// Number of upstreams in hash order among which a request is placed while one of them is within
-/// the load bound. An upstream with little load gets requests of this many times its usual share of
-/// prompts at most, so old load reports send no herd there.
-const GROUP: usize = 4;
+/// the load bound.
+///
+/// Two choices remove most of the imbalance of one (M. Mitzenmacher, 2001), and each further one is
+/// another upstream that has to process the same parts. It also bounds how many prompts an upstream
+/// with little load attracts, so that old load reports send no herd there.
+const GROUP: usize = 2;
 
 /// Certainty that an upstream holds a shared part that other instances may have sent there, by its
 /// rank in hash order. The next one gets the prompts for which the wait at the first is too long.
@@ -171,18 +174,24 @@
     }
 
     /// Records that an upstream has begun to answer, so that it holds the prompt.
-    pub fn record_prompt(&mut self, target: &Target, criteria: &Criteria<'_>, now: Time) {
-        let Some(at) = self.find(&target.upstream) else {
+    pub fn record_prompt(
+        &mut self,
+        upstream: &str,
+        incarnation: u64,
+        criteria: &Criteria<'_>,
+        now: Time,
+    ) {
+        let Some(at) = self.find(upstream) else {
             return;
         };
         let service = self.upstreams[at].entry.announcement.service.clone();
         let weighing = Weighing::new(self, criteria, criteria.affinity.unwrap_or_default(), now);
-        let upstream = &self.upstreams[at];
-        let lifetime = weighing.lifetime(upstream);
+        let known = &self.upstreams[at];
+        let lifetime = weighing.lifetime(known);
         #[expect(clippy::cast_precision_loss)]
-        let passed = criteria.tokens as f64 - weighing.held_tokens(upstream);
+        let passed = criteria.tokens as f64 - weighing.held_tokens(known);
         let prefixes = weighing.prefixes;
-        let holder = prompt_cache::holder(&target.upstream, target.incarnation);
+        let holder = prompt_cache::holder(upstream, incarnation);
         self.prompts.record(prefixes, holder, lifetime, now);
         self.prompts.record_passage(&service, passed.max(0.0), now);
     }
@@ -272,9 +281,11 @@
     #[expect(clippy::cast_precision_loss)]
     fn held_tokens(&self, upstream: &Upstream) -> f64 {
         let lifetime = self.lifetime(upstream);
-        let age = self.now.since(upstream.since).as_millis() as f64;
         // It can't hold more than what has passed through it since its start.
-        let filled = (age / lifetime.as_millis().max(1) as f64).min(1.0);
+        let filled = upstream.listed_at.map_or(1.0, |at| {
+            let age = self.now.since(at).as_millis() as f64;
+            (age / lifetime.as_millis().max(1) as f64).min(1.0)
+        });
         let by_rank = RANK_CERTAINTY.get(self.rank(upstream));
         let deepest_shared = self.prefixes.len().checked_sub(2);
         let (mut certainty, mut held) = (0.0_f64, 0.0);
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -601,7 +601,7 @@
         }
         self.with_criteria(ctx, resolved, &[], |criteria| {
             let mut pool = self.pool.borrow_mut();
-            pool.record_prompt(target, criteria, self.now());
+            pool.record_prompt(&target.upstream, target.incarnation, criteria, self.now());
         });
     }
 
