--- a/crates/core/tests/prompt_cache.rs
+++ b/crates/core/tests/prompt_cache.rs
@@ -28,6 +28,9 @@
 /// Interval of the load reports, in milliseconds.
 const REPORT_MS: u64 = 200;
 
+/// Time between two failure domains one way, in milliseconds, rounded up.
+const LINK_MS: u64 = 1;
+
 /// Prompt tokens that an upstream processes per millisecond.
 const PREFILL: f64 = 150.0;
 
@@ -316,7 +319,10 @@
                 let engine: usize = upstream[1..].parse().unwrap();
                 self.pools[at].begin(&upstream, request.demand(), now);
                 let queued = self.pools[at].pending_prefill(&upstream);
-                let (first, end) = self.run(engine, &request, ms);
+                let is_local = at % DOMAINS.len() == engine % DOMAINS.len();
+                let link = if is_local { 0 } else { LINK_MS };
+                let (first, end) = self.run(engine, &request, ms + link);
+                let (first, end) = (first + link, end + link);
                 events.push(Reverse((first, false, requests.len(), at, engine, queued)));
                 events.push(Reverse((end, true, requests.len(), at, engine, 0)));
                 requests.push(request);
