Tell the fixed time of an answer from the time of its prefill

Cause: the forecast divided all time until the first event by the tokens that were pending. Where upstreams have little pending, the fixed time of each answer was charged to the tokens, a long prompt was foretold to begin too late, and it kept the smallest model's answer.

Change: a least squares line through decayed sums, with a prior at the origin, so that prompts of one length count as before.

Ruled out: a plain least squares line with a ridge (prompts of one length would be foretold at half of their time, tests/overload.rs).

--- a/crates/core/tests/crowd.rs
+++ b/crates/core/tests/crowd.rs
@@ -13,7 +13,7 @@
 use masticlock_core::{
     digest::{self, mix},
     fleet::{Announcement, Directory, Phase, Record},
-    placement::{Choice, Criteria, Demand, Outcome, Pool},
+    placement::{Choice, Criteria, Demand, Outcome, Pool, Prompt},
     replicated::State,
     report::{Load, Totals},
     time::{Span, Time},
@@ -266,6 +266,7 @@
     service: "s",
     affinity: None,
     shared_tokens: 0,
+    prompt: Prompt::EMPTY,
     draw: 0,
     tokens: 0,
     memory_tokens: 0,
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -114,6 +114,33 @@
     assert!((900..=1_200).contains(&recovered), "{recovered}");
 }
 
+/// Short prompts whose answers take a fixed time, and few long ones: a forecast that charges the fixed
+/// time to the tokens foretells more than the objective for a long prompt, which then never gets the
+/// larger model's answer.
+#[test]
+fn a_fixed_time_of_each_answer_is_not_charged_to_the_tokens_of_a_long_prompt() {
+    let service: Arc<str> = "engines".into();
+    let objective = Span::from_secs(2);
+    let mut forecast = Forecast::default();
+    let (mut now, mut tokens, mut millis) = (NOW, 0, 0);
+    for n in 0..100_u64 {
+        now += Span::from_millis(100);
+        let prefill = if n % 10 == 0 {
+            8_000
+        } else {
+            200 + n % 7 * 100
+        };
+        let took = 60 + prefill / 50;
+        (tokens, millis) = (tokens + prefill, millis + took);
+        forecast.observe(&service, prefill, Span::from_millis(took), now);
+    }
+    let ratio = Span::from_millis(50_000 * millis / tokens);
+    assert!(!cascade::is_timely(ratio, objective), "{ratio:?}");
+    let start = forecast.time_to_first_token(&service, 50_000);
+    assert!(cascade::is_timely(start, objective), "{start:?}");
+    assert!(start > Span::from_millis(900), "{start:?}");
+}
+
 /// Returns the number of confidences from 0 to 99 with which an answer is kept.
 fn kept_count(pressure: &Pressure, service: &Arc<str>, now: Time) -> usize {
     let pressure = pressure.of(service, now);
