Serve waiting requests in order, and refuse those that can't be served in time

While all upstreams of a service were full, its waiting requests all looked again whenever any request ended and each 25 ms: the order was accidental, new arrivals went before those that waited, and a request without a chance waited until its bound.

core::waiting has one bounded line for each service in an instance: who can still meet the objective, rank, least served client account by work, age; each eighth place goes to the oldest. The line's rate of departures gives the expected wait, also for requests that more urgent ones overtake. A request that can't leave in time is refused at once if it has not run; Retry-After follows from the same rate and from those sent back before. A freed place wakes the request that is next; one that finds no room passes the turn on. Streams that resume are woken before the line.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,3 +65,4 @@
 pub mod time;
 pub mod timeline;
 pub mod transfer;
+pub mod waiting;
--- a/crates/core/src/retry_after.rs
+++ b/crates/core/src/retry_after.rs
@@ -33,6 +33,9 @@
 pub enum Cause {
     /// All upstreams are full.
     Full,
+    /// All upstreams are full; the caller may expect room after this time, by the rate at which
+    /// waiting requests are served.
+    Queued(Span),
     /// No upstream is usable.
     Unavailable,
     /// All upstreams have requested a backoff; the first one ends after this time.
@@ -53,6 +56,7 @@
 pub fn delay(cause: Cause, left: Span, draw: u64) -> Span {
     let base = match cause {
         Cause::Full => FULL_DELAY,
+        Cause::Queued(turn) => turn,
         Cause::Unavailable | Cause::Outdated(Span::ZERO) => UNAVAILABLE_DELAY,
         Cause::Backoff(backoff) => backoff,
         // An earlier time would be wrong, even if it is too late for the caller.
@@ -64,7 +68,9 @@
     let base = base.as_millis().min(latest);
     let (min, max) = match cause {
         Cause::Backoff(_) | Cause::Outdated(_) => BACKOFF_JITTER,
-        Cause::Full | Cause::Unavailable | Cause::Limited(_) | Cause::Stale => JITTER,
+        Cause::Full | Cause::Queued(_) | Cause::Unavailable | Cause::Limited(_) | Cause::Stale => {
+            JITTER
+        }
     };
     let permille = min + digest::mix(draw) % (max - min + 1);
     Span::from_millis((base * permille / 1_000).min(latest))
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod screening;
 mod stats;
+mod waiting;
 
 use std::{
     cell::{Cell, RefCell},
@@ -24,13 +25,12 @@
     digest,
     fault::Fault,
     forecast::Forecast,
-    placement::{Choice, Criteria, Pool, Target},
+    placement::{Choice, Criteria, Pool},
     reach::Reach,
     report::VersionStats,
     retry_after::Cause,
     retry_budget::Budget,
     rollout::lateness::Reference,
-    route::{Kind, Route},
     time::{Span, Time},
 };
 use tokio::{
@@ -65,17 +65,7 @@
 /// instead of a 503 that asks for a retry.
 const MAX_DEFINITIVE_AGE: Span = Span::from_millis(1_500);
 
-/// Longest time that a request waits while no upstream is available.
-const MAX_UNAVAILABLE_WAIT: Span = Span::from_millis(250);
-
-/// Longest time that a request waits for the list of peers: two polls of each hop.
-const MAX_PEER_WAIT: Span = Span::from_millis(900);
-
-/// Longest time that a request waits for a permit for an upstream with a limit: the way of a want to
-/// the leader of the control instances and back.
-const MAX_PERMIT_WAIT: Span = Span::from_millis(700);
-
-/// Longest delay before a waiting request tries again to select an upstream.
+/// Delay before a request that waits for its configuration or a permit looks again.
 const SELECTION_RETRY_DELAY: Duration = Duration::from_millis(25);
 
 /// Longest time that a request waits for a current configuration: an election and two polls.
@@ -132,8 +122,10 @@
     peer_places: Rc<Cell<u32>>,
     /// Number of the list of peers in the pool.
     peers_version: Cell<u64>,
-    /// Wakes waiting requests when another request has ended.
+    /// Wakes requests that wait outside of the lines when another request has ended.
     capacity_freed: Notify,
+    /// Requests that wait because all upstreams of their service are full.
+    lines: waiting::Lines,
     started_at: Time,
     metrics: metrics::EntryMetrics,
 }
@@ -178,6 +170,7 @@
             peer_places: Rc::default(),
             peers_version: Cell::new(0),
             capacity_freed: Notify::new(),
+            lines: waiting::Lines::default(),
             started_at: clock.now(),
             metrics: metrics::EntryMetrics::default(),
         }
@@ -453,13 +446,15 @@
         self: Rc<Self>,
         ctx: Rc<RequestContext>,
     ) -> Result<Response<ResponseBody>, Refusal> {
+        let mut place = None;
         loop {
             let resolved = match self.resolve(&ctx, &self.view()) {
                 Ok(resolved) => resolved,
                 Err(refusal) if ctx.run_count() == 0 => return Err(refusal),
                 Err(refusal) => return Err(Refusal::new(StatusCode::BAD_GATEWAY, refusal.reason)),
             };
-            let Some((target, pass)) = self.select_upstream(&ctx, &resolved).await? else {
+            let selected = self.select_upstream(&ctx, &resolved, &mut place).await?;
+            let Some((target, pass)) = selected else {
                 continue;
             };
             ctx.has_wanted.set(false);
@@ -480,76 +475,6 @@
         }
     }
 
-    /// Selects an upstream, or returns none after a wait for one: the request is then to be
-    /// resolved again.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal of a request that has waited too long or crashes upstreams.
-    async fn select_upstream(
-        self: &Rc<Self>,
-        ctx: &RequestContext,
-        resolved: &ResolvedRoute,
-    ) -> Result<Option<(Target, PassGuard)>, Refusal> {
-        if !self.is_screened(ctx)? {
-            sleep(SELECTION_RETRY_DELAY).await;
-            return Ok(None);
-        }
-        self.want_permits(ctx, resolved);
-        let waited = self.now().since(ctx.received_at);
-        let (max_wait, cause, reason) = match self.choose(ctx, resolved) {
-            Choice::Upstream(target) => {
-                return Ok(PassGuard::take(self, &target).map(|pass| (target, pass)));
-            }
-            Choice::Limited(shortage) => {
-                let max_wait = if shortage.scarce {
-                    Span::ZERO
-                } else {
-                    max_wait(&resolved.route).min(MAX_PERMIT_WAIT)
-                };
-                let reason = "limits of all upstreams reached";
-                if waited >= max_wait {
-                    let mut pool = self.pool.borrow_mut();
-                    let turn = pool.next_turn(&resolved.service.name, shortage, self.now());
-                    return Err(ctx.refuse(Cause::Limited(turn), reason, self.now()));
-                }
-                (max_wait, Cause::Full, reason)
-            }
-            Choice::Full => (max_wait(&resolved.route), Cause::Full, "all upstreams full"),
-            Choice::Backoff(rest) => {
-                // A wait that ends before the backoff of the upstreams is useless.
-                let max_wait = max_wait(&resolved.route).minus(rest);
-                (max_wait, Cause::Backoff(rest), "all upstreams want quiet")
-            }
-            Choice::Unavailable => (
-                self.unavailable_wait(ctx),
-                Cause::Unavailable,
-                "no usable upstream",
-            ),
-        };
-        if waited >= max_wait {
-            return Err(ctx.refuse(cause, reason, self.now()));
-        }
-        tokio::select! {
-            () = self.capacity_freed.notified() => {}
-            () = sleep(SELECTION_RETRY_DELAY) => {}
-        }
-        Ok(None)
-    }
-
-    /// Returns how long a request waits while no upstream is available: until peers are known after
-    /// the way to upstreams was lost.
-    fn unavailable_wait(&self, ctx: &RequestContext) -> Span {
-        let pool = self.pool.borrow();
-        if pool.is_cut_off() && ctx.peer_place.is_none() && !pool.has_peers(self.now()) {
-            MAX_PEER_WAIT
-        } else if ctx.peer_place.is_some() {
-            Span::ZERO
-        } else {
-            MAX_UNAVAILABLE_WAIT
-        }
-    }
-
     fn choose(&self, ctx: &RequestContext, resolved: &ResolvedRoute) -> Choice {
         self.choose_excluding(ctx, resolved, &ctx.tried.borrow())
     }
@@ -633,12 +558,3 @@
         })
     }
 }
-
-/// Returns how long a request may wait for an upstream with free capacity.
-fn max_wait(route: &Route) -> Span {
-    match route.kind {
-        // A later response of a plain service is of little use to its client.
-        Kind::Idempotent | Kind::NonRepeatable => route.objective.times(2),
-        Kind::Stream => route.objective,
-    }
-}
--- a/crates/node/src/gateway/forward/in_flight.rs
+++ b/crates/node/src/gateway/forward/in_flight.rs
@@ -36,6 +36,8 @@
         if !target.is_peer {
             proxy.with_version_stats(service, &target.version, |t| t.running += 1);
         }
+        // The next one in the line is tried once this one counts.
+        proxy.lines.offer(service, now);
         Self {
             proxy: proxy.clone(),
             target: target.clone(),
@@ -76,6 +78,6 @@
                     t.running = t.running.saturating_sub(1);
                 });
         }
-        self.proxy.capacity_freed.notify_waiters();
+        self.proxy.free_capacity(&self.service);
     }
 }
--- a/crates/node/src/gateway/forward/pass.rs
+++ b/crates/node/src/gateway/forward/pass.rs
@@ -108,7 +108,7 @@
         let mut pool = self.proxy.pool.borrow_mut();
         pool.return_reject_permit(&self.target, permit, now);
         drop(pool);
-        self.proxy.capacity_freed.notify_waiters();
+        self.proxy.free_capacity_of_all();
     }
 }
 
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -16,7 +16,7 @@
 use tokio::{
     sync::mpsc,
     task::spawn_local,
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 use super::{
@@ -381,7 +381,7 @@
             .resolve(ctx, &view)
             .map_err(|_| "the request is no longer allowed")?;
         let Some((target, mut pass)) = select_next(proxy, ctx, &resolved)? else {
-            sleep(SELECTION_RETRY_DELAY).await;
+            proxy.await_capacity(SELECTION_RETRY_DELAY).await;
             continue;
         };
         ctx.has_wanted.set(false);
