Find all errors of a routing table, each with its place

Cause: a check of a configuration before it is sent has to name all errors in one run, by the validation that the programs use. It stopped at the first one and knew no positions. The sum of a route's weights could overflow: a panic in test builds; by reading, in release builds a sum that is wrong or zero.

Change: route::errors yields the errors with their places, and Table::try_from returns the first of them, in the order as before. Weights are compared with zero one by one, and their total saturates.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -158,6 +158,21 @@
     DuplicateService(Arc<str>),
 }
 
+/// Part of a [`Raw`] table, by its position in the lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    /// The table as a whole.
+    Table,
+    /// A route.
+    Route(usize),
+    /// A service.
+    Service(usize),
+    /// A client account.
+    Account(usize),
+    /// The limits.
+    Limits,
+}
+
 /// A valid routing table.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -168,79 +183,118 @@
     /// Sorted by name.
     services: Vec<Arc<Service>>,
     /// Sorted by key.
-    keys: Vec<(Arc<str>, Arc<Account>)>,
+    keys: Vec<Key>,
     has_accounts: bool,
 }
 
+/// A key with the client account that it belongs to.
+type Key = (Arc<str>, Arc<Account>);
+
+/// Parts of a raw table in the order in which a [`Table`] holds them, with their places.
+struct Sorted {
+    routes: Vec<(Place, Arc<Route>)>,
+    services: Vec<(Place, Arc<Service>)>,
+    keys: Vec<(Place, Key)>,
+}
+
 impl TryFrom<Raw> for Table {
     type Error = Error;
 
     fn try_from(raw: Raw) -> Result<Self, Error> {
-        let mut services: Vec<_> = raw.services.into_iter().map(Arc::new).collect();
-        services.sort_by(|a, b| a.name.cmp(&b.name));
-        if let Some(pair) = services.windows(2).find(|p| p[0].name == p[1].name) {
-            return Err(Error::DuplicateService(pair[0].name.clone()));
+        let (revision, limits, has_accounts) = (raw.revision, raw.limits, !raw.accounts.is_empty());
+        let sorted = Sorted::from(raw);
+        if let Some((_, error)) = sorted.errors().next() {
+            return Err(error);
         }
-        let mut routes: Vec<_> = raw.routes.into_iter().map(Arc::new).collect();
-        routes.sort_by(|a, b| {
+        Ok(Self {
+            revision,
+            limits,
+            routes: without_places(sorted.routes),
+            services: without_places(sorted.services),
+            keys: without_places(sorted.keys),
+            has_accounts,
+        })
+    }
+}
+
+/// Returns all errors for which a table is refused, with their places.
+#[must_use]
+pub fn errors(raw: Raw) -> Vec<(Place, Error)> {
+    Sorted::from(raw).errors().collect()
+}
+
+fn with_places<T, P>(items: Vec<T>, place: P) -> Vec<(Place, Arc<T>)>
+where
+    P: Fn(usize) -> Place,
+{
+    let items = items.into_iter().enumerate();
+    items.map(|(at, i)| (place(at), Arc::new(i))).collect()
+}
+
+fn without_places<T>(items: Vec<(Place, T)>) -> Vec<T> {
+    items.into_iter().map(|(_, item)| item).collect()
+}
+
+impl From<Raw> for Sorted {
+    fn from(raw: Raw) -> Self {
+        let mut services = with_places(raw.services, Place::Service);
+        services.sort_by(|(_, a), (_, b)| a.name.cmp(&b.name));
+        let mut routes = with_places(raw.routes, Place::Route);
+        routes.sort_by(|(_, a), (_, b)| {
             let longest_first = b.prefix.len().cmp(&a.prefix.len());
             a.host
                 .cmp(&b.host)
                 .then(longest_first)
                 .then(a.prefix.cmp(&b.prefix))
         });
-        let is_duplicate = |p: &&[Arc<Route>]| p[0].host == p[1].host && p[0].prefix == p[1].prefix;
-        if let Some(pair) = routes.windows(2).find(is_duplicate) {
-            return Err(Error::DuplicateRoute(
-                pair[0].name.clone(),
-                pair[1].name.clone(),
-            ));
-        }
-        for route in &routes {
-            validate(route, &services)?;
-        }
-        let accounts: Vec<_> = raw.accounts.into_iter().map(Arc::new).collect();
+        let accounts = with_places(raw.accounts, Place::Account);
         let mut keys: Vec<_> = accounts
             .iter()
-            .flat_map(|a| a.keys.iter().map(|k| (k.clone(), a.clone())))
+            .flat_map(|(place, a)| a.keys.iter().map(|k| (*place, (k.clone(), a.clone()))))
             .collect();
-        keys.sort_by(|a, b| a.0.cmp(&b.0));
-        let is_shared = |p: &&[(Arc<str>, Arc<Account>)]| p[0].0 == p[1].0 && p[0].1 != p[1].1;
-        if let Some(pair) = keys.windows(2).find(is_shared) {
-            return Err(Error::SharedKey(
-                pair[0].1.name.clone(),
-                pair[1].1.name.clone(),
-            ));
-        }
-        Ok(Self {
-            revision: raw.revision,
-            limits: raw.limits,
+        keys.sort_by(|(_, a), (_, b)| a.0.cmp(&b.0));
+        Self {
             routes,
             services,
-            has_accounts: !accounts.is_empty(),
             keys,
-        })
+        }
     }
 }
 
-fn validate(route: &Route, services: &[Arc<Service>]) -> Result<(), Error> {
-    if route.timeout == Span::ZERO {
-        return Err(Error::ZeroTimeout(route.name.clone()));
-    }
-    if route.shares.iter().map(|s| s.weight).sum::<u64>() == 0 {
-        return Err(Error::ZeroWeight(route.name.clone()));
-    }
-    let is_known = |s: &Share| {
-        services
-            .binary_search_by(|o| o.name.cmp(&s.service))
-            .is_ok()
-    };
-    match route.shares.iter().find(|s| !is_known(s)) {
-        Some(share) => Err(Error::UnknownService {
-            route: route.name.clone(),
-            service: share.service.clone(),
-        }),
-        None => Ok(()),
+impl Sorted {
+    /// Returns the errors, each found only when it is asked for.
+    fn errors(&self) -> impl Iterator<Item = (Place, Error)> {
+        let services = self.services.windows(2).filter_map(|pair| {
+            let [(_, a), (place, b)] = pair else {
+                return None;
+            };
+            (a.name == b.name).then(|| (*place, Error::DuplicateService(a.name.clone())))
+        });
+        let routes = self.routes.windows(2).filter_map(|pair| {
+            let [(_, a), (place, b)] = pair else {
+                return None;
+            };
+            let is_duplicate = a.host == b.host && a.prefix == b.prefix;
+            is_duplicate.then(|| {
+                let error = Error::DuplicateRoute(a.name.clone(), b.name.clone());
+                (*place, error)
+            })
+        });
+        let keys = self.keys.windows(2).filter_map(|pair| {
+            let [(_, a), (place, b)] = pair else {
+                return None;
+            };
+            let is_shared = a.0 == b.0 && a.1 != b.1;
+            is_shared.then(|| {
+                let error = Error::SharedKey(a.1.name.clone(), b.1.name.clone());
+                (*place, error)
+            })
+        });
+        let own = self.routes.iter().flat_map(|(place, route)| {
+            let errors = route.errors(&self.services);
+            errors.map(|error| (*place, error))
+        });
+        services.chain(routes).chain(own).chain(keys)
     }
 }
 
@@ -293,10 +347,29 @@
 }
 
 impl Route {
+    /// Returns what is wrong with the route, given all services sorted by name.
+    fn errors(&self, services: &[(Place, Arc<Service>)]) -> impl Iterator<Item = Error> {
+        let timeout = (self.timeout == Span::ZERO).then(|| Error::ZeroTimeout(self.name.clone()));
+        let weight = self.shares.iter().all(|s| s.weight == 0);
+        let weight = weight.then(|| Error::ZeroWeight(self.name.clone()));
+        let is_unknown = |share: &&Share| {
+            services
+                .binary_search_by(|(_, s)| s.name.cmp(&share.service))
+                .is_err()
+        };
+        let unknown = self.shares.iter().filter(is_unknown);
+        let unknown = unknown.map(|share| Error::UnknownService {
+            route: self.name.clone(),
+            service: share.service.clone(),
+        });
+        timeout.into_iter().chain(weight).chain(unknown)
+    }
+
     /// Returns the service for a request hash, in proportion to the weights of the shares.
     #[must_use]
     pub fn select_service(&self, hash: u64) -> Option<&Arc<str>> {
-        let total: u64 = self.shares.iter().map(|s| s.weight).sum();
+        let weights = self.shares.iter().map(|s| s.weight);
+        let total = weights.fold(0, u64::saturating_add);
         let mut offset = hash.checked_rem(total)?;
         for share in &self.shares {
             if offset < share.weight {
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use masticlock_core::{
-    route::{Account, Error, Kind, Limits, Raw, Route, Service, Share, Table},
+    route::{Account, Error, Kind, Limits, Place, Raw, Route, Service, Share, Table, errors},
     time::Span,
 };
 
@@ -117,6 +117,41 @@
     assert!(matches!(unknown, Err(Error::UnknownService { .. })));
 }
 
+/// Guards against weights whose sum overflows, which would make the table invalid or panic.
+#[test]
+fn the_sum_of_weights_may_exceed_a_number() {
+    let mut heavy = route("r", "/");
+    heavy.shares = ["one", "two"]
+        .map(|service| Share {
+            service: service.into(),
+            weight: 1 << 63,
+        })
+        .into();
+    let table = Table::try_from(raw(vec![heavy])).unwrap();
+    let route = table.find("a.example", "/").unwrap();
+    let services = [0, u64::MAX - 1].map(|hash| route.select_service(hash).map(|s| &**s));
+    assert_eq!(services, [Some("one"), Some("two")]);
+}
+
+/// Guards against errors that are not found beside others, and against the wrong place.
+#[test]
+fn all_errors_are_found_with_their_places() {
+    let mut late = route("late", "/z/");
+    late.timeout = Span::ZERO;
+    late.shares[0].service = "three".into();
+    let routes = vec![late, route("r", "/a/"), route("s", "/a/")];
+    let mut raw = raw(routes);
+    raw.services.push(service("one"));
+    raw.accounts[1].keys.push("k1".into());
+    let mut places: Vec<_> = errors(raw.clone()).into_iter().map(|(p, _)| p).collect();
+    places.sort();
+    let (late, account) = (Place::Route(0), Place::Account(1));
+    let expected = [late, late, Place::Route(2), Place::Service(2), account];
+    assert_eq!(places, expected);
+    let first = errors(raw.clone()).into_iter().next().map(|(_, e)| e);
+    assert_eq!(Table::try_from(raw).err(), first);
+}
+
 /// Guards against a traffic split that deviates from the weights.
 #[test]
 fn services_are_selected_in_proportion_to_their_weights() {
