Check routing tables for entries without effect and for contradicting limits

Cause: operators want to know before they send a configuration which of its entries never match, which limits contradict each other and what differs from the version in force. A table that is valid says nothing of that.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod inventory;
 pub mod ledger;
 pub mod limit;
+pub mod lint;
 pub mod machine;
 pub mod name;
 pub mod notice;
