--- a/crates/core/src/lint.rs
+++ b/crates/core/src/lint.rs
@@ -5,8 +5,6 @@
 
 pub mod difference;
 
-use std::sync::Arc;
-
 use crate::{
     route::{self, Account, Place, Raw, Route, Service},
     time::Span,
@@ -26,8 +24,6 @@
 pub enum Field {
     /// Revision number.
     Revision,
-    /// List of the routes.
-    Routes,
     /// Name of a part.
     Name,
     /// Host of a route.
@@ -118,7 +114,8 @@
 pub fn check(raw: &Raw, facts: &Facts) -> Vec<Finding> {
     let errors = route::errors(raw.clone()).into_iter();
     let mut findings = Findings(errors.map(Finding::from).collect());
-    findings.check_table(raw);
+    // Control instances start with revision 0.
+    findings.0.extend(check_revision(raw.revision, 0));
     findings.check_limits(&raw.limits, facts.memory_bytes);
     findings.check_routes(raw);
     findings.check_services(raw, facts);
@@ -181,31 +178,8 @@
         });
     }
 
-    fn check_table(&mut self, raw: &Raw) {
-        // Control instances start with revision 0.
-        self.0.extend(check_revision(raw.revision, 0));
-        if raw.routes.is_empty() {
-            let text = "there are no routes, so every request is refused";
-            self.warn(Place::Table, Field::Routes, text);
-        }
-        let routes = raw.routes.iter().map(|r| &r.name);
-        let accounts = raw.accounts.iter().map(|a| &a.name);
-        for (name, at) in repeated(routes) {
-            let text = format!("another route has the name {name}; logs and metrics mix them");
-            self.warn(Place::Route(at), Field::Name, text);
-        }
-        for (name, at) in repeated(accounts) {
-            let text = format!("another client account has the name {name}");
-            self.warn(Place::Account(at), Field::Name, text);
-        }
-    }
-
     fn check_limits(&mut self, limits: &route::Limits, memory_bytes: Option<u64>) {
         let (read, idle) = (limits.read_timeout, limits.idle_timeout);
-        if read == Span::ZERO {
-            let text = "no request can be read in 0 ms";
-            self.warn(Place::Limits, Field::ReadTimeout, text);
-        }
         if read > idle {
             let text = format!(
                 "the time to read a request, {read}, is over that of an idle connection, {idle}; \
@@ -213,10 +187,6 @@
             );
             self.warn(Place::Limits, Field::ReadTimeout, text);
         }
-        if limits.head_bytes == 0 {
-            let text = "no request has a head of 0 bytes";
-            self.warn(Place::Limits, Field::HeadBytes, text);
-        }
         let body = limits.body_bytes as u64;
         if let Some(memory) = memory_bytes.filter(|m| body > *m) {
             let text = format!("one body may have {body} bytes, a process has {memory} for it");
@@ -342,14 +312,9 @@
             let text = format!("{connections} connections can't fill {slots} slots");
             self.warn(place, Field::Connections, text);
         }
-        if service.cold_rate < 0.0 {
-            let text = "a negative rate counts as no limit";
-            self.warn(place, Field::ColdRate, text);
-        } else if service.cold_rate == 0.0 && upstream.cold_time > Span::ZERO {
-            let text = format!(
-                "a rate of 0 is no limit, but upstreams have a cold start of {}",
-                upstream.cold_time
-            );
+        let (rate, cold_time) = (service.cold_rate, upstream.cold_time);
+        if rate <= 0.0 && cold_time > Span::ZERO {
+            let text = format!("a rate of {rate} sets no limit to a cold start of {cold_time}");
             self.warn(place, Field::ColdRate, text);
         }
     }
@@ -370,7 +335,10 @@
                 self.warn(place, Field::Key(at), text);
             }
         }
-        for (key, at) in repeated(account.keys.iter()) {
+        let mut keys: Vec<_> = account.keys.iter().zip(0..).collect();
+        keys.sort_unstable();
+        for pair in keys.windows(2).filter(|p| p[0].0 == p[1].0) {
+            let (key, at) = pair[1];
             let text = format!("key {} is in the list already", key_digest(key));
             self.warn(place, Field::Key(at), text);
         }
@@ -384,14 +352,3 @@
     models.sort_unstable();
     (&service.name, models)
 }
-
-/// Returns the names that have come before, with their positions.
-fn repeated<'a, I>(names: I) -> Vec<(&'a str, usize)>
-where
-    I: Iterator<Item = &'a Arc<str>>,
-{
-    let mut names: Vec<_> = names.enumerate().map(|(at, n)| (&**n, at)).collect();
-    names.sort_unstable();
-    let pairs = names.windows(2).filter(|p| p[0].0 == p[1].0);
-    pairs.map(|p| p[1]).collect()
-}
--- a/crates/core/src/lint/difference.rs
+++ b/crates/core/src/lint/difference.rs
@@ -5,6 +5,9 @@
 use super::{Field, key_digest};
 use crate::route::{Account, Kind, Limits, Raw, Route, Service, Share};
 
+/// What callers lose if their requests need a key that was not needed before.
+const NEEDS_KEY: &str = "requests without a key are refused";
+
 /// What has changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Subject {
@@ -58,20 +61,19 @@
     pub action: Action,
     /// What callers lose by it.
     pub loss: Option<String>,
-    /// What it does to the requests of other routes.
-    pub note: Option<String>,
 }
 
 /// Returns the differences of `new` from `old`: routes, services, client accounts, then the rest.
 #[must_use]
 pub fn between(old: &Raw, new: &Raw) -> Vec<Change> {
-    let mut changes = route_changes(old, new);
-    let services = pairs(&old.services, &new.services, |s| &*s.name);
-    changes.extend(services.into_iter().filter_map(service_change));
+    let has_accounts = !new.accounts.is_empty();
+    let routes = pairs(&old.routes, &new.routes, |r| (&*r.host, &*r.prefix)).into_iter();
+    let services = pairs(&old.services, &new.services, |s| &*s.name).into_iter();
+    let routes = routes.filter_map(|pair| route_change(pair, has_accounts));
+    let mut changes: Vec<_> = routes.chain(services.filter_map(service_change)).collect();
     let mut keys: Vec<_> = new.accounts.iter().flat_map(|a| &a.keys).collect();
     keys.sort_unstable();
-    let accounts = pairs(&old.accounts, &new.accounts, |a| &*a.name);
-    let accounts = accounts.into_iter();
+    let accounts = pairs(&old.accounts, &new.accounts, |a| &*a.name).into_iter();
     changes.extend(accounts.filter_map(|pair| account_change(pair, &keys)));
     let limits = edits(limit_fields(&old.limits), limit_fields(&new.limits));
     changes.extend(change(Subject::Limits, limits));
@@ -85,7 +87,7 @@
     };
     let access = change(Subject::Access, edits(access(old), access(new)));
     changes.extend(access.map(|change| Change {
-        loss: (!new.accounts.is_empty()).then(|| "requests without a key are refused".into()),
+        loss: has_accounts.then(|| NEEDS_KEY.to_owned()),
         ..change
     }));
     changes
@@ -128,7 +130,6 @@
         subject,
         action: Action::Changed(edits),
         loss: None,
-        note: None,
     })
 }
 
@@ -144,94 +145,49 @@
     different.map(edit).collect()
 }
 
-fn place_of(route: &Route) -> (&str, &str) {
-    (&route.host, &route.prefix)
+/// Returns the subject as one that is only in one of the tables.
+fn added_or_removed(subject: Subject, is_removed: bool, loss: &str) -> Change {
+    Change {
+        subject,
+        action: if is_removed {
+            Action::Removed
+        } else {
+            Action::Added
+        },
+        loss: is_removed.then(|| loss.to_owned()),
+    }
 }
 
-fn route_changes(old: &Raw, new: &Raw) -> Vec<Change> {
-    let (old_places, new_places) = (Places::from(&*old.routes), Places::from(&*new.routes));
-    let subject = |route: &Route| Subject::Route {
+/// Returns the change of a route, given whether the new table has client accounts.
+fn route_change(pair: Pair<'_, Route>, has_accounts: bool) -> Option<Change> {
+    let route = pair.1.or(pair.0)?;
+    let subject = Subject::Route {
         name: route.name.clone(),
         host: route.host.clone(),
         prefix: route.prefix.clone(),
     };
-    let change = |pair| match pair {
-        (None, None) => None,
-        (None, Some(route)) => Some(Change {
-            subject: subject(route),
-            action: Action::Added,
-            loss: None,
-            note: old_places
-                .covering(route)
-                .map(|r| format!("its requests were of route {}", r.name)),
-        }),
-        (Some(route), None) => Some(Change {
-            subject: subject(route),
-            action: Action::Removed,
-            loss: Some(match new_places.covering(route) {
-                Some(other) => format!("its requests go to route {}", other.name),
-                None => "its requests are refused".to_owned(),
-            }),
-            note: None,
-        }),
-        (Some(from), Some(to)) if from == to => None,
-        (Some(from), Some(to)) => {
-            let change = change(subject(to), edits(route_fields(from), route_fields(to)));
-            let needs_key = from.public && !to.public && !new.accounts.is_empty();
-            let loss = needs_key.then(|| "requests without a key are refused".to_owned());
-            change.map(|change| Change { loss, ..change })
-        }
+    let (Some(from), Some(to)) = pair else {
+        let loss = "its requests are refused or go to a route with a shorter prefix";
+        return Some(added_or_removed(subject, pair.1.is_none(), loss));
     };
-    let routes = pairs(&old.routes, &new.routes, place_of);
-    routes.into_iter().filter_map(change).collect()
-}
-
-/// Routes sorted by host and prefix.
-struct Places<'a>(Vec<&'a Route>);
-
-impl<'a> From<&'a [Route]> for Places<'a> {
-    fn from(routes: &'a [Route]) -> Self {
-        let mut routes: Vec<_> = routes.iter().collect();
-        routes.sort_by(|a, b| place_of(a).cmp(&place_of(b)));
-        Self(routes)
-    }
-}
-
-impl Places<'_> {
-    /// Returns the route with the longest prefix that is a parent of the route's.
-    fn covering(&self, route: &Route) -> Option<&Route> {
-        let mut path = route.prefix.strip_suffix('/')?;
-        while let Some(end) = path.rfind('/') {
-            let parent = (&*route.host, &path[..=end]);
-            if let Ok(at) = self.0.binary_search_by(|r| place_of(r).cmp(&parent)) {
-                return Some(self.0[at]);
-            }
-            path = &path[..end];
-        }
-        None
+    if from == to {
+        return None;
     }
+    let needs_key = from.public && !to.public && has_accounts;
+    let change = change(subject, edits(route_fields(from), route_fields(to)))?;
+    Some(Change {
+        loss: needs_key.then(|| NEEDS_KEY.to_owned()),
+        ..change
+    })
 }
 
 fn service_change(pair: Pair<'_, Service>) -> Option<Change> {
-    match pair {
-        (None, None) => None,
-        (None, Some(service)) => Some(Change {
-            subject: Subject::Service(service.name.clone()),
-            action: Action::Added,
-            loss: None,
-            note: None,
-        }),
-        (Some(service), None) => Some(Change {
-            subject: Subject::Service(service.name.clone()),
-            action: Action::Removed,
-            loss: Some("its upstreams get no more requests".into()),
-            note: None,
-        }),
-        (Some(from), Some(to)) => {
-            let edits = edits(service_fields(from), service_fields(to));
-            change(Subject::Service(to.name.clone()), edits)
-        }
-    }
+    let subject = Subject::Service(pair.1.or(pair.0)?.name.clone());
+    let (Some(from), Some(to)) = pair else {
+        let loss = "its upstreams get no more requests";
+        return Some(added_or_removed(subject, pair.1.is_none(), loss));
+    };
+    change(subject, edits(service_fields(from), service_fields(to)))
 }
 
 /// Returns the change of a client account, given all keys of the new table, sorted.
@@ -264,7 +220,6 @@
         subject: Subject::Account(account.name.clone()),
         action,
         loss: (lost > 0).then(|| format!("{lost} of its keys are refused")),
-        note: None,
     })
 }
 
