--- a/crates/core/src/placement/affinity.rs
+++ b/crates/core/src/placement/affinity.rs
@@ -107,8 +107,6 @@
     criteria: &'a Criteria<'a>,
     now: Time,
     prefixes: Vec<Prefix>,
-    /// Certainty by prefix that any upstream holds it.
-    spread: Vec<f64>,
     affinity: u64,
     /// Hash rank and failure domain of the upstreams that accept requests.
     ready: Vec<(u64, &'a str)>,
@@ -187,12 +185,11 @@
         let service = self.upstreams[at].entry.announcement.service.clone();
         let weighing = Weighing::new(self, criteria, criteria.affinity.unwrap_or_default(), now);
         let known = &self.upstreams[at];
-        let lifetime = weighing.lifetime(known);
         #[expect(clippy::cast_precision_loss)]
         let passed = criteria.tokens as f64 - weighing.held_tokens(known);
         let prefixes = weighing.prefixes;
         let holder = prompt_cache::holder(upstream, incarnation);
-        self.prompts.record(prefixes, holder, lifetime, now);
+        self.prompts.record(prefixes, holder, now);
         self.prompts.record_passage(&service, passed.max(0.0), now);
     }
 }
@@ -210,24 +207,15 @@
         #[expect(clippy::cast_precision_loss)]
         let rate = pool.prompts.rate(criteria.service, now) * pool.instances() as f64
             / ready.len().max(1) as f64;
-        let mut weighing = Self {
+        Self {
             pool,
             criteria,
             now,
             prefixes: prompt_cache::prefixes(prompt.model, prompt.parts).collect(),
-            spread: Vec::new(),
             affinity,
             ready,
             rate,
-        };
-        let lifetime = weighing.lifetime_of(criteria.memory_tokens);
-        let upstreams = weighing.ready.len();
-        let spread = weighing.prefixes.iter().map(|prefix| {
-            let store = &pool.prompts;
-            store.spread(prefix.digest, upstreams, pool.instances(), lifetime, now)
-        });
-        weighing.spread = spread.collect();
-        weighing
+        }
     }
 
     /// Returns the time in which as many tokens pass through an upstream as fit into this part of
@@ -289,16 +277,11 @@
         let by_rank = RANK_CERTAINTY.get(self.rank(upstream));
         let deepest_shared = self.prefixes.len().checked_sub(2);
         let (mut certainty, mut held) = (0.0_f64, 0.0);
-        let prefixes = self.prefixes.iter().zip(&self.spread).enumerate().rev();
-        for (at, (prefix, spread)) in prefixes {
-            let by_others = if Some(at) == deepest_shared {
-                by_rank.map_or(*spread, |rank| rank.max(*spread))
-            } else {
-                *spread
-            };
+        for (at, prefix) in self.prefixes.iter().enumerate().rev() {
+            let by_others = by_rank.filter(|_| Some(at) == deepest_shared);
             // An upstream that holds a part holds those before it.
             certainty = certainty
-                .max(by_others * filled)
+                .max(by_others.map_or(0.0, |rank| rank * filled))
                 .max(self.observed(upstream, prefix, lifetime));
             held += certainty * prefix.tokens as f64;
         }
--- a/crates/core/src/prompt_cache.rs
+++ b/crates/core/src/prompt_cache.rs
@@ -13,7 +13,7 @@
     time::{Span, Time},
 };
 
-/// Maximum number of records, each of 32 bytes. At a few chains a request and ten requests per
+/// Maximum number of records, each of 24 bytes. At a few chains a request and ten requests per
 /// second of one instance, they cover minutes, and a memory is replaced in less.
 const MAX_RECORDS: usize = 8_192;
 
@@ -60,8 +60,6 @@
     prefix: u64,
     holder: u64,
     used_at: Time,
-    /// Uses without an interruption after which it was probably evicted.
-    uses: u32,
 }
 
 /// Tokens that this instance has caused upstreams of a service to process, decayed by age.
@@ -82,29 +80,20 @@
 }
 
 impl Store {
-    /// Records that an upstream has processed a prompt. `lifetime` is the estimated time until it
-    /// evicts an unused part.
-    pub fn record<I>(&mut self, prefixes: I, holder: u64, lifetime: Span, now: Time)
+    /// Records that an upstream has processed a prompt.
+    pub fn record<I>(&mut self, prefixes: I, holder: u64, now: Time)
     where
         I: IntoIterator<Item = Prefix>,
     {
         for prefix in prefixes {
+            let record = Record {
+                prefix: prefix.digest,
+                holder,
+                used_at: now,
+            };
             match self.find(prefix.digest, holder) {
-                Ok(at) => {
-                    let record = &mut self.records[at];
-                    let was_held = certainty(now.since(record.used_at), lifetime) > 0.0;
-                    record.uses = if was_held { record.uses + 1 } else { 1 };
-                    record.used_at = now;
-                }
-                Err(at) => {
-                    let record = Record {
-                        prefix: prefix.digest,
-                        holder,
-                        used_at: now,
-                        uses: 1,
-                    };
-                    self.records.insert(at, record);
-                }
+                Ok(at) => self.records[at] = record,
+                Err(at) => self.records.insert(at, record),
             }
         }
         if self.records.len() > MAX_RECORDS {
@@ -152,36 +141,6 @@
         })
     }
 
-    /// Returns how certain it is, from 0 to 1, that an upstream to which this instance has not sent
-    /// a prefix holds it because other instances have.
-    ///
-    /// The requests of this instance are a sample of those of all `instances`. The share of them
-    /// that went to an upstream which no other one reached estimates the share that goes to unseen
-    /// upstreams (I. J. Good, 1953). A prefix at a single upstream is no evidence for others.
-    #[must_use]
-    #[expect(clippy::cast_precision_loss)]
-    pub fn spread(
-        &self,
-        prefix: u64,
-        upstreams: usize,
-        instances: usize,
-        lifetime: Span,
-        now: Time,
-    ) -> f64 {
-        let first = self.records.partition_point(|r| r.prefix < prefix);
-        let of_prefix = self.records[first..].iter();
-        let of_prefix = of_prefix.take_while(|r| r.prefix == prefix);
-        let held = of_prefix.filter(|r| certainty(now.since(r.used_at), lifetime) > 0.0);
-        let (mut seen, mut once) = (0_usize, 0_usize);
-        for record in held {
-            seen += 1;
-            once += usize::from(record.uses == 1);
-        }
-        let unseen = upstreams.saturating_sub(seen).max(1) as f64;
-        let uses = once.saturating_sub(1) as f64 * instances as f64;
-        1.0 - (-uses / unseen).exp()
-    }
-
     /// Returns the number of records.
     #[must_use]
     pub const fn len(&self) -> usize {
--- a/crates/core/tests/prompt_cache.rs
+++ b/crates/core/tests/prompt_cache.rs
@@ -682,7 +682,7 @@
         let now = Time::from_millis(number);
         let parts = [(1, 512), (number, 100)];
         let holder = prompt_cache::holder("u000", 1);
-        store.record(prompt_cache::prefixes(1, &parts), holder, lifetime, now);
+        store.record(prompt_cache::prefixes(1, &parts), holder, now);
         assert!(store.len() <= 8_192);
         let first = prompt_cache::prefixes(1, &parts).next().unwrap();
         assert!(store.certainty(first.digest, holder, lifetime, now) >= 1.0);
