Allow weighed prompts a short queue at their upstreams

Cause: when nearly all slots are taken, only upstreams with a slot free in the last reports were candidates, and 66 instances sent to these few for 200 ms.

Change: an upstream whose prompts are weighed may have half as many requests queued as slots, as upstreams of plain services may. The hash order spreads them. Brittle upstreams and all other services keep their limit.

The replay lets requests without upstream wait until their objective.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -589,7 +589,7 @@
         let running = upstream.running + upstream.others.running;
         let announcement = &upstream.entry.announcement;
         let rejects = self.bounds_of(upstream).rejects;
-        let has_memory = criteria.memory_tokens > 0;
+        let has_memory = criteria.memory_tokens > 0 && !self.is_weighed(criteria);
         if running >= rejects::capacity(announcement.slots, has_memory, rejects) {
             return false;
         }
--- a/crates/core/src/placement/affinity.rs
+++ b/crates/core/src/placement/affinity.rs
@@ -150,8 +150,10 @@
     /// Returns whether what upstreams hold of a prompt is weighed against the wait.
     ///
     /// It takes engines with a memory, prompts with shared parts, an observed prefill rate, and so
-    /// many entry instances that none knows the load at once.
-    fn is_weighed(&self, criteria: &Criteria<'_>) -> bool {
+    /// many entry instances that none knows the load at once. Such an upstream may then have a short
+    /// queue: if only those with a slot free in the last reports were candidates, all instances would
+    /// send to the same few when nearly all slots are taken.
+    pub(super) fn is_weighed(&self, criteria: &Criteria<'_>) -> bool {
         criteria.memory_tokens > 0
             && criteria.prompt.parts.len() > 1
             && criteria.prompt.token_ms > 0.0
--- a/crates/core/tests/prompt_cache.rs
+++ b/crates/core/tests/prompt_cache.rs
@@ -28,6 +28,10 @@
 /// Interval of the load reports, in milliseconds.
 const REPORT_MS: u64 = 200;
 
+/// Interval at which a request tries again to find an upstream, and how long, by kind.
+const RETRY_MS: u64 = 25;
+const OBJECTIVES_MS: [u64; 3] = [3_000, 1_000, 1_000];
+
 /// Time between two failure domains one way, in milliseconds, rounded up.
 const LINK_MS: u64 = 1;
 
@@ -285,6 +289,8 @@
         // End or begin of an answer, by time: (time, is end, request, instance, engine, incarnation).
         let mut events = BinaryHeap::<Reverse<(u64, bool, usize, usize, usize, u64)>>::new();
         let mut requests: Vec<Request> = Vec::new();
+        let mut waiting: Vec<(Request, usize)> = Vec::new();
+        let mut serial = 0;
         for ms in START_MS..START_MS + seconds * 1_000 {
             if ms % 1_000 == 0 {
                 at_second((ms - START_MS) / 1_000, self);
@@ -311,9 +317,19 @@
                 let criteria = criteria(request, self.token_ms(at), self.memory);
                 self.pools[at].record_prompt(&upstream, incarnation, &criteria, now);
             }
+            let mut due: Vec<(Request, usize)> = Vec::new();
             while let Some(request) = arrivals.next_if(|r| r.sent_at <= ms) {
-                let at = mix(requests.len() as u64) as usize % self.pools.len();
+                serial += 1;
+                due.push((request, mix(serial) as usize % self.pools.len()));
+            }
+            if ms % RETRY_MS == 0 {
+                due.append(&mut waiting);
+            }
+            for (request, at) in due {
                 let Some(upstream) = self.choose(at, &request, ms) else {
+                    if ms - request.sent_at < OBJECTIVES_MS[request.kind] {
+                        waiting.push((request, at));
+                    }
                     continue;
                 };
                 let engine: usize = upstream[1..].parse().unwrap();
@@ -330,6 +346,13 @@
         }
     }
 
+    /// Returns the number of answers that began later than their objective.
+    fn late(&self) -> usize {
+        let waits = self.waits.iter().zip(OBJECTIVES_MS);
+        let late = waits.map(|(waits, limit)| waits.iter().filter(|w| **w > limit).count());
+        late.sum()
+    }
+
     fn quantile(&self, kind: usize, share: f64) -> u64 {
         let mut waits = self.waits[kind].clone();
         waits.sort_unstable();
@@ -448,12 +471,13 @@
             }
         });
         println!(
-            "weighed {is_weighed}: read again {:?} of {}, p50 and p99 {:?}, most arrivals {}",
+            "weighed {is_weighed}: read again {:?} of {}, p50 and p99 {:?}, late {}, most arrivals {}",
             replay.reread_tokens,
             replay.shared_tokens,
             (0..kinds.len())
                 .map(|k| (replay.quantile(k, 0.5), replay.quantile(k, 0.99)))
                 .collect::<Vec<_>>(),
+            replay.late(),
             replay.most_arrivals,
         );
         replay
@@ -526,6 +550,23 @@
     );
 }
 
+/// Two and a half times the usual load takes nearly all slots. Guards against instances that all send
+/// to the few upstreams with a slot free in the last reports, where lines of seconds form.
+#[test]
+fn no_lines_form_when_nearly_all_slots_are_taken() {
+    let [old, new] = compare(&load(2.5, 0.0), 600_000, false);
+    assert!(
+        new.late() < old.late(),
+        "{} after {}",
+        new.late(),
+        old.late()
+    );
+    assert!(new.reread_tokens[0] < old.reread_tokens[0]);
+    for kind in 0..3 {
+        assert!(new.quantile(kind, 0.99) <= old.quantile(kind, 0.99));
+    }
+}
+
 /// Ten thousand subjects of each kind, of which each is asked for once a minute or less.
 #[test]
 fn ten_thousand_subjects_are_placed_as_well() {
