--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -7,6 +7,8 @@
 //! trip. The loads from other instances are known with a delay; the upstream's own queue absorbs
 //! the resulting error.
 
+mod cold_start;
+mod connection;
 mod crowd;
 mod limit;
 mod pace;
@@ -15,7 +17,13 @@
 
 use std::sync::Arc;
 
-use self::{crowd::Crowd, limit::Passes, peer::Peers};
+use self::{
+    cold_start::Restart,
+    connection::{Down, SuspectDomain},
+    crowd::Crowd,
+    limit::Passes,
+    peer::Peers,
+};
 pub use self::{
     limit::{Pass, Shortage},
     peer::sample_peers,
@@ -46,11 +54,6 @@
 /// Load penalty of an upstream in another failure domain for plain services, in requests.
 const REMOTE_PENALTY: f64 = 0.5;
 
-/// Minimum time between two requests of one instance to an upstream in its cold start.
-///
-/// It is longer than a second, so that no window of a second contains two.
-const COLD_START_INTERVAL: Span = Span::from_millis(1_100);
-
 /// Minimum number of recent failures for an upstream to count as unhealthy.
 const UNHEALTHY_FAILURES: u32 = 3;
 
@@ -61,17 +64,6 @@
 /// Time constant of the exponential decay of outcomes.
 const OUTCOME_DECAY: Span = Span::from_secs(4);
 
-/// Initial backoff after a failed connection, in announcement intervals. It doubles with each
-/// failure up to [`MAX_DOWN_INTERVALS`].
-const DOWN_INTERVALS: u64 = 1;
-
-/// Maximum backoff after a failed connection, in announcement intervals.
-const MAX_DOWN_INTERVALS: u64 = 8;
-
-/// Number of announcement intervals after which an upstream that accepts connections again has
-/// announced its new incarnation, if it has one.
-const RESTART_INTERVALS: u64 = 2;
-
 /// Number of a service's upstreams in the local failure domain below which its requests go to all
 /// failure domains.
 const MIN_LOCAL_UPSTREAMS: usize = 4;
@@ -211,25 +203,6 @@
     turned_away_at: Option<Time>,
 }
 
-/// A sign that the process has ended, so that the next one at its address may be cold: a refused
-/// connection, or a limit that has ended on a new connection.
-#[derive(Clone, Copy, Debug)]
-struct Restart {
-    incarnation: u64,
-    /// Time of the first connection that was accepted again.
-    accepted_at: Option<Time>,
-}
-
-/// The backoff after failed connections to an upstream.
-#[derive(Clone, Copy, Debug)]
-struct Down {
-    incarnation: u64,
-    /// Time of the next attempt.
-    until: Time,
-    /// Consecutive failures.
-    failures: u32,
-}
-
 /// An instance that was listed as present.
 #[derive(Clone, Copy, Debug)]
 struct ListedInstance {
@@ -237,20 +210,6 @@
     listed_at: Time,
 }
 
-/// A remote failure domain with unresponsive upstreams.
-#[derive(Clone, Debug)]
-struct SuspectDomain {
-    domain: Arc<str>,
-    /// The last unresponsive upstream.
-    upstream: Arc<str>,
-    /// Time of its failure.
-    failed_at: Time,
-    /// End of the time for which the failure domain is avoided.
-    avoided_until: Time,
-    /// Consecutive times that it was avoided.
-    times: u32,
-}
-
 /// All upstreams that an entry instance knows, sorted by identity.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -538,14 +497,6 @@
         }
     }
 
-    fn is_avoided(&self, upstream: &Upstream, now: Time) -> bool {
-        let domain = &upstream.entry.announcement.domain;
-        let found = self
-            .suspect_domains
-            .binary_search_by(|s| s.domain.cmp(domain));
-        found.is_ok_and(|at| now < self.suspect_domains[at].avoided_until)
-    }
-
     /// Returns whether the request belongs to the canary of a rollout.
     fn is_canary(&self, criteria: &Criteria<'_>, state: &State) -> bool {
         let announcements = self.upstreams.iter().map(|u| &u.entry.announcement);
@@ -634,35 +585,6 @@
             || self.may_send_cold(upstream, criteria.cold_rate, now)
     }
 
-    /// Returns whether this instance may send a request to an upstream in its cold start.
-    ///
-    /// The instances of the upstream's failure domain are ranked by a hash with its identity. As many
-    /// of the first ones as the rate allows send one request per interval each, so that all instances
-    /// together stay within the rate.
-    fn may_send_cold(&self, upstream: &Upstream, rate: f64, now: Time) -> bool {
-        if rate <= 0.0 {
-            return true;
-        }
-        if now < upstream.next_cold_request || !upstream.is_local(&self.domain) {
-            return false;
-        }
-        let id = digest::of(upstream.entry.announcement.upstream.as_bytes());
-        let own = digest::mix(id ^ self.instance);
-        let domain_instances = self.domain_instances.iter().map(|l| l.instance);
-        let ahead = domain_instances
-            .clone()
-            .filter(|i| digest::mix(id ^ i) < own)
-            .count();
-        #[expect(clippy::cast_precision_loss)]
-        let fits = (ahead as f64) < rate.floor();
-        let is_listed = self
-            .domain_instances
-            .iter()
-            .any(|l| l.instance == self.instance);
-        let is_known_cold = now < upstream.entry.cold_until;
-        fits && (is_listed || (self.domain_instances.is_empty() && !is_known_cold))
-    }
-
     fn least_loaded<'a>(&self, candidates: &[&'a Upstream], salt: u16) -> Option<&'a Upstream> {
         let cost = |u: &Upstream| {
             let is_local = u.is_local(&self.domain);
@@ -689,7 +611,7 @@
             upstream.work += demand.work;
             upstream.prefill += demand.prefill;
             if upstream.may_be_cold(interval, now) {
-                upstream.next_cold_request = now + COLD_START_INTERVAL;
+                upstream.next_cold_request = now + cold_start::REQUEST_INTERVAL;
             }
         }
     }
@@ -742,84 +664,6 @@
         }
     }
 
-    /// Records a failed connection to an upstream, which is not used for the backoff time.
-    ///
-    /// Two different unresponsive upstreams of a remote failure domain in a row indicate a partition:
-    /// the whole failure domain is avoided for the backoff time, so that not every upstream has to be
-    /// tried.
-    pub fn connect_failed(
-        &mut self,
-        upstream: &str,
-        incarnation: u64,
-        failure: Failure,
-        now: Time,
-    ) {
-        let Some(at) = self.find(upstream) else {
-            return;
-        };
-        let interval = self.interval;
-        let upstream = &mut self.upstreams[at];
-        if upstream.entry.announcement.incarnation != incarnation {
-            return;
-        }
-        let failures = upstream.down.map_or(0, |d| d.failures);
-        upstream.down = Some(Down {
-            incarnation,
-            until: now + connection_backoff(interval, failures),
-            failures: failures + 1,
-        });
-        if failure == Failure::Refused {
-            upstream.restart = Some(Restart {
-                incarnation,
-                accepted_at: None,
-            });
-        }
-        if failure == Failure::Refused || upstream.is_local(&self.domain) {
-            return;
-        }
-        let announcement = &upstream.entry.announcement;
-        match self
-            .suspect_domains
-            .binary_search_by(|s| s.domain.cmp(&announcement.domain))
-        {
-            Ok(at) => {
-                let suspect = &mut self.suspect_domains[at];
-                let is_recent =
-                    now.since(suspect.failed_at) < interval.times(MAX_DOWN_INTERVALS + 1);
-                if !is_recent {
-                    suspect.times = 0;
-                } else if suspect.times > 0 || suspect.upstream != announcement.upstream {
-                    suspect.avoided_until = now + connection_backoff(interval, suspect.times);
-                    suspect.times += 1;
-                }
-                suspect.failed_at = now;
-                suspect.upstream = announcement.upstream.clone();
-            }
-            Err(at) => {
-                let suspect = SuspectDomain {
-                    domain: announcement.domain.clone(),
-                    upstream: announcement.upstream.clone(),
-                    failed_at: now,
-                    avoided_until: now,
-                    times: 0,
-                };
-                self.suspect_domains.insert(at, suspect);
-            }
-        }
-    }
-
-    /// Records that an upstream accepted a connection.
-    pub fn connected(&mut self, upstream: &str, now: Time) {
-        if let Some(at) = self.find(upstream) {
-            self.upstreams[at].down = None;
-            if let Some(restart) = &mut self.upstreams[at].restart {
-                restart.accepted_at.get_or_insert(now);
-            }
-            let domain = &self.upstreams[at].entry.announcement.domain;
-            self.suspect_domains.retain(|s| s.domain != *domain);
-        }
-    }
-
     /// Records the notice of an upstream that it is leaving, and returns whether that was unknown.
     pub fn mark_leaving(&mut self, target: &Target, now: Time) -> bool {
         self.notices
@@ -951,22 +795,6 @@
         }
     }
 
-    /// Returns whether it is in its cold start, or may be because its process has ended and a new one
-    /// is not listed yet.
-    fn may_be_cold(&self, interval: Span, now: Time) -> bool {
-        now < self.entry.cold_until || self.may_have_restarted(interval, now)
-    }
-
-    /// Returns whether its process may have ended without a later incarnation being listed.
-    fn may_have_restarted(&self, interval: Span, now: Time) -> bool {
-        self.restart.is_some_and(|restart| {
-            let accepted = restart.accepted_at;
-            let limit = interval.times(RESTART_INTERVALS);
-            restart.incarnation == self.entry.announcement.incarnation
-                && accepted.is_none_or(|at| now.since(at) < limit)
-        })
-    }
-
     fn is_local(&self, domain: &str) -> bool {
         *self.entry.announcement.domain == *domain
     }
@@ -1026,12 +854,6 @@
     }
 }
 
-/// Returns the backoff after a failure that was preceded by `failures` others.
-fn connection_backoff(interval: Span, failures: u32) -> Span {
-    let intervals = DOWN_INTERVALS << failures.min(8);
-    interval.times(intervals.min(MAX_DOWN_INTERVALS))
-}
-
 /// Returns the candidates without an outlying failure rate, or all if none is left.
 fn healthy<'a>(candidates: &[&'a Upstream]) -> Vec<&'a Upstream> {
     let ok: u32 = candidates.iter().map(|u| u.recent_outcomes().0).sum();
