--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -7,6 +7,7 @@
 //! trip. The loads from other instances are known with a delay; the upstream's own queue absorbs
 //! the resulting error.
 
+mod affinity;
 mod cold_start;
 mod connection;
 mod crowd;
@@ -17,6 +18,12 @@
 
 use std::sync::Arc;
 
+pub use self::{
+    affinity::{Expectation, Prompt},
+    limit::{Pass, Shortage},
+    peer::sample_peers,
+    rejects::{ACCEPTANCE_TIME, RejectPermit},
+};
 use self::{
     cold_start::Restart,
     connection::{Down, SuspectDomain},
@@ -24,27 +31,16 @@
     limit::Passes,
     peer::Peers,
 };
-pub use self::{
-    limit::{Pass, Shortage},
-    peer::sample_peers,
-    rejects::{ACCEPTANCE_TIME, RejectPermit},
-};
 use crate::{
     digest,
     fleet::{Entry, Phase},
     limit::Bounds,
-    notice,
+    notice, prompt_cache,
     replicated::{Eligibility, State},
     report::{Load, Totals},
     time::{Span, Time},
 };
 
-/// Factor on the mean load up to which an upstream is preferred over the next one in hash order.
-const LOAD_FACTOR: f64 = 1.25;
-
-/// Load that is always allowed in addition to [`LOAD_FACTOR`] times the mean, in requests.
-const LOAD_SLACK: f64 = 3.0;
-
 /// Work that counts as one request in a comparison of loads, in tokens of the largest model.
 const WORK_PER_REQUEST: f64 = 4_000.0;
 
@@ -94,6 +90,8 @@
     pub affinity: Option<u64>,
     /// Tokens of the shared prefix.
     pub shared_tokens: u64,
+    /// The prompt; empty for plain services.
+    pub prompt: Prompt<'a>,
     /// Number from 0 to 999 that assigns the request to a canary if it is below the canary's share.
     pub draw: u16,
     /// Prompt and output tokens.
@@ -176,6 +174,8 @@
 #[derive(Clone, Debug)]
 struct Upstream {
     entry: Entry,
+    /// When its incarnation was first listed; `None` if it was listed when this instance started.
+    listed_at: Option<Time>,
     /// Running requests of this instance, and their demand.
     running: u32,
     tokens: u64,
@@ -232,6 +232,7 @@
     peers: Peers,
     /// Time of the last paces.
     paces_at: Time,
+    prompts: prompt_cache::Store,
     upstreams: Vec<Upstream>,
 }
 
@@ -252,6 +253,7 @@
             is_cut_off: false,
             peers: Peers::default(),
             paces_at: Time::ZERO,
+            prompts: prompt_cache::Store::default(),
             upstreams: Vec::new(),
         }
     }
@@ -259,6 +261,7 @@
     /// Updates the pool from the directory's records, which are sorted by identity.
     pub fn update(&mut self, entries: &[Entry], now: Time) {
         let old = std::mem::take(&mut self.upstreams);
+        let listed_at = (!old.is_empty()).then_some(now);
         let mut old = old.into_iter().peekable();
         for entry in entries {
             while old
@@ -273,6 +276,7 @@
                         known.entry.announcement.incarnation != entry.announcement.incarnation;
                     if restarted {
                         (known.ok, known.failed, known.pace) = (0.0, 0.0, 1.0);
+                        known.listed_at = Some(now);
                     }
                     if known.entry.silent && !entry.silent {
                         known.down = None;
@@ -288,7 +292,7 @@
                     known.entry = entry.clone();
                     known
                 }
-                None => Upstream::new(entry.clone(), now),
+                None => Upstream::new(entry.clone(), listed_at, now),
             };
             let incarnation = upstream.entry.announcement.incarnation;
             self.notices
@@ -362,6 +366,34 @@
         services
     }
 
+    /// Returns the share of a service's slots in use, at the upstreams of the local failure domain
+    /// if it has enough of them: only their loads are always known. It is above 1 while requests
+    /// wait at the upstreams, and 1 if no upstream is usable.
+    #[must_use]
+    pub fn utilization(&self, service: &str, now: Time) -> f64 {
+        let is_usable = |u: &&Upstream| {
+            let announcement = &u.entry.announcement;
+            *announcement.service == *service
+                && u.is_ready()
+                && u.down.is_none_or(|d| now >= d.until)
+                && !self
+                    .notices
+                    .is_leaving(&announcement.upstream, announcement.incarnation)
+        };
+        let usable = self.upstreams.iter().filter(is_usable);
+        let local = usable.clone().filter(|u| u.is_local(&self.domain));
+        let has_local = local.count() >= MIN_LOCAL_UPSTREAMS;
+        let (mut slots, mut running) = (0, 0);
+        for upstream in usable.filter(|u| !has_local || u.is_local(&self.domain)) {
+            slots += upstream.entry.announcement.slots;
+            running += upstream.running + upstream.others.running;
+        }
+        if slots == 0 {
+            return 1.0;
+        }
+        f64::from(running) / f64::from(slots)
+    }
+
     /// Returns this instance's loads by upstream.
     #[must_use]
     pub fn loads(&mut self, now: Time) -> Vec<Load> {
@@ -465,7 +497,7 @@
         } else {
             self.prefer_local(&mut candidates, criteria);
             match criteria.affinity {
-                Some(affinity) => preferred(&candidates, &self.domain, affinity),
+                Some(affinity) => self.choose_by_affinity(&candidates, criteria, affinity, now),
                 None => self.least_loaded(&candidates, criteria.draw),
             }
         };
@@ -775,9 +807,10 @@
 }
 
 impl Upstream {
-    fn new(entry: Entry, now: Time) -> Self {
+    fn new(entry: Entry, listed_at: Option<Time>, now: Time) -> Self {
         Self {
             entry,
+            listed_at,
             running: 0,
             tokens: 0,
             work: 0,
@@ -871,33 +904,3 @@
         healthy
     }
 }
-
-/// Returns the first upstream in the rendezvous order of the affinity key whose load is within the
-/// bound, or the first of all if none is.
-///
-/// The bound refers to the mean of the local failure domain, whose loads are always known, unless it
-/// has fewer than [`MIN_LOCAL_UPSTREAMS`] candidates.
-fn preferred<'a>(candidates: &[&'a Upstream], domain: &str, affinity: u64) -> Option<&'a Upstream> {
-    let mut order: Vec<_> = candidates
-        .iter()
-        .map(|u| {
-            (
-                digest::mix(digest::of(u.entry.announcement.upstream.as_bytes()) ^ affinity),
-                *u,
-            )
-        })
-        .collect();
-    order.sort_unstable_by_key(|(rank, _)| *rank);
-    let local = candidates.iter().filter(|u| u.is_local(domain));
-    let local: Vec<f64> = local.map(|u| u.load_score()).collect();
-    let loads = if local.len() < MIN_LOCAL_UPSTREAMS {
-        candidates.iter().map(|u| u.load_score()).collect()
-    } else {
-        local
-    };
-    #[expect(clippy::cast_precision_loss)]
-    let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
-    let bound = mean * LOAD_FACTOR + LOAD_SLACK;
-    let within = order.iter().find(|(_, u)| u.load_score() <= bound);
-    within.or_else(|| order.first()).map(|(_, u)| *u)
-}
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Request forwarding: routing, selection of an upstream, attempts and retries.
 
 mod attempt;
+mod cascading;
 mod context;
 mod hand_over;
 mod in_flight;
@@ -9,6 +10,7 @@
 mod relay;
 mod screening;
 mod stats;
+mod waiting;
 
 use std::{
     cell::{Cell, RefCell},
@@ -19,18 +21,17 @@
 
 use hyper::{Response, StatusCode};
 use masticlock_core::{
-    cascade::{self, Confidence, Pressure},
+    cascade::{Confidence, Pressure, Work},
     digest,
     fault::Fault,
     forecast::Forecast,
     pace,
-    placement::{Choice, Criteria, Pool, Target},
+    placement::{Choice, Criteria, Pool, Prompt, Target},
     reach::Reach,
     report::VersionStats,
     retry_after::Cause,
     retry_budget::Budget,
     rollout::lateness::Reference,
-    route::{Kind, Route},
     time::{Span, Time},
 };
 use tokio::{
@@ -65,17 +66,7 @@
 /// instead of a 503 that asks for a retry.
 const MAX_DEFINITIVE_AGE: Span = Span::from_millis(1_500);
 
-/// Longest time that a request waits while no upstream is available.
-const MAX_UNAVAILABLE_WAIT: Span = Span::from_millis(250);
-
-/// Longest time that a request waits for the list of peers: two polls of each hop.
-const MAX_PEER_WAIT: Span = Span::from_millis(900);
-
-/// Longest time that a request waits for a permit for an upstream with a limit: the way of a want to
-/// the leader of the control instances and back.
-const MAX_PERMIT_WAIT: Span = Span::from_millis(700);
-
-/// Longest delay before a waiting request tries again to select an upstream.
+/// Delay before a request that waits for its configuration or a permit looks again.
 const SELECTION_RETRY_DELAY: Duration = Duration::from_millis(25);
 
 /// Longest time that a request waits for a current configuration: an election and two polls.
@@ -118,6 +109,8 @@
     mean_head_times: RefCell<Vec<(Arc<str>, f64)>>,
     pressure: RefCell<Pressure>,
     confidence: RefCell<Confidence>,
+    /// What runs of the largest models take.
+    large_work: RefCell<Work>,
     forecast: RefCell<Forecast>,
     /// Pace of the upstreams.
     paces: RefCell<pace::Learner>,
@@ -134,8 +127,10 @@
     peer_places: Rc<Cell<u32>>,
     /// Number of the list of peers in the pool.
     peers_version: Cell<u64>,
-    /// Wakes waiting requests when another request has ended.
+    /// Wakes requests that wait outside of the lines when another request has ended.
     capacity_freed: Notify,
+    /// Requests that wait because all upstreams of their service are full.
+    lines: waiting::Lines,
     started_at: Time,
     metrics: metrics::EntryMetrics,
 }
@@ -171,6 +166,7 @@
             mean_head_times: RefCell::default(),
             pressure: RefCell::default(),
             confidence: RefCell::default(),
+            large_work: RefCell::default(),
             forecast: RefCell::default(),
             paces: RefCell::default(),
             paces_version: Cell::new(0),
@@ -181,6 +177,7 @@
             peer_places: Rc::default(),
             peers_version: Cell::new(0),
             capacity_freed: Notify::new(),
+            lines: waiting::Lines::default(),
             started_at: clock.now(),
             metrics: metrics::EntryMetrics::default(),
         }
@@ -457,37 +454,20 @@
         );
     }
 
-    /// Chooses the model of a request that can't be sent to a larger one after its first answer.
-    fn choose_only_model(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
-        let route = &resolved.route;
-        if !ctx.meta.any_model || (route.is_repeatable() && route.attempts > 1) {
-            return;
-        }
-        let now = self.now();
-        let confidence = self.confidence.borrow().of(&route.name, now);
-        let pressure = self.pressure.borrow().of(&resolved.service.name, now);
-        let level = cascade::only_level(confidence, route.models.len(), pressure);
-        if level == 0 {
-            return;
-        }
-        let begin = self.forecast_start(ctx, resolved, level);
-        if begin.is_some_and(|begin| cascade::is_timely(begin, route.objective)) {
-            ctx.level.set(level);
-        }
-    }
-
     /// Sends the request to one upstream after another until one responds or no attempt is left.
     async fn try_upstreams(
         self: Rc<Self>,
         ctx: Rc<RequestContext>,
     ) -> Result<Response<ResponseBody>, Refusal> {
+        let mut place = None;
         loop {
             let resolved = match self.resolve(&ctx, &self.view()) {
                 Ok(resolved) => resolved,
                 Err(refusal) if ctx.run_count() == 0 => return Err(refusal),
                 Err(refusal) => return Err(Refusal::new(StatusCode::BAD_GATEWAY, refusal.reason)),
             };
-            let Some((target, pass)) = self.select_upstream(&ctx, &resolved).await? else {
+            let selected = self.select_upstream(&ctx, &resolved, &mut place).await?;
+            let Some((target, pass)) = selected else {
                 continue;
             };
             ctx.has_wanted.set(false);
@@ -511,76 +491,6 @@
         }
     }
 
-    /// Selects an upstream, or returns none after a wait for one: the request is then to be
-    /// resolved again.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal of a request that has waited too long or crashes upstreams.
-    async fn select_upstream(
-        self: &Rc<Self>,
-        ctx: &RequestContext,
-        resolved: &ResolvedRoute,
-    ) -> Result<Option<(Target, PassGuard)>, Refusal> {
-        if !self.is_screened(ctx)? {
-            sleep(SELECTION_RETRY_DELAY).await;
-            return Ok(None);
-        }
-        self.want_permits(ctx, resolved);
-        let waited = self.now().since(ctx.received_at);
-        let (max_wait, cause, reason) = match self.choose(ctx, resolved) {
-            Choice::Upstream(target) => {
-                return Ok(PassGuard::take(self, &target).map(|pass| (target, pass)));
-            }
-            Choice::Limited(shortage) => {
-                let max_wait = if shortage.scarce {
-                    Span::ZERO
-                } else {
-                    max_wait(&resolved.route).min(MAX_PERMIT_WAIT)
-                };
-                let reason = "limits of all upstreams reached";
-                if waited >= max_wait {
-                    let mut pool = self.pool.borrow_mut();
-                    let turn = pool.next_turn(&resolved.service.name, shortage, self.now());
-                    return Err(ctx.refuse(Cause::Limited(turn), reason, self.now()));
-                }
-                (max_wait, Cause::Full, reason)
-            }
-            Choice::Full => (max_wait(&resolved.route), Cause::Full, "all upstreams full"),
-            Choice::Backoff(rest) => {
-                // A wait that ends before the backoff of the upstreams is useless.
-                let max_wait = max_wait(&resolved.route).minus(rest);
-                (max_wait, Cause::Backoff(rest), "all upstreams want quiet")
-            }
-            Choice::Unavailable => (
-                self.unavailable_wait(ctx),
-                Cause::Unavailable,
-                "no usable upstream",
-            ),
-        };
-        if waited >= max_wait {
-            return Err(ctx.refuse(cause, reason, self.now()));
-        }
-        tokio::select! {
-            () = self.capacity_freed.notified() => {}
-            () = sleep(SELECTION_RETRY_DELAY) => {}
-        }
-        Ok(None)
-    }
-
-    /// Returns how long a request waits while no upstream is available: until peers are known after
-    /// the way to upstreams was lost.
-    fn unavailable_wait(&self, ctx: &RequestContext) -> Span {
-        let pool = self.pool.borrow();
-        if pool.is_cut_off() && ctx.peer_place.is_none() && !pool.has_peers(self.now()) {
-            MAX_PEER_WAIT
-        } else if ctx.peer_place.is_some() {
-            Span::ZERO
-        } else {
-            MAX_UNAVAILABLE_WAIT
-        }
-    }
-
     fn choose(&self, ctx: &RequestContext, resolved: &ResolvedRoute) -> Choice {
         self.choose_excluding(ctx, resolved, &ctx.tried.borrow())
     }
@@ -594,7 +504,7 @@
     ) -> Choice {
         let view = self.view();
         let choose = |tried: &[Arc<str>]| {
-            Self::with_criteria(ctx, resolved, tried, |criteria| {
+            self.with_criteria(ctx, resolved, tried, |criteria| {
                 let pool = self.pool.borrow();
                 pool.choose(criteria, &view.agreed, self.now())
             })
@@ -610,6 +520,17 @@
         choose(tried)
     }
 
+    /// Records that an upstream has begun to answer and holds the prompt of the request.
+    fn record_prompt(&self, ctx: &RequestContext, resolved: &ResolvedRoute, target: &Target) {
+        if resolved.service.engine.is_none() || target.is_peer {
+            return;
+        }
+        self.with_criteria(ctx, resolved, &[], |criteria| {
+            let mut pool = self.pool.borrow_mut();
+            pool.record_prompt(&target.upstream, target.incarnation, criteria, self.now());
+        });
+    }
+
     /// Records once for each attempt that permits are wanted for upstreams with limits.
     fn want_permits(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
         if ctx.has_wanted.replace(true) {
@@ -619,7 +540,7 @@
         if !self.pool.borrow().has_limits() {
             return;
         }
-        let has_unmet = Self::with_criteria(ctx, resolved, &ctx.tried.borrow(), |criteria| {
+        let has_unmet = self.with_criteria(ctx, resolved, &ctx.tried.borrow(), |criteria| {
             let mut pool = self.pool.borrow_mut();
             pool.want(criteria, &view.agreed, self.now())
         });
@@ -636,6 +557,7 @@
 
     /// Calls `act` with the placement criteria of a request.
     fn with_criteria<A, T>(
+        &self,
         ctx: &RequestContext,
         resolved: &ResolvedRoute,
         tried: &[Arc<str>],
@@ -650,10 +572,17 @@
         let affinity_key = has_affinity.then(|| ctx.affinity_key(&resolved.route));
         let session = ctx.session_digest().unwrap_or(ctx.fingerprint);
         let draw = digest::mix(session ^ digest::of(service.name.as_bytes()));
+        let prompt = Prompt {
+            model: ctx.model_digest(&resolved.route),
+            parts: &ctx.meta.prompt_parts,
+            prefill_weight: ctx.token_weight(resolved),
+            token_ms: self.forecast.borrow().token_ms(&service.name),
+        };
         act(&Criteria {
             service: &service.name,
             affinity: affinity_key,
             shared_tokens: ctx.shared_tokens(),
+            prompt,
             // A remainder below 1,000 fits.
             draw: u16::try_from(draw % 1_000).unwrap_or_default(),
             tokens: ctx.tokens(),
@@ -664,12 +593,3 @@
         })
     }
 }
-
-/// Returns how long a request may wait for an upstream with free capacity.
-fn max_wait(route: &Route) -> Span {
-    match route.kind {
-        // A later response of a plain service is of little use to its client.
-        Kind::Idempotent | Kind::NonRepeatable => route.objective.times(2),
-        Kind::Stream => route.objective,
-    }
-}
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -9,10 +9,9 @@
     header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
 };
 use masticlock_core::{
-    cascade,
     fault::Fault,
     limit::{Bounds, Rate, Statement},
-    placement::{Choice, Failure, Outcome, Target},
+    placement::{Failure, Outcome, Target},
     rollout::lateness::{Measure, micros},
     route::Kind,
     time::{Span, Time},
@@ -25,7 +24,7 @@
     connection_pool::{Error, MAX_IDLE_NON_REPEATABLE, PooledConnection},
     entry::ResponseBody,
     handler::{Refusal, ResolvedRoute},
-    metrics::limit_milli,
+    metrics::{limit_milli, whole},
 };
 
 /// Largest body, in bytes, of a response that reports that the request was not run. The connection
@@ -208,13 +207,22 @@
 
     /// Logs that a request is sent to an upstream.
     pub(super) fn log_sent(&self, ctx: &RequestContext, resolved: &ResolvedRoute, target: &Target) {
+        let expected = self.with_criteria(ctx, resolved, &[], |criteria| {
+            let pool = self.pool.borrow();
+            pool.expectation(&target.upstream, criteria, self.now())
+        });
+        if let Some(expected) = &expected {
+            self.metrics.count_weighed(expected);
+        }
+        let expected = expected.unwrap_or_default();
         log::info!(
             event = "sent", request = ctx.id(), route = &*resolved.route.name,
             account = resolved.account.as_ref().map_or("-", |a| &*a.name),
             upstream = &*target.upstream, domain = &*target.domain, version = &*target.version,
             model = ctx.model(&resolved.route).map_or("-", |m| &**m),
             session = ctx.session_digest().unwrap_or_default(), parts = ctx.part_list(),
-            runs = ctx.run_count(),
+            runs = ctx.run_count(), held_tokens = whole(expected.held_tokens),
+            saved_ms = whole(expected.saved_ms), wait_ms = whole(expected.wait_ms),
             limit_milli = limit_milli(self.pool.borrow().limit(target)),
             waited_ms = self.now().since(ctx.received_at).as_millis();
             "a request is sent to an upstream"
@@ -489,6 +497,9 @@
             forecast.observe(service, received.queued_prefill, received.head_time, now);
         }
         self.record_outcome(service, &target.version, good, slow);
+        if good {
+            self.record_prompt(ctx, resolved, target);
+        }
         if good && route.kind != Kind::Stream {
             let measure = Measure::Head(route.name.clone());
             self.record_timing(service, target, &measure, micros(received.head_time));
@@ -552,65 +563,6 @@
         }
     }
 
-    /// Returns how long after the client's request a response of the model at `level` is expected
-    /// to begin, or none if no upstream has capacity for it.
-    pub(super) fn forecast_start(
-        &self,
-        ctx: &RequestContext,
-        resolved: &ResolvedRoute,
-        level: usize,
-    ) -> Option<Span> {
-        let (choice, own) = ctx.with_level(level, || {
-            (self.choose(ctx, resolved), ctx.demand(resolved).prefill)
-        });
-        let Choice::Upstream(target) = choice else {
-            return None;
-        };
-        let queued_prefill = self.pool.borrow().pending_prefill(&target.upstream) + own;
-        let forecast = self.forecast.borrow();
-        let wait = forecast.time_to_first_token(&resolved.service.name, queued_prefill);
-        Some(self.now().since(ctx.received_at).plus(wait))
-    }
-
-    /// Returns the position of the larger model that is to answer instead, if the cascade asks for
-    /// it and time and retry budget allow it.
-    fn escalation(
-        &self,
-        ctx: &RequestContext,
-        resolved: &ResolvedRoute,
-        meta: &ResponseHeaders,
-    ) -> Option<usize> {
-        let route = &resolved.route;
-        if !ctx.meta.any_model || !ctx.runs.get().may_repeat(route) {
-            return None;
-        }
-        let answer = cascade::Answer {
-            confidence: meta.confidence,
-            level: ctx.level.get(),
-            models: route.models.len(),
-            pressure: self
-                .pressure
-                .borrow()
-                .of(&resolved.service.name, self.now()),
-        };
-        let level = cascade::escalation(&answer)?;
-        let begin = self.forecast_start(ctx, resolved, level)?;
-        if !cascade::is_timely(begin, route.objective) {
-            log::debug!(
-                event = "cascade", request = ctx.id(), level, begin_ms = begin.as_millis();
-                "a larger model would answer too late"
-            );
-            return None;
-        }
-        let allowed = self.with_budget(&resolved.service.name, |b| b.withdraw_optional(self.now()));
-        log::debug!(
-            event = "cascade", request = ctx.id(), level, allowed,
-            confidence = answer.confidence.unwrap_or_default(), pressure = answer.pressure;
-            "a larger model is wanted"
-        );
-        allowed.then_some(level)
-    }
-
     /// Returns whether a response head took much longer than the mean, and updates the mean.
     fn observe_head_time(&self, route: &Arc<str>, head_time: Span) -> bool {
         #[expect(clippy::cast_precision_loss)]
