Weigh the wait for a prompt by the pace of the upstream

Cause: placement::affinity had a constant 1 in the place of the pace.

Change: it uses the pace, for the wait and the prefill.

Measured (crates/core/tests/pace.rs): at equal loads 0 of 1,000 prompts go to engines of pace 2.43, formerly 322; at loads in inverse proportion to the pace 322. The core tests pace, prompt_cache, placement, crowd and lint pass.

--- a/crates/core/src/placement/affinity.rs
+++ b/crates/core/src/placement/affinity.rs
@@ -331,7 +331,7 @@
     #[expect(clippy::cast_precision_loss)]
     fn expect(&self, upstream: &Upstream) -> Expectation {
         let criteria = self.criteria;
-        let pace = pace(upstream);
+        let pace = upstream.pace;
         let token_ms = criteria.prompt.prefill_weight * criteria.prompt.token_ms * pace;
         let held_tokens = self.held_tokens(upstream);
         let saved_ms = held_tokens * token_ms;
@@ -356,11 +356,6 @@
     }
 }
 
-/// Returns how long an upstream takes for the same work as a multiple of the usual time.
-const fn pace(_upstream: &Upstream) -> f64 {
-    1.0
-}
-
 fn hash_rank(upstream: &Upstream, affinity: u64) -> u64 {
     digest::mix(digest::of(upstream.entry.announcement.upstream.as_bytes()) ^ affinity)
 }
--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -280,6 +280,57 @@
     assert!(share > 0.1, "{share}");
 }
 
+/// Guards against a weighing of held prompts against the wait that takes a slow engine's wait for that
+/// of a usual one, and against one that leaves slow engines idle.
+#[test]
+fn prompts_leave_a_slow_engine_for_the_next_one() {
+    let slow = |engine: &usize| engine.is_multiple_of(3);
+    let sent = |samples: &[Sample], slow_running: u32| {
+        let load = |engine| {
+            let running = if slow(&engine) { slow_running } else { 10 };
+            Load {
+                upstream: id(engine),
+                running,
+                work: u64::from(running) * 4_000,
+                ..Load::default()
+            }
+        };
+        let totals = Totals {
+            loads: (0..12).map(load).collect(),
+            instances: 80,
+            domain_instances: Vec::new(),
+        };
+        let mut pool = Pool::new("a".into(), 1, INTERVAL);
+        pool.update(directory(12, 24).entries(), START);
+        pool.update_totals(&totals, START);
+        pool.update_paces(samples, START);
+        let is_slow = |number: &u64| {
+            let criteria = Criteria {
+                affinity: Some(mix(*number)),
+                prompt: Prompt {
+                    model: 1,
+                    parts: &[(mix(*number), 500), (number + 1, 100)],
+                    prefill_weight: 1.0,
+                    token_ms: 0.01,
+                },
+                tokens: 700,
+                memory_tokens: 400_000,
+                ..CRITERIA
+            };
+            let engine = chosen(&pool, &criteria).unwrap()[1..].parse().unwrap();
+            slow(&engine)
+        };
+        (0..1_000).filter(is_slow).count()
+    };
+    let samples: Vec<_> = (0..12).filter(slow).map(|e| sample(e, 2.43)).collect();
+    // At equal loads, and at loads in inverse proportion to the pace.
+    let (alike, formerly) = (sent(&samples, 10), sent(&[], 10));
+    let fair = sent(&samples, 4);
+    println!("{alike} of 1000 prompts to slow engines, {fair}, formerly {formerly}");
+    assert!(alike * 2 < formerly, "{alike}, formerly {formerly}");
+    assert!(fair * 2 > formerly, "{fair}, formerly {formerly}");
+}
+
 /// The paces are relative to the median of the service, belong to an incarnation and end without
 /// news.
 #[test]
