--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -25,6 +25,7 @@
     digest,
     fault::Fault,
     forecast::Forecast,
+    pace,
     placement::{Choice, Criteria, Pool, Prompt, Target},
     reach::Reach,
     report::VersionStats,
@@ -111,6 +112,10 @@
     /// What runs of the largest models take.
     large_work: RefCell<Work>,
     forecast: RefCell<Forecast>,
+    /// Pace of the upstreams.
+    paces: RefCell<pace::Learner>,
+    /// Number of the list of paces in the pool.
+    paces_version: Cell<u64>,
     /// Answers of the stable versions.
     reference: RefCell<Reference>,
     reach: RefCell<Reach>,
@@ -163,6 +168,8 @@
             confidence: RefCell::default(),
             large_work: RefCell::default(),
             forecast: RefCell::default(),
+            paces: RefCell::default(),
+            paces_version: Cell::new(0),
             reference: RefCell::default(),
             reach: RefCell::default(),
             cut_off: Notify::new(),
@@ -205,6 +212,9 @@
                     |upstream: &str, incarnation| pool.has_restarted(upstream, incarnation);
                 self.shared.screen().detect_restarts(is_later, self.now());
             }
+            if view.paces.0 != self.paces_version.replace(view.paces.0) {
+                pool.update_paces(&view.paces.1, self.now());
+            }
             pool.update_totals(&view.totals, self.now());
         }
         view
@@ -303,6 +313,7 @@
             .set_bounded_upstreams(pool.limited(), pool.brittle());
         self.metrics
             .set_crowded_services(pool.crowded_services().len());
+        self.metrics.set_paces(pool.pace_range());
         drop(pool);
         self.metrics.text()
     }
