Show operators who waits, who is refused and which larger models are not asked

Metrics: length and age of the line of each service, refusals from it by rank and reason, unsure answers by rank and by why no larger model was asked. Log lines line_left and line_refused.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -302,6 +302,7 @@
         self.metrics
             .set_bounded_upstreams(pool.limited(), pool.brittle());
         drop(pool);
+        self.lines.report(&self.metrics.load, self.now());
         self.metrics.text()
     }
 
--- a/crates/node/src/gateway/forward/cascading.rs
+++ b/crates/node/src/gateway/forward/cascading.rs
@@ -9,6 +9,9 @@
 use super::{Proxy, RequestContext};
 use crate::gateway::{adapter::ResponseHeaders, handler::ResolvedRoute};
 
+/// Outcome of an unsure answer for which the larger model is asked.
+const ASKED: &str = "asked";
+
 impl Proxy {
     /// Chooses the model of a request that can't be sent to a larger one after its first answer.
     pub(super) fn choose_only_model(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
@@ -52,24 +55,46 @@
                 .of(&resolved.service.name, self.now()),
             contention: self.contention(ctx, resolved),
         };
-        let level = cascade::escalation(&answer)?;
-        let begin = self.forecast_start(ctx, resolved, level)?;
-        if !cascade::is_timely(begin, route.objective) {
-            log::debug!(
-                event = "cascade", request = ctx.id(), level, begin_ms = begin.as_millis();
-                "a larger model would answer too late"
-            );
-            return None;
-        }
-        let allowed = self.with_budget(&resolved.service.name, |b| b.withdraw_optional(self.now()));
+        let (level, outcome) = self.consider(ctx, resolved, &answer)?;
+        let service = &resolved.service.name;
+        let rank = resolved.priority();
+        self.metrics.load.count_unsure(service, rank, outcome);
         log::debug!(
-            event = "cascade", request = ctx.id(), level, allowed,
+            event = "cascade", request = ctx.id(), level, outcome, rank,
             confidence = answer.confidence.unwrap_or_default(), pressure = answer.pressure,
             utilization = answer.contention.map_or(0.0, |c| c.utilization),
             work = answer.contention.map_or(0.0, |c| c.work);
-            "a larger model is wanted"
+            "an answer is unsure"
         );
-        allowed.then_some(level)
+        (outcome == ASKED).then_some(level)
+    }
+
+    /// Returns the level that would answer an unsure answer's request under low load, and
+    /// [`ASKED`] or why it is not asked.
+    fn consider(
+        &self,
+        ctx: &RequestContext,
+        resolved: &ResolvedRoute,
+        answer: &cascade::Answer,
+    ) -> Option<(usize, &'static str)> {
+        let under_low_load = cascade::Answer {
+            pressure: 0.0,
+            contention: None,
+            ..*answer
+        };
+        let level = cascade::escalation(&under_low_load)?;
+        if cascade::escalation(answer).is_none() {
+            return Some((level, "scarce"));
+        }
+        let Some(begin) = self.forecast_start(ctx, resolved, level) else {
+            return Some((level, "no_room"));
+        };
+        if !cascade::is_timely(begin, resolved.route.objective) {
+            return Some((level, "late"));
+        }
+        let service = &resolved.service.name;
+        let allowed = self.with_budget(service, |b| b.withdraw_optional(self.now()));
+        Some((level, if allowed { ASKED } else { "no_budget" }))
     }
 
     /// Returns how the request compares with the others of its service, or none if the routes of
--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -12,7 +12,10 @@
 use tokio::{sync::Notify, time::sleep};
 
 use super::{PassGuard, Proxy, RequestContext, SELECTION_RETRY_DELAY};
-use crate::gateway::handler::{Refusal, ResolvedRoute};
+use crate::gateway::{
+    handler::{Refusal, ResolvedRoute},
+    metrics::LoadMetrics,
+};
 
 /// Longest time that a request waits while no upstream is available.
 const MAX_UNAVAILABLE_WAIT: Span = Span::from_millis(250);
@@ -106,6 +109,13 @@
         self.with(service, |l| l.line.turn(now)).flatten()
     }
 
+    /// Sets the metrics of the lines.
+    pub(super) fn report(&self, metrics: &LoadMetrics, now: Time) {
+        for line in self.0.borrow().iter() {
+            metrics.set_line(&line.service, line.line.len(), line.line.age(now));
+        }
+    }
+
     /// Adds a request with an ID of the line's to it.
     fn join(&self, service: &Arc<str>, mut request: Request, now: Time) -> (u64, Rc<Notify>) {
         let mut lines = self.0.borrow_mut();
@@ -188,9 +198,16 @@
     }
 
     /// Leaves the line for an upstream.
-    fn depart(self) {
+    fn depart(self, ctx: &RequestContext, resolved: &ResolvedRoute) {
         let now = self.proxy.now();
         self.with(|l| l.line.depart(self.id, now));
+        log::info!(
+            event = "line_left", request = ctx.id(), service = &*self.service,
+            rank = resolved.priority(),
+            account = resolved.account.as_ref().map_or("-", |a| &*a.name),
+            waited_ms = now.since(ctx.received_at).as_millis();
+            "a request that waited gets an upstream"
+        );
     }
 
     /// Records that no upstream has room for the request, and wakes the next one.
@@ -270,7 +287,7 @@
         // A request may be resolved to another service after a wait.
         place.take_if(|p| p.service != *service);
         if place.as_ref().is_some_and(|p| !p.is_kept()) {
-            return Err(self.refuse_waiting(ctx, service, TOO_LATE));
+            return Err(self.refuse_waiting(ctx, resolved, TOO_LATE));
         }
         if !self.is_screened(ctx)? {
             *place = None;
@@ -289,14 +306,17 @@
                 self.lines.begin_round(service, self.now());
             }
             if !has_room || place.next() != Some(place.id) {
-                return self.wait_in_line(ctx, place, has_room).await.map(|()| None);
+                self.wait_in_line(ctx, resolved, place, has_room).await?;
+                return Ok(None);
             }
         }
         if let Choice::Upstream(target) = choice {
             let Some(pass) = PassGuard::take(self, &target) else {
                 return Ok(None);
             };
-            place.take().into_iter().for_each(Place::depart);
+            if let Some(place) = place.take() {
+                place.depart(ctx, resolved);
+            }
             return Ok(Some((target, pass)));
         }
         *place = None;
@@ -308,14 +328,15 @@
     async fn wait_in_line(
         &self,
         ctx: &RequestContext,
+        resolved: &ResolvedRoute,
         place: &Place,
         has_room: bool,
     ) -> Result<(), Refusal> {
         if !place.is_kept() {
-            return Err(self.refuse_waiting(ctx, &place.service, TOO_LATE));
+            return Err(self.refuse_waiting(ctx, resolved, TOO_LATE));
         }
         if self.now() >= place.latest {
-            return Err(self.refuse_waiting(ctx, &place.service, "all upstreams full"));
+            return Err(self.refuse_waiting(ctx, resolved, "all upstreams full"));
         }
         if !has_room {
             place.pass_over();
@@ -374,9 +395,25 @@
     }
 
     /// Returns the refusal of a request for which no upstream has room.
-    fn refuse_waiting(&self, ctx: &RequestContext, service: &str, reason: &'static str) -> Refusal {
-        let turn = self.lines.turn(service, self.now());
-        ctx.refuse(turn.map_or(Cause::Full, Cause::Queued), reason, self.now())
+    fn refuse_waiting(
+        &self,
+        ctx: &RequestContext,
+        resolved: &ResolvedRoute,
+        reason: &'static str,
+    ) -> Refusal {
+        let now = self.now();
+        let service = &resolved.service.name;
+        let turn = self.lines.turn(service, now);
+        let rank = resolved.priority();
+        self.metrics.load.count_line_refusal(service, rank, reason);
+        log::info!(
+            event = "line_refused", request = ctx.id(), service = &**service, rank, reason,
+            account = resolved.account.as_ref().map_or("-", |a| &*a.name),
+            turn_ms = turn.map_or(-1, |t| i64::try_from(t.as_millis()).unwrap_or(i64::MAX)),
+            waited_ms = now.since(ctx.received_at).as_millis();
+            "a request finds no upstream with room in time"
+        );
+        ctx.refuse(turn.map_or(Cause::Full, Cause::Queued), reason, now)
     }
 
     /// Wakes who may use the capacity that a request of the service has freed: first the streams that
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the gateway's processes in the Prometheus text format.
 
+mod load;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hyper::StatusCode;
@@ -15,6 +17,7 @@
     registry::Registry,
 };
 
+pub use self::load::LoadMetrics;
 use super::view::Transfers;
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -82,6 +85,8 @@
     brittle_rejections: Counter,
     crashes: Counter,
     configuration: ConfigurationMetrics,
+    /// Decisions under load.
+    pub load: LoadMetrics,
 }
 
 /// Metrics of the configurations and their transfers.
@@ -180,6 +185,7 @@
             crashes.clone(),
         );
         let configuration = ConfigurationMetrics::register(&mut registry);
+        let load = LoadMetrics::register(&mut registry);
         Self {
             registry,
             answers,
@@ -195,6 +201,7 @@
             brittle_rejections,
             crashes,
             configuration,
+            load,
         }
     }
 }
