--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -46,6 +46,8 @@
     waiters: Vec<(u64, Rc<Notify>)>,
     /// ID of the next request.
     next_id: u64,
+    /// When the waiting requests last checked whether they can be served in time.
+    checked_at: Time,
 }
 
 impl ServiceLine {
@@ -70,6 +72,15 @@
         }
     }
 
+    /// Dismisses the requests that can't be served in time any more.
+    fn check(&mut self, now: Time) {
+        if now.since(self.checked_at).to_std() >= SELECTION_RETRY_DELAY {
+            self.checked_at = now;
+            let refused = self.line.take_hopeless(now);
+            self.dismiss(&refused);
+        }
+    }
+
     fn contains(&self, id: u64) -> bool {
         self.waiters.binary_search_by_key(&id, |w| w.0).is_ok()
     }
@@ -126,6 +137,7 @@
                 line: Line::default(),
                 waiters: Vec::new(),
                 next_id: 0,
+                checked_at: now,
             };
             lines.insert(at, line);
             at
@@ -241,10 +253,7 @@
                 () = sleep(delay.min(self.latest.since(now).to_std())) => {}
             }
             let now = self.proxy.now();
-            self.with(|l| {
-                let refused = l.line.take_hopeless(now);
-                l.dismiss(&refused);
-            });
+            self.with(|l| l.check(now));
             match is_first(now) {
                 Some(true) => {
                     self.with(|l| l.line.begin_round());
