--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -315,6 +315,7 @@
             .set_crowded_services(pool.crowded_services().len());
         self.metrics.set_paces(pool.pace_range());
         drop(pool);
+        self.lines.report(&self.metrics.load, self.now());
         self.metrics.text()
     }
 
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the gateway's processes in the Prometheus text format.
 
+mod load;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hyper::StatusCode;
@@ -15,6 +17,7 @@
     registry::Registry,
 };
 
+pub use self::load::LoadMetrics;
 use super::view::Transfers;
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -95,6 +98,8 @@
     prompts: Family<PromptLabels, Counter>,
     held_tokens: Counter,
     configuration: ConfigurationMetrics,
+    /// Decisions under load.
+    pub load: LoadMetrics,
 }
 
 /// Metrics of the configurations and their transfers.
@@ -228,6 +233,7 @@
             held_tokens.clone(),
         );
         let configuration = ConfigurationMetrics::register(&mut registry);
+        let load = LoadMetrics::register(&mut registry);
         Self {
             registry,
             answers,
@@ -248,6 +254,7 @@
             prompts,
             held_tokens,
             configuration,
+            load,
         }
     }
 }
