--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod machine;
+pub mod memory;
 pub mod name;
 pub mod notice;
 pub mod order;
