Hold request bodies and connections within the machine's limits

Cause: a body was read whole before any decision, and nothing summed what the connections of a process hold, so clients that send many bodies and stop short of their end exhausted its memory, and connections within a head its descriptors.

Bodies are read within `gateway::memory::Budget`, buffered responses draw on the same room, and `http::Connections` bounds the connections of clients. The room follows `MemoryMb` and `MaxFds` of the settings file. Route and key are checked before the body is held; a body announced over the limit gets 413 at its head.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod frame;
 mod handler;
 pub mod http;
+pub mod memory;
 pub mod message;
 pub mod metrics;
 pub mod parcel;
--- a/crates/node/src/gateway/buffer.rs
+++ b/crates/node/src/gateway/buffer.rs
@@ -4,6 +4,8 @@
 
 use hyper::body::{Body, Bytes};
 
+use super::memory::Budget;
+
 /// Maximum size of a buffered response in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 4 * 1_024 * 1_024;
 
@@ -13,7 +15,11 @@
 
 /// Limits the memory for buffered responses of an instance by counting their bytes.
 #[derive(Debug, Default)]
-pub struct ResponseBuffer(Cell<usize>);
+pub struct ResponseBuffer {
+    bytes: Cell<usize>,
+    /// Room of the process, which request bodies use too.
+    budget: Option<Rc<Budget>>,
+}
 
 /// Why a response can't be buffered.
 #[derive(Debug, thiserror::Error)]
@@ -24,8 +30,8 @@
     /// The response exceeds [`MAX_RESPONSE_BYTES`].
     #[error("the response has more than {MAX_RESPONSE_BYTES} bytes")]
     TooLarge,
-    /// All buffered responses together would exceed [`MAX_BUFFERED_BYTES`].
-    #[error("{MAX_BUFFERED_BYTES} bytes of responses are buffered")]
+    /// All buffered responses together would exceed [`MAX_BUFFERED_BYTES`] or the room of the process.
+    #[error("no room to buffer a response")]
     BufferFull,
 }
 
@@ -40,10 +46,12 @@
         if self.bytes + bytes > MAX_RESPONSE_BYTES {
             return Err(Error::TooLarge);
         }
-        if self.buffer.0.get() + bytes > MAX_BUFFERED_BYTES {
+        let buffered = self.buffer.bytes.get() + bytes;
+        let has_room = |b: &Rc<Budget>| b.hold_response(bytes);
+        if buffered > MAX_BUFFERED_BYTES || !self.buffer.budget.as_ref().is_none_or(has_room) {
             return Err(Error::BufferFull);
         }
-        self.buffer.0.set(self.buffer.0.get() + bytes);
+        self.buffer.bytes.set(buffered);
         self.bytes += bytes;
         Ok(())
     }
@@ -51,11 +59,23 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.buffer.0.set(self.buffer.0.get() - self.bytes);
+        self.buffer.bytes.set(self.buffer.bytes.get() - self.bytes);
+        if let Some(budget) = &self.buffer.budget {
+            budget.release_response(self.bytes);
+        }
     }
 }
 
 impl ResponseBuffer {
+    /// Creates a buffer that also draws on the room of the process.
+    #[must_use]
+    pub fn with_budget(budget: Rc<Budget>) -> Self {
+        Self {
+            bytes: Cell::default(),
+            budget: Some(budget),
+        }
+    }
+
     /// Reads a response body to its end.
     ///
     /// # Errors
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -83,6 +83,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole system starts for the first time and the seeds form the replica set.
     pub bootstrap: bool,
+    /// Memory of the machine in bytes, if it is limited.
+    pub memory_limit: Option<u64>,
+    /// Maximum number of descriptors of the process for sockets and data files, if it is limited.
+    pub max_descriptors: Option<u64>,
 }
 
 /// Why a control process ended.
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -15,11 +15,11 @@
     Request, Response, StatusCode,
     body::{Body, Bytes, Frame, Incoming, SizeHint},
 };
-use masticlock_core::time::Span;
+use masticlock_core::{memory::max_connections, time::Span};
 use tokio::{
     sync::{mpsc, watch},
     task::{LocalSet, spawn_local},
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 use super::{
@@ -79,6 +79,10 @@
     pub retry_extra: f64,
     /// Window in which retries are counted.
     pub retry_window: Span,
+    /// Memory of the machine in bytes, if it is limited.
+    pub memory_limit: Option<u64>,
+    /// Maximum number of descriptors of the process for sockets and data files, if it is limited.
+    pub max_descriptors: Option<u64>,
 }
 
 /// Body of a response.
@@ -228,15 +232,22 @@
         peers,
         move || peer_limits.limits(),
         stage_receiver.clone(),
-        move |request, _| handler::handle_peer(peer_proxy.clone(), request),
+        move |request, peer| handler::handle_peer(peer_proxy.clone(), request, peer),
     ));
     let limits_proxy = proxy.clone();
     let stopping_proxy = proxy.clone();
-    let serving = http::serve(
+    let body_proxy = proxy.clone();
+    let connections = http::Connections::new(
+        max_connections(settings.memory_limit, settings.max_descriptors),
+        move || body_proxy.memory().end_stalled(),
+    );
+    proxy.watch_connections(connections.clone());
+    let serving = http::serve_bounded(
         frontend,
         move || limits_proxy.limits(),
+        connections,
         stage_receiver,
-        move |request, _| handler::handle(proxy.clone(), request),
+        move |request, peer| handler::handle(proxy.clone(), request, peer),
     );
     let ending = async {
         stop.await;
@@ -282,39 +293,3 @@
         Err(error) => log::error!("the control thread can't start: {error}"),
     }
 }
-
-/// Reads a body of at most `limit` bytes within `max_wait`.
-///
-/// # Errors
-///
-/// Returns the status for the client: 400 if the body was cut off, 413 if it is too large, or 408
-/// if it did not arrive in time.
-pub async fn read_body(
-    mut body: Incoming,
-    limit: usize,
-    max_wait: Duration,
-) -> Result<Bytes, StatusCode> {
-    let mut bytes = Vec::new();
-    let read = async {
-        loop {
-            let frame = std::future::poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await;
-            let Some(frame) = frame else {
-                return Ok(());
-            };
-            let frame = frame.map_err(|error| {
-                log::debug!("a request body was cut off: {error}");
-                StatusCode::BAD_REQUEST
-            })?;
-            if let Ok(data) = frame.into_data() {
-                if bytes.len() + data.len() > limit {
-                    return Err(StatusCode::PAYLOAD_TOO_LARGE);
-                }
-                bytes.extend_from_slice(&data);
-            }
-        }
-    };
-    timeout(max_wait, read)
-        .await
-        .map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
-    Ok(Bytes::from(bytes))
-}
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,5 +1,6 @@
 //! Request forwarding: routing, selection of an upstream, attempts and retries.
 
+mod admission;
 mod attempt;
 mod context;
 mod hand_over;
@@ -11,7 +12,7 @@
 mod stats;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -27,7 +28,7 @@
     reach::Reach,
     report::VersionStats,
     retry_after::Cause,
-    retry_budget::Budget,
+    retry_budget,
     rollout::lateness::Reference,
     route::{Kind, Route},
     time::{Span, Time},
@@ -45,7 +46,8 @@
     connection_pool::ConnectionPool,
     entry::{ResponseBody, Settings},
     handler::{Refusal, ResolvedRoute},
-    http::Limits,
+    http::{self, Limits},
+    memory::Budget,
     metrics,
     socket::Connector,
     view::{SharedState, View},
@@ -103,6 +105,9 @@
     shared: Arc<SharedState>,
     adapter: Box<dyn Adapter>,
     connections: Rc<ConnectionPool>,
+    memory: Rc<Budget>,
+    /// Connections of clients, once the instance listens.
+    client_connections: OnceCell<Rc<http::Connections>>,
     buffer: Rc<ResponseBuffer>,
     pool: RefCell<Pool>,
     /// Version of the view from which the pool was last updated.
@@ -111,7 +116,7 @@
     directory_version: Cell<u64>,
     /// Version of the inbox from which permits were last taken.
     inbox_version: Cell<u64>,
-    retry_budgets: RefCell<Vec<(Arc<str>, Budget)>>,
+    retry_budgets: RefCell<Vec<(Arc<str>, retry_budget::Budget)>>,
     version_stats: RefCell<Vec<VersionStats>>,
     /// Moving mean of the time until a response head, in milliseconds, by route.
     mean_head_times: RefCell<Vec<(Arc<str>, f64)>>,
@@ -145,6 +150,7 @@
         connector: Rc<dyn Connector>,
         instance: u64,
     ) -> Self {
+        let memory = Rc::new(Budget::new(settings.memory_limit, clock));
         let pool = Pool::new(
             settings.domain.clone(),
             instance,
@@ -156,7 +162,9 @@
             shared,
             adapter,
             connections: Rc::new(ConnectionPool::new(clock, connector)),
-            buffer: Rc::default(),
+            buffer: Rc::new(ResponseBuffer::with_budget(memory.clone())),
+            memory,
+            client_connections: OnceCell::new(),
             pool: RefCell::new(pool),
             view_version: Cell::new(0),
             directory_version: Cell::new(0),
@@ -305,6 +313,9 @@
         self.metrics
             .set_bounded_upstreams(pool.limited(), pool.brittle());
         drop(pool);
+        let closed = self.client_connections.get().map_or(0, |c| c.closed());
+        self.metrics
+            .set_memory(self.memory.held(), self.memory.ended(), closed);
         self.metrics.text()
     }
 
@@ -392,11 +403,7 @@
                 );
                 response
             }
-            Err(refusal) => {
-                self.log_refusal(&ctx, &refusal);
-                self.metrics.count_refusal(refusal.reason);
-                refusal.into()
-            }
+            Err(refusal) => return self.refuse(&ctx, refusal),
         };
         self.metrics
             .count_response(ctx.kind.get(), response.status());
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -21,6 +21,7 @@
 use crate::gateway::{
     adapter::RequestHeaders,
     handler::{Refusal, ResolvedRoute},
+    memory::Reservation,
 };
 
 /// Number of tried upstreams from which on the router gives up when one more refuses the request or
@@ -51,6 +52,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory of the body; none if it is empty.
+    pub memory: Option<Reservation>,
     /// Parsed headers.
     pub meta: RequestHeaders,
     /// When the head had been read.
--- a/crates/node/src/gateway/handler.rs
+++ b/crates/node/src/gateway/handler.rs
@@ -1,10 +1,10 @@
 //! Handler of client requests: reads and checks them and passes them on to the proxy.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc};
 
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Bytes, Incoming},
     header::{HOST, HeaderName, RETRY_AFTER},
 };
 use masticlock_core::{
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    entry::{ResponseBody, read_body},
+    entry::ResponseBody,
     forward::{PeerPlace, Proxy, RequestContext},
 };
 
@@ -93,14 +93,19 @@
 pub const HANDED_OVER: HeaderName = HeaderName::from_static("masticlock-handed-over");
 
 /// Handles a request and returns the response for the client.
-pub async fn handle(proxy: Rc<Proxy>, request: Request<Incoming>) -> Response<ResponseBody> {
-    serve(proxy, request, None).await
+pub async fn handle(
+    proxy: Rc<Proxy>,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<ResponseBody> {
+    serve(proxy, request, peer, None).await
 }
 
 /// Handles a request that another entry instance hands over, and returns the response for it.
 pub async fn handle_peer(
     proxy: Rc<Proxy>,
     mut request: Request<Incoming>,
+    peer: SocketAddr,
 ) -> Response<ResponseBody> {
     let runs = request.headers_mut().remove(HANDED_OVER);
     let runs = runs.and_then(|v| v.to_str().ok().and_then(|runs| runs.parse().ok()));
@@ -111,7 +116,7 @@
     let Some(place) = proxy.take_peer_place() else {
         return Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no room for peers").into();
     };
-    serve(proxy, request, runs.map(|runs| (runs, place))).await
+    serve(proxy, request, peer, runs.map(|runs| (runs, place))).await
 }
 
 /// Handles a request. `handed_over` is the number of upstreams that may have run it at the instance
@@ -119,35 +124,21 @@
 async fn serve(
     proxy: Rc<Proxy>,
     request: Request<Incoming>,
+    peer: SocketAddr,
     handed_over: Option<(u32, PeerPlace)>,
 ) -> Response<ResponseBody> {
     let received_at = proxy.now();
     let (parts, body) = request.into_parts();
-    let limits = proxy.body_limits();
-    let body = match read_body(body, limits.0, limits.1).await {
-        Ok(body) => body,
-        Err(status) => {
-            log::info!(event = "refused", status = status.as_u16(); "a request body could not be read");
-            return Refusal::new(status, "unread body").into();
-        }
-    };
-    let meta = match proxy.adapter().parse_request(&parts.headers) {
-        Ok(meta) => meta,
-        Err(reason) => {
-            log::info!(event = "refused", status = 400, reason; "the request headers are invalid");
-            return Refusal::new(StatusCode::BAD_REQUEST, "unreadable headers").into();
-        }
-    };
+    let parsed = proxy.adapter().parse_request(&parts.headers);
+    let invalid = parsed.as_ref().err().cloned();
     let path_and_query = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    let ctx = RequestContext {
+    let mut ctx = RequestContext {
         host: host_name(&parts.headers),
         path: parts.uri.path().into(),
-        fingerprint: fingerprint(meta.api_key.as_deref(), path_and_query, &body),
         path_and_query: path_and_query.into(),
         method: parts.method,
         headers: parts.headers,
-        body,
-        meta,
+        meta: parsed.unwrap_or_default(),
         received_at,
         runs: Cell::new(History::of_count(
             handed_over.as_ref().map_or(0, |(runs, _)| *runs),
@@ -155,6 +146,37 @@
         peer_place: handed_over.map(|(_, place)| place),
         ..RequestContext::default()
     };
+    let checked = if let Some(reason) = invalid {
+        log::info!(event = "refused", status = 400, reason; "the request headers are invalid");
+        let status = StatusCode::BAD_REQUEST;
+        Err(Refusal::new(status, "unreadable headers"))
+    } else {
+        proxy.check_head(&ctx)
+    };
+    if !body.is_end_stream() {
+        let account = checked.as_ref().ok().and_then(Option::as_ref);
+        let source = account.map_or_else(|| peer.ip().to_string().into(), |a| a.name.clone());
+        let announced = body.size_hint().exact();
+        let reservation = proxy.memory().open(source.clone(), announced);
+        let (limit, max_wait) = proxy.body_limits();
+        let read = if checked.is_ok() {
+            reservation.read(body, limit, max_wait).await
+        } else {
+            // The client gets to read the refusal only if it has sent all.
+            let discarded = reservation.discard(body, limit, max_wait).await;
+            discarded.map(|()| Bytes::new())
+        };
+        ctx.body = match read {
+            Ok(body) => body,
+            Err(error) => return proxy.refuse_unread(&ctx, error, &source),
+        };
+        ctx.memory = Some(reservation);
+    }
+    if let Err(refusal) = checked {
+        return proxy.refuse(&ctx, refusal);
+    }
+    let key = ctx.meta.api_key.as_deref();
+    ctx.fingerprint = fingerprint(key, &ctx.path_and_query, &ctx.body);
     proxy.serve(ctx).await
 }
 
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -1,10 +1,21 @@
 //! HTTP/1.1 servers on the current thread.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    cmp::Reverse,
+    collections::BTreeMap,
+    convert::Infallible,
+    future::Future,
+    net::{IpAddr, SocketAddr},
+    pin::{Pin, pin},
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use hyper::{
     Request, Response,
-    body::{Body, Bytes, Incoming},
+    body::{Body, Bytes, Frame, Incoming, SizeHint},
     header::CONNECTION,
     header::HeaderValue,
     server::conn::http1,
@@ -13,9 +24,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::TcpListener,
-    sync::watch,
-    task::{JoinHandle, spawn_local},
-    time::{sleep, timeout},
+    sync::{Notify, watch},
+    task::{JoinHandle, spawn_local, yield_now},
+    time::{Instant, sleep, timeout},
 };
 
 use super::socket;
@@ -74,16 +85,180 @@
     .await;
 }
 
+/// An open connection of a server.
+#[derive(Debug)]
+struct Connection {
+    source: IpAddr,
+    /// Whether a request is handled or its response is sent.
+    is_busy: Cell<bool>,
+    /// When the connection was opened or its last response has ended.
+    idle_since: Cell<Instant>,
+    /// Closes the connection.
+    close: Notify,
+}
+
+/// Marks a connection as busy until it is dropped.
+#[derive(Debug)]
+struct Busy(Rc<Connection>);
+
+impl Busy {
+    fn begin(connection: &Rc<Connection>) -> Self {
+        connection.is_busy.set(true);
+        Self(connection.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.is_busy.set(false);
+        self.0.idle_since.set(Instant::now());
+    }
+}
+
+/// Body of a response, during which the connection is busy.
+struct Tracked<B> {
+    body: B,
+    _busy: Busy,
+}
+
+impl<B> Body for Tracked<B>
+where
+    B: Body + Unpin,
+{
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The open connections of a server, of which there is a maximum number.
+///
+/// At the maximum, a new connection takes the place of one that is idle or has not sent a whole
+/// head: the one that has been so for longest, of the source with the most such connections. If all
+/// are busy, `make_room` may end a request whose body does not arrive.
+pub struct Connections {
+    max: usize,
+    open: RefCell<Vec<Rc<Connection>>>,
+    make_room: Box<dyn Fn() -> bool>,
+    closed: Cell<u64>,
+}
+
+impl Connections {
+    /// Creates the list of a server with at most `max` connections.
+    pub fn new<M>(max: usize, make_room: M) -> Rc<Self>
+    where
+        M: Fn() -> bool + 'static,
+    {
+        Rc::new(Self {
+            max,
+            open: RefCell::default(),
+            make_room: Box::new(make_room),
+            closed: Cell::default(),
+        })
+    }
+
+    /// Creates the list of a server whose connections are not limited.
+    fn unlimited() -> Rc<Self> {
+        Self::new(usize::MAX, || false)
+    }
+
+    fn is_full(&self) -> bool {
+        self.open.borrow().len() >= self.max
+    }
+
+    /// Returns the number of connections that were closed or refused at the maximum number.
+    #[must_use]
+    pub fn closed(&self) -> u64 {
+        self.closed.get()
+    }
+
+    /// Records a new connection, or returns none if there is no room for it.
+    fn admit(&self, source: IpAddr) -> Option<Rc<Connection>> {
+        let mut open = self.open.borrow_mut();
+        if open.len() >= self.max {
+            self.closed.set(self.closed.get() + 1);
+            if let Some(at) = longest_idle(&open) {
+                let idle = open.swap_remove(at);
+                log::info!(event = "connection_closed", peer = idle.source.to_string(); "an idle connection makes room for a new one");
+                idle.close.notify_one();
+            } else {
+                drop(open);
+                let is_ended = (self.make_room)();
+                log::warn!(event = "connection_refused", peer = source.to_string(), is_ended; "all connections are busy");
+                return None;
+            }
+        }
+        let connection = Rc::new(Connection {
+            source,
+            is_busy: Cell::new(false),
+            idle_since: Cell::new(Instant::now()),
+            close: Notify::new(),
+        });
+        open.push(connection.clone());
+        Some(connection)
+    }
+
+    /// Forgets a connection that has ended.
+    fn remove(&self, connection: &Rc<Connection>) {
+        let mut open = self.open.borrow_mut();
+        if let Some(at) = open.iter().position(|c| Rc::ptr_eq(c, connection)) {
+            open.swap_remove(at);
+        }
+    }
+}
+
+/// Returns the position of the connection that has been idle for longest, of the source with the
+/// most idle connections.
+fn longest_idle(open: &[Rc<Connection>]) -> Option<usize> {
+    let idle = || open.iter().enumerate().filter(|(_, c)| !c.is_busy.get());
+    let mut counts: BTreeMap<IpAddr, usize> = BTreeMap::new();
+    for (_, connection) in idle() {
+        *counts.entry(connection.source).or_default() += 1;
+    }
+    let rank = |c: &Connection| (Reverse(counts[&c.source]), c.source, c.idle_since.get());
+    idle().min_by_key(|(_, c)| rank(c)).map(|(at, _)| at)
+}
+
 /// Serves connections until the stage is [`Stage::Closed`] and the last connection has ended.
 pub async fn serve<H, F, B, L>(
     listener: TcpListener,
     limits: L,
+    stage: watch::Receiver<Stage>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    L: Fn() -> Limits,
+{
+    serve_bounded(listener, limits, Connections::unlimited(), stage, handler).await;
+}
+
+/// Serves connections as [`serve`] does, with at most as many as `connections` allows.
+pub async fn serve_bounded<H, F, B, L>(
+    listener: TcpListener,
+    limits: L,
+    connections: Rc<Connections>,
     mut stage: watch::Receiver<Stage>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
-    B: Body + 'static,
+    B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     L: Fn() -> Limits,
 {
@@ -119,8 +294,28 @@
             continue;
         }
         open.retain(|task| !task.is_finished());
-        let connection = serve_connection(stream, peer, limits(), stage.clone(), handler.clone());
-        open.push(spawn_local(connection));
+        let Some(connection) = connections.admit(peer.ip()) else {
+            continue;
+        };
+        let serving = serve_connection(
+            stream,
+            (connection.clone(), peer),
+            limits(),
+            stage.clone(),
+            handler.clone(),
+        );
+        let list = connections.clone();
+        open.push(spawn_local(async move {
+            tokio::select! {
+                () = serving => {}
+                () = connection.close.notified() => {}
+            }
+            list.remove(&connection);
+        }));
+        if connections.is_full() {
+            // The connection that gives way is closed before another one is accepted.
+            yield_now().await;
+        }
     }
     drop(listener);
     for task in open {
@@ -141,18 +336,19 @@
 /// Serves the requests of one connection until it ends.
 async fn serve_connection<H, F, B>(
     stream: tokio::net::TcpStream,
-    peer: SocketAddr,
+    (connection, peer): (Rc<Connection>, SocketAddr),
     limits: Limits,
     mut stage: watch::Receiver<Stage>,
     handler: Rc<H>,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
-    B: Body + 'static,
+    B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let response_stage = stage.clone();
     let service = service_fn(move |request| {
+        let busy = Busy::begin(&connection);
         let response = handler(request, peer);
         let stage = response_stage.clone();
         async move {
@@ -161,7 +357,8 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            let tracked = |body| Tracked { body, _busy: busy };
+            Ok::<_, Infallible>(response.map(tracked))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -81,9 +81,38 @@
     brittle_upstreams: Gauge,
     brittle_rejections: Counter,
     crashes: Counter,
+    memory: MemoryMetrics,
     configuration: ConfigurationMetrics,
 }
 
+/// Metrics of the memory that is held for clients.
+struct MemoryMetrics {
+    held: Gauge,
+    ended_bodies: Gauge,
+    closed_connections: Gauge,
+}
+
+impl MemoryMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::<i64>::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        Self {
+            held: gauge(
+                "held_bytes",
+                "Bytes of request bodies and buffered responses",
+            ),
+            ended_bodies: gauge("ended_bodies", "Unfinished bodies ended to make room"),
+            closed_connections: gauge(
+                "closed_connections",
+                "Connections closed or refused at the maximum number",
+            ),
+        }
+    }
+}
+
 /// Metrics of the configurations and their transfers.
 struct ConfigurationMetrics {
     newest: Gauge,
@@ -179,6 +208,7 @@
             "Requests under which an upstream may have crashed",
             crashes.clone(),
         );
+        let memory = MemoryMetrics::register(&mut registry);
         let configuration = ConfigurationMetrics::register(&mut registry);
         Self {
             registry,
@@ -194,6 +224,7 @@
             brittle_upstreams,
             brittle_rejections,
             crashes,
+            memory,
             configuration,
         }
     }
@@ -260,6 +291,15 @@
         metrics.millis.set(number(&transfers.millis));
     }
 
+    /// Sets the bytes that are held, and the numbers of bodies that were ended and connections that
+    /// were closed to make room.
+    pub fn set_memory(&self, held: u64, ended_bodies: u64, closed_connections: u64) {
+        self.memory.held.set(saturating_i64(held));
+        self.memory.ended_bodies.set(saturating_i64(ended_bodies));
+        let closed = saturating_i64(closed_connections);
+        self.memory.closed_connections.set(closed);
+    }
+
     /// Counts a request sent to an upstream that has stated a limit.
     pub fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
