Let new connections take the place of requests whose bodies have stalled

With all connections within small bodies that stop short, a new connection was closed although one of them was ended for it. It is accepted now.

The log line of refusals moves beside the other decisions on admission.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -438,19 +438,6 @@
         }
     }
 
-    fn log_refusal(&self, ctx: &RequestContext, refusal: &Refusal) {
-        let view = self.shared.view.load();
-        log::info!(
-            event = "refused", request = ctx.id(), status = refusal.status.as_u16(),
-            reason = refusal.reason, runs = ctx.run_count(), tried = ctx.tried.borrow().len(),
-            waited_ms = self.now().since(ctx.received_at).as_millis(),
-            retry_after_ms = refusal.retry_after.map_or(0, Span::as_millis),
-            revision = view.table.as_ref().map_or(0, |t| t.revision()),
-            age_ms = self.state_age(&view).map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(-1));
-            "a request is refused"
-        );
-    }
-
     /// Chooses the model of a request that can't be sent to a larger one after its first answer.
     fn choose_only_model(&self, ctx: &RequestContext, resolved: &ResolvedRoute) {
         let route = &resolved.route;
--- a/crates/node/src/gateway/forward/admission.rs
+++ b/crates/node/src/gateway/forward/admission.rs
@@ -1,4 +1,4 @@
-//! Decisions on a request before its body is read.
+//! What is decided on a request before its body has been read, and refusals.
 
 use std::{rc::Rc, sync::Arc};
 
@@ -6,7 +6,7 @@
     Response,
     header::{CONNECTION, HeaderValue},
 };
-use masticlock_core::{retry_after::Cause, route::Account};
+use masticlock_core::{retry_after::Cause, route::Account, time::Span};
 
 use super::{Proxy, RequestContext};
 use crate::gateway::{
@@ -71,4 +71,17 @@
         response.headers_mut().insert(CONNECTION, close);
         response
     }
+
+    fn log_refusal(&self, ctx: &RequestContext, refusal: &Refusal) {
+        let view = self.shared.view.load();
+        log::info!(
+            event = "refused", request = ctx.id(), status = refusal.status.as_u16(),
+            reason = refusal.reason, runs = ctx.run_count(), tried = ctx.tried.borrow().len(),
+            waited_ms = self.now().since(ctx.received_at).as_millis(),
+            retry_after_ms = refusal.retry_after.map_or(0, Span::as_millis),
+            revision = view.table.as_ref().map_or(0, |t| t.revision()),
+            age_ms = self.state_age(&view).map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(-1));
+            "a request is refused"
+        );
+    }
 }
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -148,7 +148,7 @@
 ///
 /// At the maximum, a new connection takes the place of one that is idle or has not sent a whole
 /// head: the one that has been so for longest, of the source with the most such connections. If all
-/// are busy, `make_room` may end a request whose body does not arrive.
+/// are busy, `make_room` may end a request whose body does not arrive. Otherwise the new one is closed.
 pub struct Connections {
     max: usize,
     open: RefCell<Vec<Rc<Connection>>>,
@@ -194,10 +194,10 @@
                 let idle = open.swap_remove(at);
                 log::info!(event = "connection_closed", peer = idle.source.to_string(); "an idle connection makes room for a new one");
                 idle.close.notify_one();
+            } else if (self.make_room)() {
+                log::info!(event = "connection_closed", peer = source.to_string(); "an unfinished request makes room for a new connection");
             } else {
-                drop(open);
-                let is_ended = (self.make_room)();
-                log::warn!(event = "connection_refused", peer = source.to_string(), is_ended; "all connections are busy");
+                log::warn!(event = "connection_refused", peer = source.to_string(); "all connections are busy");
                 return None;
             }
         }
