--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod limit;
 pub mod lint;
 pub mod machine;
+pub mod memory;
 pub mod name;
 pub mod notice;
 pub mod order;
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,5 +1,6 @@
 //! Request forwarding: routing, selection of an upstream, attempts and retries.
 
+mod admission;
 mod attempt;
 mod cascading;
 mod context;
@@ -13,7 +14,7 @@
 mod waiting;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -30,7 +31,7 @@
     reach::Reach,
     report::VersionStats,
     retry_after::Cause,
-    retry_budget::Budget,
+    retry_budget,
     rollout::lateness::Reference,
     time::{Span, Time},
 };
@@ -47,7 +48,8 @@
     connection_pool::ConnectionPool,
     entry::{ResponseBody, Settings},
     handler::{Refusal, ResolvedRoute},
-    http::Limits,
+    http::{self, Limits},
+    memory::Budget,
     metrics,
     socket::Connector,
     view::{SharedState, View},
@@ -95,6 +97,9 @@
     shared: Arc<SharedState>,
     adapter: Box<dyn Adapter>,
     connections: Rc<ConnectionPool>,
+    memory: Rc<Budget>,
+    /// Connections of clients, once the instance listens.
+    client_connections: OnceCell<Rc<http::Connections>>,
     buffer: Rc<ResponseBuffer>,
     pool: RefCell<Pool>,
     /// Version of the view from which the pool was last updated.
@@ -103,7 +108,7 @@
     directory_version: Cell<u64>,
     /// Version of the inbox from which permits were last taken.
     inbox_version: Cell<u64>,
-    retry_budgets: RefCell<Vec<(Arc<str>, Budget)>>,
+    retry_budgets: RefCell<Vec<(Arc<str>, retry_budget::Budget)>>,
     version_stats: RefCell<Vec<VersionStats>>,
     /// Moving mean of the time until a response head, in milliseconds, by route.
     mean_head_times: RefCell<Vec<(Arc<str>, f64)>>,
@@ -145,6 +150,7 @@
         connector: Rc<dyn Connector>,
         instance: u64,
     ) -> Self {
+        let memory = Rc::new(Budget::new(settings.memory_limit, clock));
         let pool = Pool::new(
             settings.domain.clone(),
             instance,
@@ -156,7 +162,9 @@
             shared,
             adapter,
             connections: Rc::new(ConnectionPool::new(clock, connector)),
-            buffer: Rc::default(),
+            buffer: Rc::new(ResponseBuffer::with_budget(memory.clone())),
+            memory,
+            client_connections: OnceCell::new(),
             pool: RefCell::new(pool),
             view_version: Cell::new(0),
             directory_version: Cell::new(0),
@@ -316,6 +324,9 @@
         self.metrics.set_paces(pool.pace_range());
         drop(pool);
         self.lines.report(&self.metrics.load, self.now());
+        let closed = self.client_connections.get().map_or(0, |c| c.closed());
+        self.metrics
+            .set_memory(self.memory.held(), self.memory.ended(), closed);
         self.metrics.text()
     }
 
@@ -403,11 +414,7 @@
                 );
                 response
             }
-            Err(refusal) => {
-                self.log_refusal(&ctx, &refusal);
-                self.metrics.count_refusal(refusal.reason);
-                refusal.into()
-            }
+            Err(refusal) => return self.refuse(&ctx, refusal),
         };
         self.metrics
             .count_response(ctx.kind.get(), response.status());
@@ -442,19 +449,6 @@
         }
     }
 
-    fn log_refusal(&self, ctx: &RequestContext, refusal: &Refusal) {
-        let view = self.shared.view.load();
-        log::info!(
-            event = "refused", request = ctx.id(), status = refusal.status.as_u16(),
-            reason = refusal.reason, runs = ctx.run_count(), tried = ctx.tried.borrow().len(),
-            waited_ms = self.now().since(ctx.received_at).as_millis(),
-            retry_after_ms = refusal.retry_after.map_or(0, Span::as_millis),
-            revision = view.table.as_ref().map_or(0, |t| t.revision()),
-            age_ms = self.state_age(&view).map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(-1));
-            "a request is refused"
-        );
-    }
-
     /// Sends the request to one upstream after another until one responds or no attempt is left.
     async fn try_upstreams(
         self: Rc<Self>,
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -97,11 +97,40 @@
     crashes: Counter,
     prompts: Family<PromptLabels, Counter>,
     held_tokens: Counter,
+    memory: MemoryMetrics,
     configuration: ConfigurationMetrics,
     /// Decisions under load.
     pub load: LoadMetrics,
 }
 
+/// Metrics of the memory that is held for clients.
+struct MemoryMetrics {
+    held: Gauge,
+    ended_bodies: Gauge,
+    closed_connections: Gauge,
+}
+
+impl MemoryMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::<i64>::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        Self {
+            held: gauge(
+                "held_bytes",
+                "Bytes of request bodies and buffered responses",
+            ),
+            ended_bodies: gauge("ended_bodies", "Unfinished bodies ended to make room"),
+            closed_connections: gauge(
+                "closed_connections",
+                "Connections closed or refused at the maximum number",
+            ),
+        }
+    }
+}
+
 /// Metrics of the configurations and their transfers.
 struct ConfigurationMetrics {
     newest: Gauge,
@@ -232,6 +261,7 @@
             "Prompt tokens expected to be held by the chosen upstreams",
             held_tokens.clone(),
         );
+        let memory = MemoryMetrics::register(&mut registry);
         let configuration = ConfigurationMetrics::register(&mut registry);
         let load = LoadMetrics::register(&mut registry);
         Self {
@@ -253,6 +283,7 @@
             crashes,
             prompts,
             held_tokens,
+            memory,
             configuration,
             load,
         }
@@ -328,6 +359,15 @@
         metrics.millis.set(number(&transfers.millis));
     }
 
+    /// Sets the bytes that are held, and the numbers of bodies that were ended and connections that
+    /// were closed to make room.
+    pub fn set_memory(&self, held: u64, ended_bodies: u64, closed_connections: u64) {
+        self.memory.held.set(saturating_i64(held));
+        self.memory.ended_bodies.set(saturating_i64(ended_bodies));
+        let closed = saturating_i64(closed_connections);
+        self.memory.closed_connections.set(closed);
+    }
+
     /// Counts a request sent to an upstream that has stated a limit.
     pub fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
