--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -589,8 +589,8 @@
         let running = upstream.running + upstream.others.running;
         let announcement = &upstream.entry.announcement;
         let rejects = self.bounds_of(upstream).rejects;
-        let has_memory = criteria.memory_tokens > 0 && !self.is_weighed(criteria);
-        if running >= rejects::capacity(announcement.slots, has_memory, rejects) {
+        let has_queue = criteria.memory_tokens == 0 || self.is_weighed(criteria);
+        if running >= rejects::capacity(announcement.slots, has_queue, rejects) {
             return false;
         }
         #[expect(clippy::cast_precision_loss)]
--- a/crates/core/src/placement/rejects.rs
+++ b/crates/core/src/placement/rejects.rs
@@ -210,12 +210,12 @@
 }
 
 /// Returns the number of requests of all instances up to which an upstream counts as free.
-pub(super) fn capacity(slots: u32, has_memory: bool, rejects: Option<Rate>) -> u32 {
+pub(super) fn capacity(slots: u32, has_queue: bool, rejects: Option<Rate>) -> u32 {
     // A short queue at the upstream avoids idle time between two requests.
-    let queue = if has_memory || rejects.is_some() {
-        0
-    } else {
+    let queue = if has_queue && rejects.is_none() {
         slots / 2
+    } else {
+        0
     };
     (slots + queue).max(1)
 }
