--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -599,10 +599,10 @@
         let running = upstream.running + upstream.others.running;
         let slots = upstream.entry.announcement.slots;
         let rejects = self.bounds_of(upstream).rejects;
-        let has_memory = criteria.memory_tokens > 0 && !self.is_weighed(criteria);
+        let has_queue = criteria.memory_tokens == 0 || self.is_weighed(criteria);
         let has_room = match crowd {
             Some(crowd) if crowd.is_fast && rejects.is_none() => true,
-            _ => running < rejects::capacity(slots, has_memory, rejects),
+            _ => running < rejects::capacity(slots, has_queue, rejects),
         };
         if !has_room {
             return false;
