--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -392,7 +392,7 @@
     /// if it has enough of them: only their loads are always known. It is above 1 while requests
     /// wait at the upstreams, and 1 if no upstream is usable.
     #[must_use]
-    pub fn utilization(&self, service: &str, now: Time) -> f64 {
+    pub fn utilization(&self, service: &str, state: &State, now: Time) -> f64 {
         let is_usable = |u: &&Upstream| {
             let announcement = &u.entry.announcement;
             *announcement.service == *service
@@ -401,6 +401,8 @@
                 && !self
                     .notices
                     .is_leaving(&announcement.upstream, announcement.incarnation)
+                && !state.is_taken_out(&announcement.domain)
+                && state.eligibility(service, &announcement.version) != Eligibility::Ineligible
         };
         let usable = self.upstreams.iter().filter(is_usable);
         let local = usable.clone().filter(|u| u.is_local(&self.domain));
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -638,14 +638,36 @@
 fn utilization_counts_the_slots_of_usable_upstreams() {
     let directory = warm_upstreams(8);
     let mut pool = pool(1, &directory);
-    assert!(pool.utilization("engines", NOW) <= 0.0);
-    assert!(pool.utilization("other", NOW) >= 1.0);
-    let target = match pool.choose(&criteria(Some(1)), &State::default(), NOW) {
-        Choice::Upstream(target) => target,
-        other => panic!("{other:?}"),
+    let state = State::default();
+    assert!(pool.utilization("engines", &state, NOW) <= 0.0);
+    assert!(pool.utilization("other", &state, NOW) >= 1.0);
+    let Choice::Upstream(target) = pool.choose(&criteria(Some(1)), &state, NOW) else {
+        panic!("there is room");
     };
     pool.begin(&target.upstream, Demand::default(), NOW);
-    assert!(pool.utilization("engines", NOW) > 0.0);
+    // Four local upstreams have eight slots each.
+    let is_close = |a: f64, b: f64| (a - b).abs() < 1e-9;
+    assert!(is_close(
+        pool.utilization("engines", &state, NOW),
+        1.0 / 32.0
+    ));
+    for _ in 0..3 {
+        pool.begin("u01", Demand::default(), NOW);
+    }
+    assert!(is_close(
+        pool.utilization("engines", &state, NOW),
+        1.0 / 32.0
+    ));
+    let mut without_local = State::default();
+    without_local.apply(Command::TakeOut("a".into()));
+    assert!(is_close(
+        pool.utilization("engines", &without_local, NOW),
+        3.0 / 32.0
+    ));
+    // Too few local upstreams are left, so those of both failure domains count.
     pool.mark_leaving(&target, NOW);
-    assert!(pool.utilization("engines", NOW) <= 0.0);
+    assert!(is_close(
+        pool.utilization("engines", &state, NOW),
+        3.0 / 56.0
+    ));
 }
--- a/crates/node/src/gateway/forward/cascading.rs
+++ b/crates/node/src/gateway/forward/cascading.rs
@@ -111,7 +111,7 @@
         let now = self.now();
         let work = ctx.with_level(largest, || ctx.demand(resolved).work);
         Some(Contention {
-            utilization: self.pool.borrow().utilization(service, now),
+            utilization: self.pool.borrow().utilization(service, &view.agreed, now),
             rank,
             work: self.large_work.borrow_mut().observe(service, work, now),
         })
