Wake the next waiting request only once the one before counts as in flight

A request that left the line woke the next one at once when its place was dropped, before it counted at its upstream: the next one could choose the same slot.

--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -209,10 +209,13 @@
         self.with(|_| ()).is_some()
     }
 
-    /// Leaves the line for an upstream.
+    /// Leaves the line for an upstream. The next request is woken once this one counts as in flight.
     fn depart(self, ctx: &RequestContext, resolved: &ResolvedRoute) {
         let now = self.proxy.now();
-        self.with(|l| l.line.depart(self.id, now));
+        self.with(|l| {
+            l.line.depart(self.id, now);
+            l.waiters.retain(|w| w.0 != self.id);
+        });
         log::info!(
             event = "line_left", request = ctx.id(), service = &*self.service,
             rank = resolved.priority(),
