Try all waiting requests while a rollout divides them between versions

Found in review: two requests of a new version without room, at the head of a plain service's line, ended each round, so requests of the stable version with room were not tried until the two had left. During a rollout a request without room now says nothing about the others of its line.

--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -169,6 +169,8 @@
         let service = &resolved.service.name;
         let now = proxy.now();
         let demand = ctx.demand(resolved);
+        // A rollout divides the requests between versions, of which one may be full by itself.
+        let is_rolling_out = proxy.view().agreed.rollout(service).is_some();
         let request = Request {
             id: 0,
             account: resolved
@@ -178,7 +180,7 @@
             rank: resolved.priority(),
             work: demand.work,
             tokens: demand.tokens,
-            is_restricted: !ctx.tried.borrow().is_empty(),
+            is_restricted: is_rolling_out || !ctx.tried.borrow().is_empty(),
             may_yield: ctx.run_count() == 0,
             arrived_at: ctx.received_at,
             due_at: ctx.received_at + resolved.route.objective,
