Give all requests of a service the same room at its upstreams

Found in review: only prompts with shared parts could use the short queue of an upstream, so with nearly all slots taken they kept prompts without shared parts from ever finding room. The queue now follows from the service.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -601,7 +601,7 @@
         let running = upstream.running + upstream.others.running;
         let slots = upstream.entry.announcement.slots;
         let rejects = self.bounds_of(upstream).rejects;
-        let has_queue = criteria.memory_tokens == 0 || self.is_weighed(criteria);
+        let has_queue = criteria.memory_tokens == 0 || self.has_weighed(criteria);
         let has_room = match crowd {
             Some(crowd) if crowd.is_fast && rejects.is_none() => true,
             _ => running < rejects::capacity(slots, has_queue, rejects),
--- a/crates/core/src/placement/affinity.rs
+++ b/crates/core/src/placement/affinity.rs
@@ -153,9 +153,14 @@
     /// many entry instances that none knows the load at once. Such an upstream may then have a short
     /// queue: if only those with a slot free in the last reports were candidates, all instances would
     /// send to the same few when nearly all slots are taken.
-    pub(super) fn is_weighed(&self, criteria: &Criteria<'_>) -> bool {
+    fn is_weighed(&self, criteria: &Criteria<'_>) -> bool {
+        criteria.prompt.parts.len() > 1 && self.has_weighed(criteria)
+    }
+
+    /// Returns whether prompts of the request's service are weighed if they have shared parts. All
+    /// requests of the service see the same room, so that none is passed by others for good.
+    pub(super) fn has_weighed(&self, criteria: &Criteria<'_>) -> bool {
         criteria.memory_tokens > 0
-            && criteria.prompt.parts.len() > 1
             && criteria.prompt.token_ms > 0.0
             && self.instances() >= MIN_INSTANCES
     }
