Send a request that may not wait any more if there is room

Found in review: a retry after the end of its wait joined a line although an upstream had room, and was refused at once. Before the line it was sent.

--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -311,7 +311,9 @@
         self.want_permits(ctx, resolved);
         let choice = self.choose(ctx, resolved);
         let has_room = matches!(choice, Choice::Upstream(_));
-        let must_queue = has_room && (place.is_some() || self.lines.has_line(service));
+        let may_wait = self.now().since(ctx.received_at) < max_wait(&resolved.route);
+        let must_queue =
+            has_room && (place.is_some() || (may_wait && self.lines.has_line(service)));
         if must_queue || choice == Choice::Full {
             let is_new = place.is_none();
             let place = place.get_or_insert_with(|| Place::join(self, ctx, resolved));
