Keep an answer whose larger model would have to wait in line

Found in review: the forecast of a larger model's start ignores the line. The slot that the dropped answer frees is offered to the line first, so the request could wait until its end and get 502.

--- a/crates/node/src/gateway/forward/cascading.rs
+++ b/crates/node/src/gateway/forward/cascading.rs
@@ -125,6 +125,10 @@
         resolved: &ResolvedRoute,
         level: usize,
     ) -> Option<Span> {
+        // The request would have to join the line, and its answer would be gone.
+        if self.lines.has_line(&resolved.service.name) {
+            return None;
+        }
         let (choice, own) = ctx.with_level(level, || {
             (self.choose(ctx, resolved), ctx.demand(resolved).prefill)
         });
--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -111,7 +111,7 @@
     }
 
     /// Returns whether a request of the service waits.
-    fn has_line(&self, service: &str) -> bool {
+    pub(super) fn has_line(&self, service: &str) -> bool {
         self.with(service, |l| !l.line.is_empty()).unwrap_or(false)
     }
 
