Judge the speed of a crowded version by its own upstreams

Found in review: whether loads are too old to say that an upstream is full followed from all upstreams of a service, so a slow new version beside a fast old one was sent requests beyond its slots.

--- a/crates/core/src/placement/crowd.rs
+++ b/crates/core/src/placement/crowd.rs
@@ -67,10 +67,11 @@
     /// candidates.
     pub(super) fn crowd(&self, criteria: &Criteria<'_>, candidates: &[&Upstream]) -> Option<Crowd> {
         let slots = candidates.iter().map(|u| u.entry.announcement.slots.max(1));
-        let slots = usize::try_from(slots.sum::<u32>()).unwrap_or(usize::MAX);
+        let slots = slots.fold(0, u32::saturating_add);
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
         let is_plain = criteria.affinity.is_none() && criteria.memory_tokens == 0;
         (is_plain && self.instances() > slots).then(|| Crowd {
-            is_fast: self.turnover(criteria.service) >= 1.0,
+            is_fast: turnover(candidates) >= 1.0,
         })
     }
 
@@ -90,22 +91,6 @@
         crowded.map(|s| s[0].0.clone()).collect()
     }
 
-    /// Returns how many requests each busy slot of a service ends within [`LOAD_AGE`].
-    fn turnover(&self, service: &str) -> f64 {
-        let (mut ended, mut busy) = (0.0, 0.0);
-        for upstream in &self.upstreams {
-            if *upstream.entry.announcement.service == *service {
-                ended += upstream.ok.round() + f64::from(upstream.others.ok);
-                busy += upstream.mean.busy;
-            }
-        }
-        if busy > 0.0 {
-            ended * ratio(LOAD_AGE, OUTCOME_DECAY) / busy
-        } else {
-            0.0
-        }
-    }
-
     /// Records that an upstream has rejected a request of this instance.
     pub fn turned_away(&mut self, upstream: &str, now: Time) {
         if let Some(at) = self.find(upstream) {
@@ -173,6 +158,20 @@
     }
 }
 
+/// Returns how many requests each busy slot of the candidates ends within [`LOAD_AGE`].
+fn turnover(candidates: &[&Upstream]) -> f64 {
+    let (mut ended, mut busy) = (0.0, 0.0);
+    for upstream in candidates {
+        ended += upstream.ok.round() + f64::from(upstream.others.ok);
+        busy += upstream.mean.busy;
+    }
+    if busy > 0.0 {
+        ended * ratio(LOAD_AGE, OUTCOME_DECAY) / busy
+    } else {
+        0.0
+    }
+}
+
 /// Returns a number with exponential distribution that follows from an identity and a salt.
 ///
 /// Over weights, the least of several is each one's with a probability in proportion to its weight
