--- a/crates/core/tests/prompt_cache.rs
+++ b/crates/core/tests/prompt_cache.rs
@@ -729,3 +729,27 @@
         assert!(store.certainty(first.digest, holder, lifetime, now) >= 1.0);
     }
 }
+
+/// All upstreams have a short queue. Guards against prompts without shared parts that find no room
+/// there while others do, and so never get any.
+#[test]
+fn prompts_without_shared_parts_find_the_same_room() {
+    let pool = pool("a", |_| Load {
+        running: 18,
+        ..Load::default()
+    });
+    let request = request(1);
+    let shared = criteria(&request, 0.01, 600_000);
+    let single = Criteria {
+        prompt: Prompt {
+            parts: &[(7, 2_000)],
+            ..shared.prompt
+        },
+        ..shared.clone()
+    };
+    for criteria in [&shared, &single] {
+        let now = Time::from_millis(START_MS);
+        let choice = pool.choose(criteria, &State::default(), now);
+        assert!(matches!(choice, Choice::Upstream(_)), "{choice:?}");
+    }
+}
