End no small body for a large one that gains nothing by it

Found in review: while complete large bodies held the room for large ones, each waiting large body could end small bodies of slow callers, which hold nothing of that room.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -190,8 +190,10 @@
             return Decision::Refused;
         }
         let source = is_over_share.then(|| body.source.clone());
+        // Small bodies take nothing of the room for large ones, nor of a source's share of it.
+        let is_large_only = !body.is_small && (is_over_share || self.fits(true, more));
         self.bodies[at].waits_since = Some(since.unwrap_or(now));
-        Decision::Wait(self.end_largest(source.as_deref(), 1, now))
+        Decision::Wait(self.end_largest(source.as_deref(), 1, is_large_only, now))
     }
 
     /// Returns whether the source of `body` would hold more than its share. A body that is the only
@@ -230,12 +232,19 @@
     /// Marks the largest unfinished body that has stalled as one to end, for its connection. The
     /// caller ends it.
     pub fn end_stalled(&mut self, now: Time) -> Option<Id> {
-        self.end_largest(None, 0, now)
+        self.end_largest(None, 0, false, now)
     }
 
     /// Marks the largest of the unfinished bodies that have stalled, or the oldest of several, as
-    /// one to end. It holds `min_held` bytes or more, and is of `source` if there is one.
-    fn end_largest(&mut self, source: Option<&str>, min_held: u64, now: Time) -> Option<Id> {
+    /// one to end. It holds `min_held` bytes or more, is of `source` if there is one, and a large one
+    /// if `is_large_only`.
+    fn end_largest(
+        &mut self,
+        source: Option<&str>,
+        min_held: u64,
+        is_large_only: bool,
+        now: Time,
+    ) -> Option<Id> {
         if self.bodies.iter().any(|b| b.state == State::Ending) {
             // Its memory is about to be released.
             return None;
@@ -244,6 +253,7 @@
             b.state == State::Arriving
                 && b.waits_since.is_none()
                 && b.held >= min_held
+                && !(is_large_only && b.is_small)
                 && source.is_none_or(|s| *b.source == *s)
                 && (now.since(b.progressed_at) >= STALL || now.since(b.opened_at) >= SLOW)
         });
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -127,3 +127,18 @@
     assert_eq!(max_connections(Some(32 * MIB), Some(3_900)), 307);
     assert_eq!(max_connections(Some(MEMORY), Some(1)), 1);
 }
+
+/// The room for large bodies is taken by complete ones. Guards against small bodies of slow callers that
+/// are ended for a large one, to which they leave no room.
+#[test]
+fn no_small_body_is_ended_for_a_large_one_that_gains_nothing() {
+    let mut ledger = Ledger::new(Some(MEMORY));
+    for source in ["a", "b"] {
+        let id = fill(&mut ledger, source, 10 * MIB, 0);
+        ledger.complete(id);
+    }
+    let small = ledger.open("c".into(), Some(SMALL_BYTES), at(0));
+    assert_eq!(ledger.grow(small, SMALL_BYTES, at(0)), Decision::Granted);
+    let large = ledger.open("d".into(), None, at(3_000));
+    assert_eq!(ledger.grow(large, MIB, at(3_000)), Decision::Wait(None));
+}
