Bound the time to return by what the line can serve

Found in review: each refusal added an interval to the last turn and nothing bounded it, so callers of a later overload were told the longest time alike. Sums of work saturate.

--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -32,6 +32,10 @@
 /// Departures, decayed by age, from which on their rate counts as known.
 const MIN_DEPARTURES: f64 = 3.0;
 
+/// Longest time behind the end of the line for which those that were sent back are counted: half of
+/// the usual time limit of a stream. Later ones would return after their deadline anyway.
+const MAX_TURN: Span = Span::from_secs(8);
+
 /// Time without a line after which the rate is forgotten.
 const RATE_TTL: Span = Span::from_secs(5);
 
@@ -274,7 +278,7 @@
         let account = self.account(&request.account);
         let before = account.served;
         // A request of a plain service brings no tokens.
-        account.served += request.work.max(1);
+        account.served = account.served.saturating_add(request.work.max(1));
         self.level = self.level.max(before);
         self.reset_if_empty();
     }
@@ -299,7 +303,8 @@
         )]
         let span = |requests: usize| Span::from_millis((requests as f64 * interval) as u64);
         let line_end = now + span(self.len());
-        self.last_turn = line_end.max(self.last_turn) + span(1);
+        let turn = line_end.max(self.last_turn) + span(1);
+        self.last_turn = turn.min(line_end + MAX_TURN);
         Some(self.last_turn.since(now))
     }
 
@@ -349,8 +354,9 @@
         for at in &order {
             let request = &self.requests[*at];
             if let Ok(account) = self.account_index(&request.account) {
-                tags[*at] = self.accounts[account].served + ahead[account];
-                ahead[account] += request.work.max(1);
+                let served = self.accounts[account].served;
+                tags[*at] = served.saturating_add(ahead[account]);
+                ahead[account] = request.work.max(1).saturating_add(ahead[account]);
             }
         }
         let key = |at: &usize| {
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -290,3 +290,41 @@
         }
     }
 }
+
+/// During a rollout the upstreams of one version may be full while those of another have room. Guards
+/// against requests of the first one that end the round for all others.
+#[test]
+fn restricted_requests_without_room_do_not_end_the_round() {
+    let mut line = Line::default();
+    for id in 0..5 {
+        let request = Request {
+            is_restricted: true,
+            ..request(id, 1, 0, START)
+        };
+        line.push(request, START);
+    }
+    for id in 0..5 {
+        assert_eq!(line.next(START), Some(id));
+        line.pass_over(id);
+    }
+}
+
+/// Thousands are sent back in an overload. Guards against times to return that keep growing and then
+/// hold for the callers of a later overload too.
+#[test]
+fn times_to_return_are_bounded() {
+    let mut line = Line::default();
+    for id in 0..100 {
+        line.push(request(id, id, 0, START), START);
+    }
+    let mut now = START;
+    for id in 0..20 {
+        now += Span::from_millis(100);
+        line.depart(id, now);
+    }
+    let turns: Vec<_> = (0..2_000).map(|_| line.turn(now).unwrap()).collect();
+    let last = turns[turns.len() - 1];
+    assert!(last <= Span::from_secs(8 + 12), "{last:?}");
+    now += Span::from_secs(8);
+    assert!(line.turn(now).unwrap() < last);
+}
