Offer room again that a refused request was woken for

Found in review: a request that was woken for room and refused at the same moment passed it on to nobody for up to 25 ms. Equal requests of one caller are also drawn to different upstreams now, and sums of slots saturate.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -387,7 +387,7 @@
         let has_local = local.count() >= MIN_LOCAL_UPSTREAMS;
         let (mut slots, mut running) = (0, 0);
         for upstream in usable.filter(|u| !has_local || u.is_local(&self.domain)) {
-            slots += upstream.entry.announcement.slots;
+            slots = upstream.entry.announcement.slots.saturating_add(slots);
             running += upstream.running + upstream.others.running;
         }
         if slots == 0 {
--- a/crates/core/src/placement/crowd.rs
+++ b/crates/core/src/placement/crowd.rs
@@ -100,8 +100,8 @@
 
     /// Draws one of the candidates in proportion to their expected room.
     ///
-    /// The draw follows from the number of the request and the instance, by rendezvous hashing with
-    /// weights. Upstreams that have just rejected a request of this instance are left out while there
+    /// The draw follows from the number of the request, the instance and the time, by rendezvous hashing
+    /// with weights, so that equal requests are spread too. Upstreams that have just rejected a request of this instance are left out while there
     /// are others.
     pub(super) fn draw<'a>(
         &self,
@@ -109,7 +109,7 @@
         draw: u16,
         now: Time,
     ) -> Option<&'a Upstream> {
-        let salt = digest::mix(u64::from(draw) ^ self.instance);
+        let salt = digest::mix(digest::mix(u64::from(draw) ^ self.instance) ^ now.as_millis());
         let away = self.away_weight(candidates);
         let rank = |u: &Upstream| {
             let weight = if u.is_local(&self.domain) {
--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -78,6 +78,10 @@
             self.checked_at = now;
             let refused = self.line.take_hopeless(now);
             self.dismiss(&refused);
+            // One of them may have been woken for room that it does not take.
+            if !refused.is_empty() {
+                self.offer(now);
+            }
         }
     }
 
