Close an idle connection before its next request is read

Found in review: a connection that gives way to another one could be polled first, read a request that had just arrived and pass it on, and was then dropped; a request that may run once had then run without an answer. The close is now looked at first. A body that has shrunk wakes those that wait for room.

--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -306,9 +306,11 @@
         );
         let list = connections.clone();
         open.push(spawn_local(async move {
+            // A request that arrives at an idle connection at this moment stays unread.
             tokio::select! {
-                () = serving => {}
+                biased;
                 () = connection.close.notified() => {}
+                () = serving => {}
             }
             list.remove(&connection);
         }));
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -207,6 +207,8 @@
                     bytes.reserve_exact(capacity - bytes.len());
                     let mut ledger = self.budget.ledger.borrow_mut();
                     ledger.shrink(self.id, bytes.capacity() as u64);
+                    drop(ledger);
+                    self.budget.released.notify_waiters();
                 } else {
                     let now = self.budget.clock.now();
                     self.budget.ledger.borrow_mut().progress(self.id, now);
