--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -387,7 +387,7 @@
         let has_local = local.count() >= MIN_LOCAL_UPSTREAMS;
         let (mut slots, mut running) = (0, 0);
         for upstream in usable.filter(|u| !has_local || u.is_local(&self.domain)) {
-            slots += upstream.entry.announcement.slots;
+            slots = upstream.entry.announcement.slots.saturating_add(slots);
             running += upstream.running + upstream.others.running;
         }
         if slots == 0 {
@@ -601,7 +601,7 @@
         let running = upstream.running + upstream.others.running;
         let slots = upstream.entry.announcement.slots;
         let rejects = self.bounds_of(upstream).rejects;
-        let has_queue = criteria.memory_tokens == 0 || self.is_weighed(criteria);
+        let has_queue = criteria.memory_tokens == 0 || self.has_weighed(criteria);
         let has_room = match crowd {
             Some(crowd) if crowd.is_fast && rejects.is_none() => true,
             _ => running < rejects::capacity(slots, has_queue, rejects),
--- a/crates/node/src/gateway/forward/waiting.rs
+++ b/crates/node/src/gateway/forward/waiting.rs
@@ -78,6 +78,10 @@
             self.checked_at = now;
             let refused = self.line.take_hopeless(now);
             self.dismiss(&refused);
+            // One of them may have been woken for room that it does not take.
+            if !refused.is_empty() {
+                self.offer(now);
+            }
         }
     }
 
@@ -111,7 +115,7 @@
     }
 
     /// Returns whether a request of the service waits.
-    fn has_line(&self, service: &str) -> bool {
+    pub(super) fn has_line(&self, service: &str) -> bool {
         self.with(service, |l| !l.line.is_empty()).unwrap_or(false)
     }
 
@@ -169,6 +173,8 @@
         let service = &resolved.service.name;
         let now = proxy.now();
         let demand = ctx.demand(resolved);
+        // A rollout divides the requests between versions, of which one may be full by itself.
+        let is_rolling_out = proxy.view().agreed.rollout(service).is_some();
         let request = Request {
             id: 0,
             account: resolved
@@ -178,7 +184,7 @@
             rank: resolved.priority(),
             work: demand.work,
             tokens: demand.tokens,
-            is_restricted: !ctx.tried.borrow().is_empty(),
+            is_restricted: is_rolling_out || !ctx.tried.borrow().is_empty(),
             may_yield: ctx.run_count() == 0,
             arrived_at: ctx.received_at,
             due_at: ctx.received_at + resolved.route.objective,
@@ -309,7 +315,9 @@
         self.want_permits(ctx, resolved);
         let choice = self.choose(ctx, resolved);
         let has_room = matches!(choice, Choice::Upstream(_));
-        let must_queue = has_room && (place.is_some() || self.lines.has_line(service));
+        let may_wait = self.now().since(ctx.received_at) < max_wait(&resolved.route);
+        let must_queue =
+            has_room && (place.is_some() || (may_wait && self.lines.has_line(service)));
         if must_queue || choice == Choice::Full {
             let is_new = place.is_none();
             let place = place.get_or_insert_with(|| Place::join(self, ctx, resolved));
