Log dropped answers and the probes of ended connections

Nothing in the logs told whether an instance had forgotten a request or had not recognized a crash: a dropped answer left no line, nor did a probe that found no crash. Adds the lines answer_dropped and crash_probe; no logic is changed.

--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -520,6 +520,11 @@
         }
         if good && let Some(level) = self.escalation(ctx, resolved, &received.meta) {
             self.count_attempt(resolved, target, "larger_model");
+            log::info!(
+                event = "answer_dropped", request = ctx.id(), upstream = &*target.upstream,
+                incarnation = target.incarnation, level;
+                "an unsure answer is given up for that of a larger model"
+            );
             return AttemptResult::Escalate(level);
         }
         self.count_attempt(resolved, target, if good { "answered" } else { "failed" });
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -172,11 +172,21 @@
             return true;
         }
         let is_leaving = self.pool.borrow().is_leaving(target);
+        let log_probe = |another: Option<Probe>, has_crashed: bool| {
+            log::info!(
+                event = "crash_probe", upstream = &*target.upstream,
+                incarnation = target.incarnation, result:? = upstream, another:?, is_leaving,
+                has_crashed;
+                "an upstream was probed whose connection has ended"
+            );
+            has_crashed
+        };
         if !is_crash(upstream, Probe::Accepted, is_leaving) {
-            return false;
+            return log_probe(None, false);
         }
         let another = self.probe_others(target).await;
-        is_crash(upstream, another, is_leaving) || is_known()
+        let has_crashed = is_crash(upstream, another, is_leaving) || is_known();
+        log_probe(Some(another), has_crashed)
     }
 
     /// Opens a connection to the upstream, which is kept for later requests.
