Charge a crash to all that ran, also before the head

Cause: a crash was charged to the parts of a prompt only once the head of its answer had arrived. A part that ends servers before that was never charged, and sound requests whose answers had begun were charged in its place and refused. What a server has sent by then says nothing about the cause. Now all parts are charged; answers tell the sound ones apart as before.

--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -254,17 +254,6 @@
         })
     }
 
-    /// Returns what a crash of the upstream of the current attempt may be due to. An upstream that
-    /// has not begun to answer is not crashed by a part of the prompt.
-    pub(super) fn charged_subjects(&self) -> &[Subject] {
-        let subjects = self.subjects();
-        if self.has_begun.get() {
-            subjects
-        } else {
-            &subjects[subjects.len() - 1..]
-        }
-    }
-
     /// Returns the parts of the prompt that other requests may have too.
     pub(super) fn shared_parts(&self) -> &[(u64, u64)] {
         let parts = self.meta.prompt_parts.split_last();
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -7,7 +7,7 @@
     retry_after::Cause,
     route::Route,
     run::Right,
-    suspect::{Probe, Standing, Subject, is_crash},
+    suspect::{Probe, Standing, is_crash},
     time::Span,
 };
 use tokio::{task::spawn_local, time::timeout};
@@ -140,21 +140,22 @@
         }
         let is_trusted = {
             let screen = self.shared.screen();
-            screen.are_trusted(ctx.charged_subjects(), self.now())
+            screen.are_trusted(ctx.subjects(), self.now())
         };
         let limit = if is_trusted {
             CRASH_PROBE_TIMEOUT
         } else {
             SUSPECT_PROBE_TIMEOUT
         };
-        let subjects = ctx.charged_subjects().to_vec();
+        let has_begun = ctx.has_begun.get();
         let (this, ctx, target) = (self.clone(), ctx.clone(), target.clone());
         let probe = spawn_local(async move {
             if this.has_crashed(&target).await {
-                this.record_crash(&ctx, &target, &subjects);
+                this.record_crash(&ctx, &target, has_begun);
             } else {
                 let mut screen = this.shared.screen();
-                screen.broke(&target.upstream, target.incarnation, &subjects, this.now());
+                let (upstream, incarnation) = (&target.upstream, target.incarnation);
+                screen.broke(upstream, incarnation, ctx.subjects(), this.now());
             }
         });
         // After the timeout the probe continues in its own task.
@@ -222,18 +223,18 @@
         Probe::Silent
     }
 
-    fn record_crash(&self, ctx: &RequestContext, target: &Target, subjects: &[Subject]) {
+    fn record_crash(&self, ctx: &RequestContext, target: &Target, has_begun: bool) {
         ctx.crashes.set(ctx.crashes.get() + 1);
         self.metrics.count_crash();
         log::info!(
             event = "crash", request = ctx.id(), fingerprint = format!("{:016x}", ctx.fingerprint),
-            parts = ctx.part_list(), has_begun = subjects.len() == ctx.subjects().len(),
+            parts = ctx.part_list(), has_begun,
             upstream = &*target.upstream, incarnation = target.incarnation;
             "an upstream has crashed while it ran a request"
         );
         let mut screen = self.shared.screen();
         let (upstream, incarnation) = (&target.upstream, target.incarnation);
-        screen.crashed(upstream, incarnation, subjects, self.now());
+        screen.crashed(upstream, incarnation, ctx.subjects(), self.now());
         drop(screen);
         self.shared.poll_wanted.notify_one();
     }
--- a/scenario/src/crash.rs
+++ b/scenario/src/crash.rs
@@ -72,6 +72,8 @@
     BanAll,
     /// Nothing is refused.
     NoBan,
+    /// A crash charges only the parts of requests whose answers have begun.
+    ChargeBegun,
 }
 
 /// What happens to the control instances.
@@ -100,7 +102,9 @@
     pub guilty: u64,
     /// Whether the shared parts are first used when the guilty requests come.
     pub is_new: bool,
-    /// Time from the head of an answer until a guilty part crashes the upstream.
+    /// Whether a guilty part crashes the upstream before the head of the answer is sent.
+    pub is_before_head: bool,
+    /// Time from the head of an answer, or its place, until a guilty part crashes the upstream.
     pub crash_delay: Span,
     /// Time until a crashed upstream is back.
     pub down: Span,
@@ -150,7 +154,7 @@
             Disturbance::LeaderCrash,
             Disturbance::Cut,
         ];
-        Self {
+        let case = Self {
             entries,
             upstreams,
             pace: [1, 2, 5, 10, 50, 100][rng.random_range(0..6)],
@@ -158,10 +162,16 @@
             guilty: rng.random_range(1..3),
             is_new: rng.random_bool(0.7),
             crash_delay: Span::from_millis(rng.random_range(5..500)),
+            is_before_head: false,
             down: Span::from_millis(rng.random_range(1_000..10_000)),
             answer: Span::from_millis(rng.random_range(100..12_000)),
             others: rng.random_range(0..3),
             disturbance: disturbances[rng.random_range(0..4)],
+        };
+        // Drawn last, so that earlier seeds keep their other circumstances.
+        Self {
+            is_before_head: rng.random_bool(0.5),
+            ..case
         }
     }
 }
@@ -347,7 +357,7 @@
             Plant::BanAll if subjects.iter().any(|s| self.charged.contains(s)) => {
                 return Verdict::Refuse;
             }
-            Plant::None | Plant::NoClearing | Plant::BanAll => {}
+            Plant::None | Plant::NoClearing | Plant::BanAll | Plant::ChargeBegun => {}
         }
         if standing == Standing::Clear {
             return Verdict::Send { is_trial: false };
@@ -465,8 +475,9 @@
         upstream.incarnation += 1;
         upstream.down_until = self.now + self.case.down;
         for run in self.runs.extract_if(.., |r| r.upstream == at) {
-            let has_begun = run.head_at <= self.now;
-            let charged = if has_begun {
+            let never_begins = run.sound.is_none() && self.case.is_before_head;
+            let has_begun = run.head_at <= self.now && !never_begins;
+            let charged = if has_begun || self.plant != Plant::ChargeBegun {
                 &run.subjects[..]
             } else {
                 &run.subjects[run.subjects.len() - 1..]
--- a/scenario/tests/crash.rs
+++ b/scenario/tests/crash.rs
@@ -24,7 +24,12 @@
 /// Guards against a simulation that no fault could break.
 #[test]
 fn each_planted_fault_breaks_a_rule() {
-    for plant in [Plant::NoClearing, Plant::BanAll, Plant::NoBan] {
+    for plant in [
+        Plant::NoClearing,
+        Plant::BanAll,
+        Plant::NoBan,
+        Plant::ChargeBegun,
+    ] {
         let mut draws = 1..=20;
         let is_found = draws.any(|seed| !run(&Case::draw(seed), plant, seed).holds());
         assert!(is_found, "{plant:?}");
