Charge a crash to answers that were given up before it

Cause: an instance knew only of requests that ran there by its own books. The same holds for each end on our side: silence, a client that leaves, the deadline. So the guard of a run records each one that ends without a complete answer (suspect::ended); a crash of its upstream that any instance reports within 2 s is charged to it. Where no answer speaks for its parts, the instance looks at the upstream after 250 ms and 1 s, unless an idle connection shows that its process lives. Ruled out: evidence lost between instances (all control instances had each crash line within 0.3 s).

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -730,6 +730,14 @@
             .is_some_and(|at| self.upstreams[at].entry.announcement.incarnation > incarnation)
     }
 
+    /// Returns the upstream if this incarnation of it is listed.
+    #[must_use]
+    pub fn target(&self, upstream: &str, incarnation: u64) -> Option<Target> {
+        let upstream = &self.upstreams[self.find(upstream)?];
+        let is_listed = upstream.entry.announcement.incarnation == incarnation;
+        is_listed.then(|| upstream.target())
+    }
+
     /// Returns up to `count` other upstreams that are expected to accept connections, those of other
     /// failure domains first.
     #[must_use]
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -9,6 +9,7 @@
 //! times a second at hundreds of instances, beside sound requests that share all their other parts,
 //! and each of them crashes the upstream that begins to answer it.
 
+mod ended;
 mod evidence;
 mod progress;
 mod screen;
--- a/crates/core/src/suspect/evidence.rs
+++ b/crates/core/src/suspect/evidence.rs
@@ -218,6 +218,13 @@
         self.find(upstream, incarnation).is_ok()
     }
 
+    /// Returns when the incarnation of the upstream crashed, if that is known.
+    #[must_use]
+    pub fn crash_time(&self, upstream: &str, incarnation: u64) -> Option<Time> {
+        let at = self.find(upstream, incarnation).ok()?;
+        Some(self.crashes[at].at)
+    }
+
     /// Merges a crash and returns whether anything is new.
     pub fn add(&mut self, crash: &Crash, now: Time) -> bool {
         let is_new = self.merge_crash(crash, now);
--- a/crates/core/src/suspect/screen.rs
+++ b/crates/core/src/suspect/screen.rs
@@ -7,9 +7,12 @@
 
 use std::sync::Arc;
 
-use super::evidence::{
-    Answer, Change, Charge, Crash, EXPERIMENT_PERMIT, EvidenceSet, Message, Standing, Subject,
-    is_permit_name,
+use super::{
+    ended,
+    evidence::{
+        Answer, Change, Charge, Crash, EXPERIMENT_PERMIT, EvidenceSet, Message, Standing, Subject,
+        is_permit_name,
+    },
 };
 use crate::{
     fault::Fault,
@@ -32,12 +35,6 @@
 /// Time for which no second trial is made on an upstream: a crash would tell nothing of either.
 const TRIAL_TIME: Span = Span::from_secs(1);
 
-/// Time for which it is remembered that a connection broke whose upstream's fate is unknown.
-const BREAK_TTL: Span = Span::from_secs(10);
-
-/// Maximum number of such connections.
-const MAX_BREAKS: usize = 256;
-
 /// What a new connection to an upstream has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Probe {
@@ -68,15 +65,6 @@
     until: Time,
 }
 
-/// A connection that broke while a request ran, without a sign of a crash so far.
-#[derive(Clone, Debug)]
-struct Break {
-    upstream: Arc<str>,
-    incarnation: u64,
-    subjects: Vec<Subject>,
-    at: Time,
-}
-
 /// The last answers on a part.
 #[derive(Clone, Copy, Debug)]
 struct Answered {
@@ -105,7 +93,7 @@
     wants: Vec<(Subject, Time)>,
     /// Time of the last want for an experiment.
     experiment_wanted: Option<Time>,
-    breaks: Vec<Break>,
+    ended: ended::Store,
     /// Upstreams on which trials were made, with their times.
     trials: Vec<(Arc<str>, Time)>,
 }
@@ -262,7 +250,8 @@
         }
     }
 
-    /// Records that an upstream crashed while it ran a request with these subjects.
+    /// Records that an upstream crashed while it ran a request with these subjects, and charges the
+    /// runs with the crash that ended there a moment before.
     pub fn crashed(
         &mut self,
         upstream: &Arc<str>,
@@ -270,20 +259,72 @@
         subjects: &[Subject],
         now: Time,
     ) {
+        self.charge(upstream, incarnation, subjects, now, now);
+        let is_there =
+            |run: &ended::Run| run.upstream == *upstream && run.incarnation == incarnation;
+        let crash = |run: &ended::Run| is_there(run).then_some(now);
+        let crashed = self.ended.take_crashed(crash, now);
+        self.charge_runs(crashed, now);
+    }
+
+    /// Charges subjects with a crash at `at` and returns whether that is new.
+    fn charge(
+        &mut self,
+        upstream: &Arc<str>,
+        incarnation: u64,
+        subjects: &[Subject],
+        at: Time,
+        now: Time,
+    ) -> bool {
+        if subjects.is_empty() {
+            return false;
+        }
         let mut subjects = subjects.to_vec();
         subjects.sort_unstable();
         subjects.dedup();
         let charge = |subject: &Subject| Charge {
             subject: *subject,
-            answer: self.answer(*subject, Answer::Missing, now),
+            answer: self.answer(*subject, Answer::Missing, at),
         };
         let crash = Crash {
             upstream: upstream.clone(),
             incarnation,
-            age: Span::ZERO,
+            age: now.since(at),
             charges: subjects.iter().map(charge).collect(),
         };
-        self.set.add(&crash, now);
+        self.set.add(&crash, now)
+    }
+
+    /// Charges runs that have ended with crashes at these times and returns whether that is new.
+    fn charge_runs(&mut self, crashed: Vec<(ended::Run, Time)>, now: Time) -> bool {
+        let mut is_new = false;
+        for (run, at) in crashed {
+            is_new |= self.charge(&run.upstream, run.incarnation, &run.subjects, at, now);
+        }
+        is_new
+    }
+
+    /// Charges the runs that have ended with the crashes on record.
+    fn charge_known(&mut self, now: Time) -> bool {
+        let set = &self.set;
+        let crash = |run: &ended::Run| set.crash_time(&run.upstream, run.incarnation);
+        let crashed = self.ended.take_crashed(crash, now);
+        self.charge_runs(crashed, now)
+    }
+
+    /// Records that this side has given up the answer to a request with these subjects. The upstream
+    /// may crash under it all the same.
+    ///
+    /// Returns whether a crash of the upstream is known that it may have caused.
+    pub fn left(
+        &mut self,
+        upstream: &Arc<str>,
+        incarnation: u64,
+        subjects: &[Subject],
+        now: Time,
+    ) -> bool {
+        self.add_ended(upstream, incarnation, subjects, false, now);
+        self.charge_known(now)
     }
 
     /// Records that a connection broke and nothing shows why yet.
@@ -294,15 +335,33 @@
         subjects: &[Subject],
         now: Time,
     ) {
-        self.breaks.retain(|b| now.since(b.at) < BREAK_TTL);
-        if self.breaks.len() < MAX_BREAKS {
-            self.breaks.push(Break {
-                upstream: upstream.clone(),
-                incarnation,
-                subjects: subjects.to_vec(),
-                at: now,
-            });
-        }
+        self.add_ended(upstream, incarnation, subjects, true, now);
+    }
+
+    fn add_ended(
+        &mut self,
+        upstream: &Arc<str>,
+        incarnation: u64,
+        subjects: &[Subject],
+        is_broken: bool,
+        now: Time,
+    ) {
+        let run = ended::Run {
+            upstream: upstream.clone(),
+            incarnation,
+            subjects: subjects.to_vec(),
+            at: now,
+            is_broken,
+            is_watched: !self.are_trusted(subjects, now),
+            looks: 0,
+        };
+        self.ended.add(run, now);
+    }
+
+    /// Returns the upstreams to look at now, with their incarnations: runs with parts that no answer
+    /// speaks for ended there a moment ago.
+    pub fn due_looks(&mut self, now: Time) -> Vec<(Arc<str>, u64)> {
+        self.ended.due_looks(now)
     }
 
     /// Takes the later incarnation of an upstream as the sign that the earlier one crashed.
@@ -312,17 +371,14 @@
     where
         F: Fn(&str, u64) -> bool,
     {
-        if self.breaks.is_empty() {
+        if self.ended.is_empty() {
             return;
         }
-        self.breaks.retain(|b| now.since(b.at) < BREAK_TTL);
-        let restarted: Vec<_> = self
-            .breaks
-            .extract_if(.., |b| has_restarted(&b.upstream, b.incarnation))
-            .collect();
-        for known in restarted {
-            self.crashed(&known.upstream, known.incarnation, &known.subjects, now);
-        }
+        let has_crashed =
+            |run: &ended::Run| run.is_broken && has_restarted(&run.upstream, run.incarnation);
+        let crash = |run: &ended::Run| has_crashed(run).then_some(now);
+        let crashed = self.ended.take_crashed(crash, now);
+        self.charge_runs(crashed, now);
     }
 
     /// Returns which answer speaks for a subject that was charged with a crash at `at`, if `known`
@@ -422,7 +478,7 @@
         let mut set = std::mem::take(&mut self.set);
         let is_new = set.apply_answers(|c, at| self.answer(c.subject, c.answer, at), now);
         self.set = set;
-        is_new
+        self.charge_known(now) || is_new
     }
 
     /// Drops what is too old to count.
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -337,6 +337,53 @@
     assert_eq!(screen.standing(&[GUILTY]), Standing::Suspect);
 }
 
+/// Guards against a crash that is charged to nothing, because the answer was given up before it.
+#[test]
+fn a_crash_after_an_answer_was_given_up_is_charged() {
+    let mut screen = Screen::default();
+    assert!(!screen.left(&"e".into(), 1, &[GUILTY, request(1)], at(100)));
+    screen.crashed(&"e".into(), 1, &[request(2)], at(180));
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Suspect);
+    // The news of the crash may come from another instance, before or after the end of the run.
+    for is_late in [false, true] {
+        let (mut here, mut there) = (Screen::default(), Screen::default());
+        there.crashed(&"e".into(), 1, &[request(2)], at(180));
+        if is_late {
+            tell(&there, &mut here, at(190));
+        }
+        let is_news = here.left(&"e".into(), 1, &[GUILTY, request(1)], at(200));
+        assert_eq!(is_news, is_late);
+        if !is_late {
+            tell(&there, &mut here, at(400));
+        }
+        assert_eq!(here.standing(&[GUILTY]), Standing::Suspect);
+    }
+}
+
+/// Guards against a run that is charged with a crash long after its end.
+#[test]
+fn a_crash_long_after_an_answer_was_given_up_is_not_charged() {
+    let mut screen = Screen::default();
+    screen.left(&"e".into(), 1, &[GUILTY, request(1)], at(100));
+    screen.crashed(&"e".into(), 2, &[request(2)], at(200));
+    screen.crashed(&"e".into(), 1, &[request(2)], at(3_000));
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Clear);
+}
+
+/// Guards against a crash that nobody notices after an answer was given up, and against probes of
+/// upstreams for parts that were answered a moment ago.
+#[test]
+fn an_upstream_is_looked_at_after_an_answer_was_given_up() {
+    let mut screen = Screen::default();
+    screen.answered(&[SHARED, request(9)], at(0));
+    screen.left(&"f".into(), 1, &[SHARED, request(1)], at(100));
+    screen.left(&"e".into(), 1, &[SHARED, GUILTY, request(2)], at(100));
+    assert!(screen.due_looks(at(200)).is_empty());
+    assert_eq!(screen.due_looks(at(400)), [("e".into(), 1)]);
+    assert!(screen.due_looks(at(500)).is_empty());
+    assert_eq!(screen.due_looks(at(1_200)), [("e".into(), 1)]);
+}
+
 /// Guards against a ban that ends with the evidence, against trials that don't become rarer, and
 /// against a ban that outlives the fault.
 #[test]
--- a/crates/node/src/gateway/connection_pool.rs
+++ b/crates/node/src/gateway/connection_pool.rs
@@ -184,6 +184,16 @@
         Some(idle.remove(at))
     }
 
+    /// Returns whether an idle connection to the upstream is open, so that its process lives.
+    #[must_use]
+    pub fn has_idle(&self, target: &Target) -> bool {
+        let idle = self.idle.borrow();
+        let mut of_target = idle
+            .iter()
+            .filter(|i| i.upstream == target.upstream && i.incarnation == target.incarnation);
+        of_target.any(|i| !i.sender.is_closed())
+    }
+
     /// Closes the idle connections to an upstream.
     pub fn close_idle(&self, upstream: &str) {
         self.idle.borrow_mut().retain(|i| &*i.upstream != upstream);
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -206,7 +206,7 @@
         loop {
             sleep(REPORT_INTERVAL).await;
             reporter.watch_reach();
-            reporter.send_inquiries();
+            reporter.probe_upstreams();
             reporter.publish_report();
         }
     });
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -108,7 +108,7 @@
             return AttemptResult::Refused(RequestContext::refuse_repeat());
         };
         let (send_by, rejection) = pass.consume();
-        let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
+        let guard = InFlightGuard::begin(&self, ctx, target, &resolved.service.name, demand);
         let sent_at = self.now();
         self.log_sent(ctx, resolved, target);
         let deadline = earliest(self.send_deadline(resolved), send_by);
@@ -121,7 +121,7 @@
         let response = match sent {
             Some(Ok(response)) => response,
             Some(Err(Error::NotSent(reason))) => {
-                ctx.runs.set(ctx.runs.get().without_last());
+                guard.set_not_run();
                 log::debug!("{} was not sent: {reason}", ctx.id());
                 return AttemptResult::NotRun;
             }
@@ -150,6 +150,7 @@
         let is_not_run = meta.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST;
         rejection.settle(is_not_run);
         if is_not_run {
+            guard.set_not_run();
             self.count_attempt(resolved, target, "not_run");
             return self.on_not_run(ctx, target, response, conn, &meta).await;
         }
@@ -160,7 +161,6 @@
                 .on_lost(ctx, resolved, target, "response without signature")
                 .await;
         }
-        let head_time = self.now().since(sent_at);
         self.deliver(
             ctx,
             resolved,
@@ -170,7 +170,7 @@
                 meta,
                 conn,
                 guard,
-                head_time,
+                head_time: self.now().since(sent_at),
                 queued_prefill,
             },
         )
@@ -456,7 +456,6 @@
         conn: PooledConnection,
         meta: &ResponseHeaders,
     ) -> AttemptResult {
-        ctx.runs.set(ctx.runs.get().without_last());
         let status = response.status();
         log::info!(
             event = "not_run", request = ctx.id(), upstream = &*target.upstream,
@@ -548,6 +547,7 @@
                 self.clone().on_lost(ctx, resolved, target, reason).await
             }
             Ok(body) => {
+                guard.settle();
                 guard.set_outcome(if good { Outcome::Good } else { Outcome::Failed });
                 if good {
                     self.record_answer(ctx);
--- a/crates/node/src/gateway/forward/hand_over.rs
+++ b/crates/node/src/gateway/forward/hand_over.rs
@@ -183,7 +183,7 @@
     ) -> AttemptResult {
         let runs = ctx.runs.get();
         let demand = ctx.demand(resolved);
-        let guard = InFlightGuard::begin(&self, target, &resolved.service.name, demand);
+        let guard = InFlightGuard::begin(&self, ctx, target, &resolved.service.name, demand);
         let sent_at = self.now();
         let request = self.build_request(ctx, resolved, target, ctx.meta.last_event_id);
         let Some(right) = self.begin_attempt(ctx, &resolved.route, target) else {
--- a/crates/node/src/gateway/forward/in_flight.rs
+++ b/crates/node/src/gateway/forward/in_flight.rs
@@ -4,15 +4,18 @@
 
 use masticlock_core::placement::{Demand, Outcome, Target};
 
-use super::Proxy;
+use super::{Proxy, RequestContext};
 
 /// Counts a request as in flight at its upstream until it is dropped.
 pub struct InFlightGuard {
     proxy: Rc<Proxy>,
+    ctx: Rc<RequestContext>,
     target: Target,
     service: Arc<str>,
     demand: Demand,
     outcome: Cell<Outcome>,
+    /// Whether the upstream has done all that it was to do, or nothing.
+    is_settled: Cell<bool>,
     /// Whether the prompt has been processed, which the start of the response shows.
     prefill_finished: Cell<bool>,
 }
@@ -21,6 +24,7 @@
     /// Starts counting a request.
     pub(super) fn begin(
         proxy: &Rc<Proxy>,
+        ctx: &Rc<RequestContext>,
         target: &Target,
         service: &Arc<str>,
         demand: Demand,
@@ -40,10 +44,12 @@
         proxy.lines.offer(service, now);
         Self {
             proxy: proxy.clone(),
+            ctx: ctx.clone(),
             target: target.clone(),
             service: service.clone(),
             demand,
             outcome: Cell::new(Outcome::Neutral),
+            is_settled: Cell::new(false),
             prefill_finished: Cell::new(false),
         }
     }
@@ -60,6 +66,18 @@
     pub(super) fn set_outcome(&self, outcome: Outcome) {
         self.outcome.set(outcome);
     }
+
+    /// Records that the upstream has answered completely or has not run the request. Otherwise it
+    /// may still crash under the request after this side has given up.
+    pub(super) fn settle(&self) {
+        self.is_settled.set(true);
+    }
+
+    /// Takes back the attempt, which the upstream has not run.
+    pub(super) fn set_not_run(&self) {
+        self.ctx.runs.set(self.ctx.runs.get().without_last());
+        self.settle();
+    }
 }
 
 impl Drop for InFlightGuard {
@@ -78,6 +96,9 @@
                     t.running = t.running.saturating_sub(1);
                 });
         }
+        if !self.target.is_peer && !self.is_settled.get() {
+            self.proxy.record_left(&self.ctx, &self.target);
+        }
         self.proxy.free_capacity(&self.service);
     }
 }
--- a/crates/node/src/gateway/forward/inquiry.rs
+++ b/crates/node/src/gateway/forward/inquiry.rs
@@ -20,10 +20,16 @@
 const INQUIRY_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Proxy {
+    /// Asks and probes the upstreams that are due.
+    pub fn probe_upstreams(self: &Rc<Self>) {
+        self.send_inquiries();
+        self.look_after_runs();
+    }
+
     /// Asks the upstreams that are due.
     ///
     /// An upstream without a health check gets one request instead.
-    pub fn send_inquiries(self: &Rc<Self>) {
+    fn send_inquiries(self: &Rc<Self>) {
         if !self.pool.borrow().has_limits() {
             return;
         }
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -153,6 +153,7 @@
         match end {
             StreamEnd::Complete => {
                 guard.set_outcome(Outcome::Good);
+                guard.settle();
                 conn.release(keep_alive);
                 proxy.record_answer(ctx);
                 log::info!(
@@ -407,12 +408,8 @@
             return Err("no attempt is left".into());
         };
         let (send_by, rejection) = pass.consume();
-        let guard = InFlightGuard::begin(
-            proxy,
-            &target,
-            &resolved.service.name,
-            ctx.demand(&resolved),
-        );
+        let demand = ctx.demand(&resolved);
+        let guard = InFlightGuard::begin(proxy, ctx, &target, &resolved.service.name, demand);
         let request = proxy.build_request(ctx, &resolved, &target, last_event_id);
         proxy.log_sent(ctx, &resolved, &target);
         let deadline = earliest(proxy.send_deadline(&resolved), send_by);
@@ -466,6 +463,7 @@
             proxy.pool.borrow_mut().avoid_peer(&target.upstream, now);
         }
         if is_refused || (own && meta.not_run) {
+            guard.settle();
             ctx.runs.set(runs);
         }
         ctx.tried.borrow_mut().push(target.upstream.clone());
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -124,6 +124,42 @@
         }
     }
 
+    /// Records that the request's attempt at an upstream has ended without a complete answer.
+    pub(super) fn record_left(&self, ctx: &RequestContext, target: &Target) {
+        let mut screen = self.shared.screen();
+        let (upstream, incarnation) = (&target.upstream, target.incarnation);
+        if screen.left(upstream, incarnation, ctx.subjects(), self.now()) {
+            drop(screen);
+            self.shared.poll_wanted.notify_one();
+        }
+    }
+
+    /// Looks at the upstreams on which answers were given up whose prompts may crash them.
+    pub(super) fn look_after_runs(self: &Rc<Self>) {
+        let due = self.shared.screen().due_looks(self.now());
+        for (upstream, incarnation) in due {
+            let target = self.pool.borrow().target(&upstream, incarnation);
+            let Some(target) = target.filter(|t| !self.connections.has_idle(t)) else {
+                continue;
+            };
+            let proxy = self.clone();
+            spawn_local(async move {
+                if proxy.has_crashed(&target).await {
+                    log::info!(
+                        event = "crash", upstream = &*target.upstream,
+                        incarnation = target.incarnation;
+                        "an upstream has crashed after its answers were given up"
+                    );
+                    let now = proxy.now();
+                    let mut screen = proxy.shared.screen();
+                    screen.crashed(&target.upstream, target.incarnation, &[], now);
+                    drop(screen);
+                    proxy.shared.poll_wanted.notify_one();
+                }
+            });
+        }
+    }
+
     /// Returns whether so many upstreams have crashed under the request that it ends.
     pub(super) fn is_crash_limit_reached(ctx: &RequestContext) -> bool {
         ctx.crashes.get() >= MAX_REQUEST_CRASHES
