Keep an unsure answer of a request that runs by a permit

Cause: an unsure answer was given up for that of a larger model even if the request ran by a permit. The larger model needs another permit, and the request was refused with 502 after 1.5 s; the answer that would have cleared its parts was gone too. Now such a request keeps its first answer, as where a second run may not follow.

sound_requests_are_served_while_all_first_answers_are_unsure failed before (0 of 47 sound requests begin) and holds in two runs (56 of 56, 46 of 46).

--- a/crates/node/src/gateway/forward/cascading.rs
+++ b/crates/node/src/gateway/forward/cascading.rs
@@ -45,6 +45,10 @@
         if !ctx.meta.any_model || ctx.level.get() > 0 || !ctx.runs.get().may_repeat(route) {
             return None;
         }
+        // It would need another permit, and its answer shows whether it crashes upstreams.
+        if self.is_restricted(ctx) {
+            return None;
+        }
         let answer = cascade::Answer {
             confidence: meta.confidence,
             level: ctx.level.get(),
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -82,6 +82,11 @@
         Ok(false)
     }
 
+    /// Returns whether the request may run by a permit only.
+    pub(super) fn is_restricted(&self, ctx: &RequestContext) -> bool {
+        self.shared.screen().standing(ctx.subjects()) > Standing::Clear
+    }
+
     /// Returns whether the request may be written now. Evidence may have come while it waited for a
     /// connection.
     pub(super) fn may_send(&self, ctx: &RequestContext) -> bool {
