Let an answer without length speak for its prompt only when its process is known to live

Cause: an answer with neither a length nor chunks ends with its connection. If the process had crashed after an event and the next one listened already, the probe was accepted, the end counted as that of the answer, and the guilty part was cleared each time.

--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -148,6 +148,7 @@
             guard,
             target,
             keep_alive,
+            is_framed,
             ..
         } = source;
         match end {
@@ -155,7 +156,7 @@
                 guard.set_outcome(Outcome::Good);
                 guard.settle();
                 conn.release(keep_alive);
-                proxy.record_answer(ctx);
+                proxy.record_end(ctx, &target, is_framed);
                 log::info!(
                     event = "stream_end", request = ctx.id(), upstream = &*target.upstream,
                     last_event = events.last_id().unwrap_or(0), runs = ctx.run_count(),
