Tell the end of a process from that of an answer by a second connection

An answer with neither a length nor chunks whose prompt no earlier answer speaks for now gets a witness, another connection to the same process. It closes too if the process ends, however soon the next one listens. Such a stream is broken off for its client too, and not complete. A buffered answer without length still has the probe only.

--- a/crates/node/src/gateway/connection_pool.rs
+++ b/crates/node/src/gateway/connection_pool.rs
@@ -206,6 +206,11 @@
         self.reused
     }
 
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a client's request by the right to do so and returns the head of the response.
     ///
     /// No byte of the request is written after `until`.
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -1,6 +1,6 @@
 //! Relaying of a streamed response, with failover to another upstream where that is allowed.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, rc::Rc, time::Duration};
 
 use http_body_util::BodyExt;
 use hyper::{
@@ -16,7 +16,7 @@
 use tokio::{
     sync::mpsc,
     task::spawn_local,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use super::{
@@ -45,6 +45,9 @@
 /// Longest time to find out whether an upstream accepts connections.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time in which the ends of two connections to one process arrive.
+const WITNESS_DELAY: Duration = Duration::from_millis(20);
+
 /// Delay before the selection of an upstream is tried again.
 const SELECTION_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -67,8 +70,13 @@
     keep_alive: Option<masticlock_core::time::Span>,
     /// Whether the response ends by its own framing and not with its connection.
     is_framed: bool,
+    /// Another connection to the same process, which closes too if the process ends.
+    witness: Witness,
 }
 
+/// A connection that is opened for its end only.
+type Witness = Rc<RefCell<Option<PooledConnection>>>;
+
 /// Starts to relay a stream and returns the response with its head.
 pub(super) fn start(
     proxy: &Rc<Proxy>,
@@ -87,6 +95,7 @@
         target: target.clone(),
         keep_alive: received.meta.keep_alive,
         is_framed,
+        witness: proxy.open_witness(ctx, target, is_framed),
     };
     spawn_local(relay(
         proxy.clone(),
@@ -148,7 +157,6 @@
             guard,
             target,
             keep_alive,
-            is_framed,
             ..
         } = source;
         match end {
@@ -156,7 +164,7 @@
                 guard.set_outcome(Outcome::Good);
                 guard.settle();
                 conn.release(keep_alive);
-                proxy.record_end(ctx, &target, is_framed);
+                proxy.record_answer(ctx);
                 log::info!(
                     event = "stream_end", request = ctx.id(), upstream = &*target.upstream,
                     last_event = events.last_id().unwrap_or(0), runs = ctx.run_count(),
@@ -249,7 +257,9 @@
             // The connection ends in the same way if the process ends.
             Ok(None)
                 if !source.is_framed
-                    && (!has_events || proxy.has_crashed(&source.target).await) =>
+                    && (!has_events
+                        || proxy.has_crashed(&source.target).await
+                        || has_ended(&source.witness).await) =>
             {
                 return StreamEnd::Broken("the connection has ended without the stream".into());
             }
@@ -285,7 +295,39 @@
     }
 }
 
+/// Returns whether the process has ended to which the connection was opened.
+async fn has_ended(witness: &Witness) -> bool {
+    if witness.borrow().is_none() {
+        return false;
+    }
+    sleep(WITNESS_DELAY).await;
+    let witness = witness.borrow();
+    witness.as_ref().is_some_and(PooledConnection::is_closed)
+}
+
 impl Proxy {
+    /// Opens another connection to the process that answers, if the answer ends with its connection
+    /// and no earlier one speaks for its prompt: a new process may listen when it ends.
+    fn open_witness(
+        self: &Rc<Self>,
+        ctx: &RequestContext,
+        target: &Target,
+        is_framed: bool,
+    ) -> Witness {
+        let witness = Witness::default();
+        let is_trusted = self.shared.screen().are_trusted(ctx.subjects(), self.now());
+        if !is_framed && !target.is_peer && !is_trusted {
+            let (proxy, target, slot) = (self.clone(), target.clone(), witness.clone());
+            spawn_local(async move {
+                // Without a connection the end of the answer is judged by a probe alone.
+                if let Ok(conn) = proxy.connections.open(&target).await {
+                    *slot.borrow_mut() = Some(conn);
+                }
+            });
+        }
+        witness
+    }
+
     /// Returns why another upstream is to continue a stalled stream, or none if it stays.
     async fn failover_reason(
         self: &Rc<Self>,
@@ -444,8 +486,10 @@
                 last_event = last_event_id.unwrap_or(0);
                 "another upstream continues a stream"
             );
+            let is_framed = is_framed(response.headers());
             return Ok(UpstreamStream {
-                is_framed: is_framed(response.headers()),
+                is_framed,
+                witness: proxy.open_witness(ctx, &target, is_framed),
                 body: response.into_body(),
                 conn,
                 guard,
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -7,13 +7,10 @@
     retry_after::Cause,
     route::Route,
     run::Right,
-    suspect::{Probe, Standing, Subject, is_crash},
+    suspect::{Probe, Standing, is_crash},
     time::Span,
 };
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::{task::spawn_local, time::timeout};
 
 use super::{MAX_TRIAL_WAIT, Proxy, RequestContext};
 use crate::gateway::handler::Refusal;
@@ -29,10 +26,6 @@
 /// Longest time for a connection to another upstream.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Intervals of announcements after which all instances know of a new process: it may announce itself
-/// an interval after its start, and the news takes a part of another.
-const ANNOUNCEMENT_INTERVALS: u64 = 2;
-
 /// Number of other upstreams that are tried.
 const MAX_WITNESSES: usize = 3;
 
@@ -118,40 +111,9 @@
         Some(right)
     }
 
-    /// Records the end of an answer.
-    ///
-    /// One that ends with its connection looks the same if the process has ended and the next one
-    /// listens already. It speaks for its parts once that process would have been announced.
-    pub(super) fn record_end(
-        self: &Rc<Self>,
-        ctx: &Rc<RequestContext>,
-        target: &Target,
-        is_framed: bool,
-    ) {
-        let (upstream, incarnation) = (target.upstream.clone(), target.incarnation);
-        let mut screen = self.shared.screen();
-        let is_trusted = screen.are_trusted(ctx.subjects(), self.now());
-        if is_framed || target.is_peer || is_trusted {
-            drop(screen);
-            self.record_answer(ctx.subjects());
-            return;
-        }
-        screen.broke(&upstream, incarnation, ctx.subjects(), self.now());
-        drop(screen);
-        let (this, subjects) = (self.clone(), ctx.subjects().to_vec());
-        spawn_local(async move {
-            let interval = this.settings.announcement_interval;
-            sleep(interval.times(ANNOUNCEMENT_INTERVALS).to_std()).await;
-            let has_crashed = this.shared.screen().set().has_crash(&upstream, incarnation);
-            if !has_crashed {
-                this.record_answer(&subjects);
-            }
-        });
-    }
-
     /// Records a complete answer, which clears what the request consists of.
-    fn record_answer(&self, subjects: &[Subject]) {
-        if self.shared.screen().answered(subjects, self.now()) {
+    pub(super) fn record_answer(&self, ctx: &RequestContext) {
+        if self.shared.screen().answered(ctx.subjects(), self.now()) {
             self.shared.poll_wanted.notify_one();
         }
     }
