Count a response until its client has read it

Cause: a buffered response was released from the budget when it was complete; the connection then held all of it, and the next pipelined request was answered behind it. Now the budget counts a response until the connection has taken it, and a large one is handed over in pieces of 16 KiB, so that a client which does not read holds up its own next request. A response without room waits, while the client that has read nothing for longest (2 s at least) is disconnected. A tenth of the room is for small responses.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -33,6 +33,9 @@
 /// has run must not be deprived.
 const BODY_PERCENT: u64 = 75;
 
+/// Part of the room in percent that only responses of up to [`SMALL_BYTES`] use.
+const SMALL_RESPONSE_PERCENT: u64 = 10;
+
 /// Part of the room for large bodies in percent that one source may hold in several bodies.
 const SOURCE_PERCENT: u64 = 50;
 
@@ -293,6 +296,12 @@
         fits
     }
 
+    /// Does the same for a response that is not small, which leaves a part of the room to small ones.
+    pub const fn hold_large_response(&mut self, bytes: u64) -> bool {
+        let reserve = percent_of(self.room, SMALL_RESPONSE_PERCENT);
+        self.held() + bytes + reserve <= self.room && self.hold_response(bytes)
+    }
+
     /// Releases bytes of responses.
     pub const fn release_response(&mut self, bytes: u64) {
         self.in_responses -= bytes;
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -24,6 +24,7 @@
 
 use super::{
     adapter::Adapter,
+    buffer::Held,
     forward::Proxy,
     handler,
     http::{self, Limits, Stage},
@@ -89,7 +90,7 @@
 #[derive(Debug)]
 pub enum ResponseBody {
     /// The complete body; none if it is empty or was sent.
-    Buffered(Option<Bytes>),
+    Buffered(Option<Held>),
     /// Chunks as they arrive. An error closes the connection before the end of the body.
     Streamed(mpsc::Receiver<io::Result<Bytes>>),
 }
@@ -111,7 +112,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
-            Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Buffered(held) => {
+                let piece = held.as_mut().map(|held| Ok(Frame::data(held.take_piece())));
+                if held.as_ref().is_some_and(Held::is_empty) {
+                    *held = None;
+                }
+                Poll::Ready(piece)
+            }
             Self::Streamed(parts) => parts.poll_recv(cx).map(|p| p.map(|r| r.map(Frame::data))),
         }
     }
@@ -122,8 +129,8 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            Self::Buffered(held) => {
+                SizeHint::with_exact(held.as_ref().map_or(0, |held| held.len() as u64))
             }
             Self::Streamed(_) => SizeHint::default(),
         }
--- a/crates/node/src/gateway/forward/admission.rs
+++ b/crates/node/src/gateway/forward/admission.rs
@@ -22,8 +22,11 @@
         &self.memory
     }
 
-    /// Reports the connections of clients in the metrics.
+    /// Reports the connections of clients in the metrics, and ends those whose clients don't read if
+    /// there is no room for a response.
     pub fn watch_connections(&self, connections: Rc<http::Connections>) {
+        let unread = connections.clone();
+        self.memory().set_end_unread(move || unread.end_unread());
         // They are set once, when the instance begins to listen.
         let _is_first = self.client_connections.set(connections);
     }
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -41,6 +41,10 @@
 /// Time in which a connection still reads requests that have already arrived before it is closed.
 const FINAL_READ_WAIT: Duration = Duration::from_millis(10);
 
+/// Time without reading a byte after which a client's response may be ended for lack of room. A
+/// network that loses a packet twice delays it by less.
+const UNREAD_LIMIT: Duration = Duration::from_secs(2);
+
 /// Lifecycle stage of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -93,6 +97,8 @@
     is_busy: Cell<bool>,
     /// When the connection was opened or its last response has ended.
     idle_since: Cell<Instant>,
+    /// Time from which on a part of a response waits until the client has read what came before.
+    unread_since: Cell<Option<Instant>>,
     /// Closes the connection.
     close: Notify,
 }
@@ -111,6 +117,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.is_busy.set(false);
+        self.0.unread_since.set(None);
         self.0.idle_since.set(Instant::now());
     }
 }
@@ -118,7 +125,7 @@
 /// Body of a response, during which the connection is busy.
 struct Tracked<B> {
     body: B,
-    _busy: Busy,
+    busy: Busy,
 }
 
 impl<B> Body for Tracked<B>
@@ -132,7 +139,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        // The next part is asked for when this one has been written.
+        let has_part = matches!(frame, Poll::Ready(Some(_)));
+        let since = has_part.then(Instant::now);
+        self.busy.0.unread_since.set(since);
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -185,6 +197,24 @@
         self.closed.get()
     }
 
+    /// Closes the connection whose client has taken nothing of its response for longest, and returns
+    /// whether there is one.
+    pub fn end_unread(&self) -> bool {
+        let now = Instant::now();
+        let open = self.open.borrow();
+        let since = |c: &&Rc<Connection>| c.unread_since.get();
+        let unread = open
+            .iter()
+            .filter(|c| since(c).is_some_and(|at| now - at >= UNREAD_LIMIT));
+        let Some(connection) = unread.min_by_key(since) else {
+            return false;
+        };
+        log::info!(event = "connection_closed", peer = connection.source.to_string(); "a client does not read its response, which needs room");
+        connection.unread_since.set(None);
+        connection.close.notify_one();
+        true
+    }
+
     /// Records a new connection, or returns none if there is no room for it.
     fn admit(&self, source: IpAddr) -> Option<Rc<Connection>> {
         let mut open = self.open.borrow_mut();
@@ -205,6 +235,7 @@
             source,
             is_busy: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
+            unread_since: Cell::default(),
             close: Notify::new(),
         });
         open.push(connection.clone());
@@ -359,7 +390,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let tracked = |body| Tracked { body, _busy: busy };
+            let tracked = |body| Tracked { body, busy };
             Ok::<_, Infallible>(response.map(tracked))
         }
     });
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    fmt,
     pin::Pin,
     rc::Rc,
     sync::Arc,
@@ -69,7 +70,6 @@
 }
 
 /// The room of a process, on one thread.
-#[derive(Debug)]
 pub struct Budget {
     ledger: RefCell<Ledger>,
     clock: Clock,
@@ -77,8 +77,20 @@
     released: Notify,
     /// Ends the reading of bodies, sorted by identity.
     readers: RefCell<Vec<(Id, Rc<Notify>)>>,
-    /// Number of bodies that were ended to make room.
+    /// Number of bodies and responses that were ended to make room.
     ended: Cell<u64>,
+    end_unread: RefCell<Option<EndUnread>>,
+}
+
+/// Disconnects a client that does not read its response, and returns whether there is one.
+type EndUnread = Box<dyn Fn() -> bool>;
+
+impl fmt::Debug for Budget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Budget")
+            .field("ledger", &self.ledger)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Budget {
@@ -91,6 +103,7 @@
             released: Notify::new(),
             readers: RefCell::default(),
             ended: Cell::default(),
+            end_unread: RefCell::default(),
         }
     }
 
@@ -100,7 +113,7 @@
         self.ledger.borrow().held()
     }
 
-    /// Returns the number of unfinished bodies that were ended to make room.
+    /// Returns the number of unfinished bodies and unread responses that were ended to make room.
     #[must_use]
     pub fn ended(&self) -> u64 {
         self.ended.get()
@@ -134,8 +147,29 @@
     }
 
     /// Returns whether bytes of a response may be held, and counts them if so.
-    pub fn hold_response(&self, bytes: usize) -> bool {
-        self.ledger.borrow_mut().hold_response(bytes as u64)
+    pub fn hold_response(&self, bytes: usize, is_small: bool) -> bool {
+        let mut ledger = self.ledger.borrow_mut();
+        if is_small {
+            ledger.hold_response(bytes as u64)
+        } else {
+            ledger.hold_large_response(bytes as u64)
+        }
+    }
+
+    /// Sets what disconnects a client that does not read its response and returns whether there is
+    /// one.
+    pub fn set_end_unread<F>(&self, end_unread: F)
+    where
+        F: Fn() -> bool + 'static,
+    {
+        *self.end_unread.borrow_mut() = Some(Box::new(end_unread));
+    }
+
+    /// Disconnects a client that does not read its response, if there is one.
+    pub fn end_unread(&self) {
+        if self.end_unread.borrow().as_ref().is_some_and(|end| end()) {
+            self.ended.set(self.ended.get() + 1);
+        }
     }
 
     /// Releases bytes of a response.
--- a/crates/node/tests/gateway.rs
+++ b/crates/node/tests/gateway.rs
@@ -126,6 +126,8 @@
         let buffer = Rc::new(ResponseBuffer::default());
         let fits = buffer.collect(chunks(4)).await.unwrap();
         assert_eq!(fits.len(), 4 * 64 * 1_024);
+        // It keeps its bytes until its client has read it.
+        drop(fits);
         let large = buffer.collect(chunks(usize::MAX)).await;
         assert!(matches!(large, Err(Error::TooLarge)));
         // Incomplete responses keep the bytes that were received.
