Bound the connections at the listeners for probes, metrics and peers

Cause: only the listeners for clients and operators had a maximum number of connections. Now those for probes and metrics hold 32 each, and those for other processes half as many as there may be of clients: a control instance has one connection of each entry instance, an entry instance one for each request that is handed over. At the maximum the connection that has been idle for longest gives way.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -102,6 +102,14 @@
     usize::try_from(most.max(1)).unwrap_or(usize::MAX)
 }
 
+/// Returns the maximum number of connections of other processes of the system with these limits: half
+/// as many as of clients. A control instance has one of each entry instance that polls it, and an
+/// entry instance one for each request that is handed over to it.
+#[must_use]
+pub fn max_peer_connections(memory: Option<u64>, descriptors: Option<u64>) -> usize {
+    (max_connections(memory, descriptors) / 2).max(1)
+}
+
 const fn percent_of(bytes: u64, percent: u64) -> u64 {
     bytes.saturating_mul(percent) / 100
 }
--- a/crates/node/src/gateway/control/server.rs
+++ b/crates/node/src/gateway/control/server.rs
@@ -2,11 +2,11 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use masticlock_core::consensus::Event;
+use masticlock_core::{consensus::Event, memory::max_peer_connections};
 use tokio::{
     net::{TcpListener, TcpStream},
-    task::JoinSet,
-    time::sleep,
+    task::{AbortHandle, JoinSet},
+    time::{Instant, sleep},
 };
 
 use super::{Shared, library};
@@ -22,27 +22,53 @@
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// A connection of another process.
+struct Connection {
+    task: AbortHandle,
+    /// When it was opened or its last request arrived.
+    idle_since: Rc<Cell<Instant>>,
+}
+
 /// Accepts connections of other processes and serves each in a task of its own.
+///
+/// At the maximum number, the connection closes whose last request is oldest.
 pub(super) async fn accept(shared: Rc<Shared>, listener: Rc<TcpListener>) {
-    let mut connections = JoinSet::new();
+    let settings = &shared.settings;
+    let max = max_peer_connections(settings.memory_limit, settings.max_descriptors);
+    let mut open: Vec<Connection> = Vec::new();
+    let mut tasks = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn_local(serve_connection(shared.clone(), stream));
+                    open.retain(|c| !c.task.is_finished());
+                    if open.len() >= max
+                        && let Some(at) = (0..open.len()).min_by_key(|at| open[*at].idle_since.get())
+                    {
+                        log::info!(event = "connection_closed", max; "an internal connection makes room for a new one");
+                        open.swap_remove(at).task.abort();
+                    }
+                    let idle_since = Rc::new(Cell::new(Instant::now()));
+                    let serving = serve_connection(shared.clone(), stream, idle_since.clone());
+                    let task = tasks.spawn_local(serving);
+                    open.push(Connection { task, idle_since });
                 }
                 Err(error) => {
                     log::warn!("can't accept an internal connection: {error}");
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
-            Some(_) = connections.join_next() => {}
+            Some(_) = tasks.join_next() => {}
         }
     }
 }
 
 /// Handles the requests of one connection.
-async fn serve_connection(shared: Rc<Shared>, mut stream: TcpStream) {
+async fn serve_connection(
+    shared: Rc<Shared>,
+    mut stream: TcpStream,
+    idle_since: Rc<Cell<Instant>>,
+) {
     if let Err(error) = socket::set_options(&stream) {
         log::debug!("can't set the options of an internal connection: {error}");
         return;
@@ -50,6 +76,7 @@
     loop {
         let (reply, extension) = match frame::read(&mut stream, IDLE_TIMEOUT, &Cell::new(0)).await {
             Ok(Some(Incoming::Message(request, extension))) => {
+                idle_since.set(Instant::now());
                 let Some(reply) = handle_request(&shared, request, &extension).await else {
                     continue;
                 };
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -15,8 +15,12 @@
     Request, Response, StatusCode,
     body::{Body, Bytes, Frame, Incoming, SizeHint},
 };
-use masticlock_core::{memory::max_connections, time::Span};
+use masticlock_core::{
+    memory::{max_connections, max_peer_connections},
+    time::Span,
+};
 use tokio::{
+    net::TcpListener,
     sync::{mpsc, watch},
     task::{LocalSet, spawn_local},
     time::sleep,
@@ -233,14 +237,7 @@
     ));
     let metrics_proxy = proxy.clone();
     let metrics = spawn_local(http::serve_text(metrics, move || metrics_proxy.metrics()));
-    let peer_proxy = proxy.clone();
-    let peer_limits = proxy.clone();
-    let peers = spawn_local(http::serve(
-        peers,
-        move || peer_limits.limits(),
-        stage_receiver.clone(),
-        move |request, peer| handler::handle_peer(peer_proxy.clone(), request, peer),
-    ));
+    let peers = spawn_local(serve_peers(proxy.clone(), peers, stage_receiver.clone()));
     let limits_proxy = proxy.clone();
     let stopping_proxy = proxy.clone();
     let body_proxy = proxy.clone();
@@ -282,6 +279,21 @@
     Ok(())
 }
 
+/// Serves the requests that other entry instances hand over.
+async fn serve_peers(proxy: Rc<Proxy>, listener: TcpListener, stage: watch::Receiver<Stage>) {
+    let settings = proxy.settings();
+    let max = max_peer_connections(settings.memory_limit, settings.max_descriptors);
+    let limits = proxy.clone();
+    http::serve_bounded(
+        listener,
+        move || limits.limits(),
+        http::Connections::new(max, || false),
+        stage,
+        move |request, peer| handler::handle_peer(proxy.clone(), request, peer),
+    )
+    .await;
+}
+
 fn readiness_response(ready: bool) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::empty());
     if !ready {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -196,6 +196,11 @@
         self.clock.now()
     }
 
+    /// Returns the settings of the instance.
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Returns the adapter of the platform.
     pub fn adapter(&self) -> &dyn Adapter {
         &*self.adapter
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -182,11 +182,6 @@
         })
     }
 
-    /// Creates the list of a server whose connections are not limited.
-    fn unlimited() -> Rc<Self> {
-        Self::new(usize::MAX, || false)
-    }
-
     fn is_full(&self) -> bool {
         self.open.borrow().len() >= self.max
     }
@@ -263,7 +258,10 @@
     idle().min_by_key(|(_, c)| rank(c)).map(|(at, _)| at)
 }
 
-/// Serves connections until the stage is [`Stage::Closed`] and the last connection has ended.
+/// Maximum number of connections to [`serve`]: a platform has a few processes that probe and scrape.
+const MAX_PROBES: usize = 32;
+
+/// Serves probes until the stage is [`Stage::Closed`] and the last connection has ended.
 pub async fn serve<H, F, B, L>(
     listener: TcpListener,
     limits: L,
@@ -276,7 +274,8 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     L: Fn() -> Limits,
 {
-    serve_bounded(listener, limits, Connections::unlimited(), stage, handler).await;
+    let connections = Connections::new(MAX_PROBES, || false);
+    serve_bounded(listener, limits, connections, stage, handler).await;
 }
 
 /// Serves connections as [`serve`] does, with at most as many as `connections` allows.
