Take a machine that answers nothing for a crash while its neighbours answer

Cause: a probe without an answer was no crash, so that a cut is not taken for one; the evidence came with the next announcement. All upstreams are back at the same time then, and get several guilty requests each before it has arrived. Now silence is a crash if an upstream of the same failure domain accepts a connection meanwhile: a cut takes the domain as a whole. Two connections have to stay without an answer, since a lost packet looks the same. Runs that an instance loses while it is cut off itself are kept until the next incarnation tells. The search for witnesses moves to placement/witness.rs.

a_crash_is_told_from_a_cut_a_stop_and_a_reset keeps all its cases; the silent upstream beside one of another domain is still none. New: beside a neighbour it is one.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod peer;
 mod rejects;
+mod witness;
 
 use std::sync::Arc;
 
@@ -738,63 +739,6 @@
         is_listed.then(|| upstream.target())
     }
 
-    /// Returns up to `count` other upstreams that are expected to accept connections, those of other
-    /// failure domains first.
-    #[must_use]
-    pub fn witnesses(&self, target: &Target, count: usize, now: Time) -> Vec<Target> {
-        let is_witness = |u: &&Upstream| {
-            u.is_ready()
-                && u.down.is_none_or(|d| now >= d.until)
-                && u.entry.announcement.upstream != target.upstream
-        };
-        let mut others: Vec<_> = self.upstreams.iter().filter(is_witness).collect();
-        let rank = |u: &&Upstream| {
-            let id = digest::of(u.entry.announcement.upstream.as_bytes());
-            let is_near = u.entry.announcement.domain == target.domain;
-            (is_near, digest::mix(id ^ now.as_millis()))
-        };
-        others.sort_by_cached_key(rank);
-        others.iter().take(count).map(|u| u.target()).collect()
-    }
-
-    /// Returns the number of failure domains with upstreams that accept requests by their
-    /// announcements.
-    #[must_use]
-    pub fn upstream_domains(&self) -> usize {
-        let ready = self.upstreams.iter().filter(|u| u.is_ready());
-        let mut domains: Vec<_> = ready.map(|u| &u.entry.announcement.domain).collect();
-        domains.sort_unstable();
-        domains.dedup();
-        domains.len()
-    }
-
-    /// Returns up to `count` upstreams for trial connections: first one of each failure domain, and
-    /// first those whose last connection has not failed. Upstreams that have crashed at once say
-    /// nothing about the way to the others.
-    #[must_use]
-    pub fn trial_targets(&self, count: usize, now: Time) -> Vec<Target> {
-        let ready = self.upstreams.iter().filter(|u| u.is_ready());
-        let mut ranked: Vec<_> = ready
-            .map(|u| {
-                let id = digest::of(u.entry.announcement.upstream.as_bytes());
-                let draw = digest::mix(id ^ now.as_millis() ^ self.instance);
-                ((u.down.is_some(), draw), u)
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|(rank, _)| *rank);
-        let mut targets: Vec<Target> = Vec::new();
-        for is_repeated in [false, true] {
-            for (_, upstream) in &ranked {
-                let target = upstream.target();
-                let is_known = targets.iter().any(|t| t.domain == target.domain);
-                if targets.len() < count && is_known == is_repeated && !targets.contains(&target) {
-                    targets.push(target);
-                }
-            }
-        }
-        targets
-    }
-
     /// Returns the upstreams that have recently told this instance that they are leaving.
     #[must_use]
     pub fn departures(&self, now: Time) -> Vec<notice::Departure> {
--- /dev/null
+++ b/crates/core/src/placement/witness.rs
@@ -0,0 +1,81 @@
+//! Upstreams to which connections are opened only to find out what is reachable.
+
+use super::{Pool, Target, Upstream};
+use crate::{digest, time::Time};
+
+impl Pool {
+    /// Returns up to `count` other upstreams that are expected to accept connections, those of other
+    /// failure domains first.
+    #[must_use]
+    pub fn witnesses(&self, target: &Target, count: usize, now: Time) -> Vec<Target> {
+        let mut others = self.others(target, now);
+        // The order of those of one kind is drawn already.
+        others.sort_by_key(|other| other.domain == target.domain);
+        others.truncate(count);
+        others
+    }
+
+    /// Returns up to `count` other upstreams of the same failure domain that are expected to accept
+    /// connections.
+    #[must_use]
+    pub fn neighbours(&self, target: &Target, count: usize, now: Time) -> Vec<Target> {
+        let mut others = self.others(target, now);
+        others.retain(|other| other.domain == target.domain);
+        others.truncate(count);
+        others
+    }
+
+    /// Returns the other upstreams that are expected to accept connections, in an order that is drawn.
+    fn others(&self, target: &Target, now: Time) -> Vec<Target> {
+        let is_other = |u: &&Upstream| {
+            u.is_ready()
+                && u.down.is_none_or(|d| now >= d.until)
+                && u.entry.announcement.upstream != target.upstream
+        };
+        let mut others: Vec<_> = self.upstreams.iter().filter(is_other).collect();
+        let draw = |u: &&Upstream| {
+            let id = digest::of(u.entry.announcement.upstream.as_bytes());
+            digest::mix(id ^ now.as_millis())
+        };
+        others.sort_by_cached_key(draw);
+        others.iter().map(|u| u.target()).collect()
+    }
+
+    /// Returns the number of failure domains with upstreams that accept requests by their
+    /// announcements.
+    #[must_use]
+    pub fn upstream_domains(&self) -> usize {
+        let ready = self.upstreams.iter().filter(|u| u.is_ready());
+        let mut domains: Vec<_> = ready.map(|u| &u.entry.announcement.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.len()
+    }
+
+    /// Returns up to `count` upstreams for trial connections: first one of each failure domain, and
+    /// first those whose last connection has not failed. Upstreams that have crashed at once say
+    /// nothing about the way to the others.
+    #[must_use]
+    pub fn trial_targets(&self, count: usize, now: Time) -> Vec<Target> {
+        let ready = self.upstreams.iter().filter(|u| u.is_ready());
+        let mut ranked: Vec<_> = ready
+            .map(|u| {
+                let id = digest::of(u.entry.announcement.upstream.as_bytes());
+                let draw = digest::mix(id ^ now.as_millis() ^ self.instance);
+                ((u.down.is_some(), draw), u)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        let mut targets: Vec<Target> = Vec::new();
+        for is_repeated in [false, true] {
+            for (_, upstream) in &ranked {
+                let target = upstream.target();
+                let is_known = targets.iter().any(|t| t.domain == target.domain);
+                if targets.len() < count && is_known == is_repeated && !targets.contains(&target) {
+                    targets.push(target);
+                }
+            }
+        }
+        targets
+    }
+}
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -22,7 +22,7 @@
         REQUEST_CRASHES, Standing, Subject, is_permit_name,
     },
     progress::Progress,
-    screen::{Probe, Screen, Trial, is_crash},
+    screen::{Probe, Screen, Trial, Witness, is_crash},
 };
 use crate::{
     name,
--- a/crates/core/src/suspect/screen.rs
+++ b/crates/core/src/suspect/screen.rs
@@ -46,14 +46,30 @@
     Silent,
 }
 
+/// Which other upstream has accepted a connection since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Witness {
+    /// None.
+    None,
+    /// One of another failure domain.
+    Far,
+    /// One of the same failure domain.
+    Near,
+}
+
 /// Returns whether the process of an upstream has crashed whose connection broke.
 ///
-/// `upstream` is what a new connection to it has shown, and `another` what connections to others
-/// have shown since: an instance that is cut off itself may be refused everywhere. An upstream that
-/// is leaving ends as planned.
+/// `upstream` is what new connections to it have shown. An instance that is cut off itself may be
+/// refused everywhere, and a failure domain that is cut off is silent as a whole. An upstream that is
+/// leaving ends as planned.
 #[must_use]
-pub fn is_crash(upstream: Probe, another: Probe, is_leaving: bool) -> bool {
-    upstream == Probe::Refused && another == Probe::Accepted && !is_leaving
+pub fn is_crash(upstream: Probe, witness: Witness, is_leaving: bool) -> bool {
+    let has_ended = match upstream {
+        Probe::Accepted => false,
+        Probe::Refused => witness > Witness::None,
+        Probe::Silent => witness == Witness::Near,
+    };
+    has_ended && !is_leaving
 }
 
 /// Permission to run a request with suspect or guilty subjects once.
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -8,7 +8,8 @@
     limit::{PERMIT_LIFETIME, Permit},
     request::Fingerprint,
     suspect::{
-        EXPERIMENT_PERMIT, EvidenceSet, Probe, Progress, Screen, Standing, Subject, is_crash,
+        EXPERIMENT_PERMIT, EvidenceSet, Probe, Progress, Screen, Standing, Subject, Witness,
+        is_crash,
     },
     time::{Span, Time},
 };
@@ -308,18 +309,26 @@
     assert_eq!(screen.standing(&[request(5)]), Standing::Clear);
 }
 
-/// Guards against a cut, a planned stop or a reset that is taken for a crash.
+/// Guards against a cut, a planned stop or a reset that is taken for a crash, and against a machine
+/// that falls silent and is taken for a cut.
 #[test]
 fn a_crash_is_told_from_a_cut_a_stop_and_a_reset() {
-    assert!(is_crash(Probe::Refused, Probe::Accepted, false));
-    for (upstream, another, is_leaving) in [
-        (Probe::Silent, Probe::Accepted, false),
-        (Probe::Accepted, Probe::Accepted, false),
-        (Probe::Refused, Probe::Silent, false),
-        (Probe::Refused, Probe::Refused, false),
-        (Probe::Refused, Probe::Accepted, true),
+    for (upstream, witness) in [
+        (Probe::Refused, Witness::Far),
+        (Probe::Refused, Witness::Near),
+        (Probe::Silent, Witness::Near),
     ] {
-        assert!(!is_crash(upstream, another, is_leaving));
+        assert!(is_crash(upstream, witness, false));
+        assert!(!is_crash(upstream, witness, true));
+    }
+    for (upstream, witness) in [
+        (Probe::Silent, Witness::Far),
+        (Probe::Silent, Witness::None),
+        (Probe::Accepted, Witness::Far),
+        (Probe::Accepted, Witness::Near),
+        (Probe::Refused, Witness::None),
+    ] {
+        assert!(!is_crash(upstream, witness, false));
     }
 }
 
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -7,10 +7,10 @@
     retry_after::Cause,
     route::Route,
     run::Right,
-    suspect::{Probe, Standing, is_crash},
+    suspect::{Probe, Standing, Witness, is_crash},
     time::Span,
 };
-use tokio::{task::spawn_local, time::timeout};
+use tokio::{join, pin, task::spawn_local, time::timeout};
 
 use super::{MAX_TRIAL_WAIT, Proxy, RequestContext};
 use crate::gateway::handler::Refusal;
@@ -23,6 +23,10 @@
 /// it is known whether it has crashed its upstream.
 const SUSPECT_PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time after which a machine that has not answered may be silent: a few round trips between failure
+/// domains.
+const SILENCE_DELAY: Duration = Duration::from_millis(100);
+
 /// Longest time for a connection to another upstream.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -175,8 +179,12 @@
     /// A machine without the upstream's process refuses a new connection at once. Other requests
     /// don't wait longer for a machine that does not respond.
     pub(super) async fn check_crash(self: &Rc<Self>, ctx: &Rc<RequestContext>, target: &Target) {
-        // An instance that reaches nothing can't tell a crash.
-        if target.is_peer || self.pool.borrow().is_cut_off() {
+        if target.is_peer {
+            return;
+        }
+        // An instance that reaches nothing can't tell a crash, only the next incarnation does.
+        if self.pool.borrow().is_cut_off() {
+            self.record_broken(ctx, target);
             return;
         }
         let is_trusted = {
@@ -194,9 +202,7 @@
             if this.has_crashed(&target).await {
                 this.record_crash(&ctx, &target, has_begun);
             } else {
-                let mut screen = this.shared.screen();
-                let (upstream, incarnation) = (&target.upstream, target.incarnation);
-                screen.broke(upstream, incarnation, ctx.subjects(), this.now());
+                this.record_broken(&ctx, &target);
             }
         });
         // After the timeout the probe continues in its own task.
@@ -205,30 +211,50 @@
 
     /// Returns whether the process of an upstream whose connection has ended has crashed.
     pub(super) async fn has_crashed(self: &Rc<Self>, target: &Target) -> bool {
-        let upstream = self.probe(target).await;
+        let (upstream, near) = self.probe_beside_neighbours(target).await;
         let is_known = || {
             let screen = self.shared.screen();
             screen.set().has_crash(&target.upstream, target.incarnation)
         };
-        if upstream == Probe::Refused && is_known() {
+        if upstream != Probe::Accepted && is_known() {
             return true;
         }
         let is_leaving = self.pool.borrow().is_leaving(target);
-        let log_probe = |another: Option<Probe>, has_crashed: bool| {
-            log::info!(
-                event = "crash_probe", upstream = &*target.upstream,
-                incarnation = target.incarnation, result:? = upstream, another:?, is_leaving,
-                has_crashed;
-                "an upstream was probed whose connection has ended"
-            );
-            has_crashed
+        let witness = if upstream == Probe::Refused && !is_leaving {
+            self.probe_others(target).await
+        } else {
+            near
         };
-        if !is_crash(upstream, Probe::Accepted, is_leaving) {
-            return log_probe(None, false);
+        let has_crashed =
+            is_crash(upstream, witness, is_leaving) || (upstream != Probe::Accepted && is_known());
+        log::info!(
+            event = "crash_probe", upstream = &*target.upstream, incarnation = target.incarnation,
+            result:? = upstream, witness:?, is_leaving, has_crashed;
+            "an upstream was probed whose connection has ended"
+        );
+        has_crashed
+    }
+
+    /// Finds out whether an upstream accepts connections, and whether its neighbours do if its machine
+    /// does not answer.
+    async fn probe_beside_neighbours(self: &Rc<Self>, target: &Target) -> (Probe, Witness) {
+        let probe = self.probe(target);
+        pin!(probe);
+        if let Ok(probe) = timeout(SILENCE_DELAY, &mut probe).await {
+            return (probe, Witness::None);
         }
-        let another = self.probe_others(target).await;
-        let has_crashed = is_crash(upstream, another, is_leaving) || is_known();
-        log_probe(Some(another), has_crashed)
+        // A lost packet looks like silence, so another connection is tried.
+        let (first, second, witness) = join!(
+            probe,
+            self.probe_again(target),
+            self.probe_neighbours(target)
+        );
+        let probe = if first == Probe::Silent {
+            second
+        } else {
+            first
+        };
+        (probe, witness)
     }
 
     /// Opens a connection to the upstream, which is kept for later requests.
@@ -240,28 +266,52 @@
             }
             Err(error) => {
                 self.mark_unreachable(target, &error);
-                if error.kind() == io::ErrorKind::ConnectionRefused {
-                    Probe::Refused
-                } else {
-                    Probe::Silent
-                }
+                failed_probe(&error)
             }
         }
     }
 
+    /// Opens another connection to an upstream that has not answered yet.
+    async fn probe_again(self: &Rc<Self>, target: &Target) -> Probe {
+        match self.connections.open(target).await {
+            Ok(_unused) => Probe::Accepted,
+            Err(error) => failed_probe(&error),
+        }
+    }
+
     /// Finds out whether any other upstream accepts a connection.
-    async fn probe_others(self: &Rc<Self>, target: &Target) -> Probe {
-        let witnesses = self
-            .pool
-            .borrow()
-            .witnesses(target, MAX_WITNESSES, self.now());
-        for witness in witnesses {
-            let probe = timeout(WITNESS_TIMEOUT, self.probe(&witness)).await;
+    async fn probe_others(self: &Rc<Self>, target: &Target) -> Witness {
+        let now = self.now();
+        let others = self.pool.borrow().witnesses(target, MAX_WITNESSES, now);
+        self.find_witness(target, others).await
+    }
+
+    /// Finds out whether another upstream of the same failure domain accepts a connection.
+    async fn probe_neighbours(self: &Rc<Self>, target: &Target) -> Witness {
+        let now = self.now();
+        let others = self.pool.borrow().neighbours(target, MAX_WITNESSES, now);
+        self.find_witness(target, others).await
+    }
+
+    async fn find_witness(self: &Rc<Self>, target: &Target, others: Vec<Target>) -> Witness {
+        for other in others {
+            let probe = timeout(WITNESS_TIMEOUT, self.probe(&other)).await;
             if probe == Ok(Probe::Accepted) {
-                return Probe::Accepted;
+                return if other.domain == target.domain {
+                    Witness::Near
+                } else {
+                    Witness::Far
+                };
             }
         }
-        Probe::Silent
+        Witness::None
+    }
+
+    /// Records that the connection of a request broke and nothing shows why yet.
+    fn record_broken(&self, ctx: &RequestContext, target: &Target) {
+        let mut screen = self.shared.screen();
+        let (upstream, incarnation) = (&target.upstream, target.incarnation);
+        screen.broke(upstream, incarnation, ctx.subjects(), self.now());
     }
 
     fn record_crash(&self, ctx: &RequestContext, target: &Target, has_begun: bool) {
@@ -280,3 +330,12 @@
         self.shared.poll_wanted.notify_one();
     }
 }
+
+/// Returns what the error of a new connection shows.
+fn failed_probe(error: &io::Error) -> Probe {
+    if error.kind() == io::ErrorKind::ConnectionRefused {
+        Probe::Refused
+    } else {
+        Probe::Silent
+    }
+}
