Hold messages at the internal listener of a control process in its room

Cause: a message of up to 16 MiB was read into memory on each connection, with no limit in all. Now messages of other processes count in the same room as operators' calls, small ones in the part for small bodies, and one that stops short is ended for others. What is refused closes its connection; the sender tries again, as after any other break. Processes that this one has called are read as before.

--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -40,6 +40,7 @@
 pub use self::state::MAX_CONFIG_BYTES;
 use self::state::State;
 use super::{
+    memory::Budget,
     message::{Refusal, Request},
     metrics::ControlStatus,
     socket,
@@ -115,6 +116,8 @@
 #[derive(Debug)]
 struct Shared {
     settings: Settings,
+    /// Room for what other processes send.
+    memory: Rc<Budget>,
     clock: Clock,
     state: RefCell<State>,
     /// Notified after each step of the replica and each poll.
@@ -133,7 +136,21 @@
     Failed(Error),
 }
 
-/// Runs a control process and passes its handle to `ready` each time that a replica starts.
+/// Runs a control process as [`run_with`] does, whose messages have the room to themselves.
+///
+/// # Errors
+///
+/// Returns the same errors as [`run_with`].
+pub async fn run<R>(settings: Settings, ready: R) -> Result<(), Error>
+where
+    R: FnMut(Handle),
+{
+    let memory = Rc::new(Budget::new(settings.memory_limit, Clock::start()));
+    run_with(settings, memory, ready).await
+}
+
+/// Runs a control process and passes its handle to `ready` each time that a replica starts. What other
+/// processes send is held in the room of `memory`.
 ///
 /// A replica that was removed from the replica set starts again with a new identity and an empty
 /// log.
@@ -142,7 +159,7 @@
 ///
 /// Returns an error if the address can't be bound, the data folder can't be used or the log is
 /// corrupt.
-pub async fn run<R>(settings: Settings, mut ready: R) -> Result<(), Error>
+pub async fn run_with<R>(settings: Settings, memory: Rc<Budget>, mut ready: R) -> Result<(), Error>
 where
     R: FnMut(Handle),
 {
@@ -154,7 +171,7 @@
     );
     let mut bootstrap = settings.bootstrap;
     loop {
-        let (handle, results) = Handle::open(&settings, bootstrap)?;
+        let (handle, results) = Handle::open(&settings, memory.clone(), bootstrap)?;
         ready(handle.clone());
         match handle.0.clone().run(listener.clone(), results).await {
             Exit::Failed(error) => return Err(error),
@@ -234,6 +251,7 @@
     /// Opens the data folder and returns the handle and the results of the disk thread.
     fn open(
         settings: &Settings,
+        memory: Rc<Budget>,
         bootstrap: bool,
     ) -> Result<(Self, mpsc::UnboundedReceiver<Done>), Error> {
         let founding = if bootstrap {
@@ -255,6 +273,7 @@
         let state = State::new(settings, content.image, disk, clock.now()).map_err(Error::Disk)?;
         let shared = Shared {
             settings: settings.clone(),
+            memory,
             clock,
             state: RefCell::new(state),
             changed: Notify::new(),
--- a/crates/node/src/gateway/control/server.rs
+++ b/crates/node/src/gateway/control/server.rs
@@ -1,6 +1,6 @@
 //! Server for the internal connections of other processes.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use masticlock_core::{consensus::Event, memory::max_peer_connections};
 use tokio::{
@@ -11,7 +11,7 @@
 
 use super::{Shared, library};
 use crate::gateway::{
-    frame::{self, Incoming},
+    frame::{self, Incoming, Room},
     message::{Extension, Refusal, Reply, Request},
     socket,
 };
@@ -40,7 +40,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, caller)) => {
                     open.retain(|c| !c.task.is_finished());
                     if open.len() >= max
                         && let Some(at) = (0..open.len()).min_by_key(|at| open[*at].idle_since.get())
@@ -49,7 +49,12 @@
                         open.swap_remove(at).task.abort();
                     }
                     let idle_since = Rc::new(Cell::new(Instant::now()));
-                    let serving = serve_connection(shared.clone(), stream, idle_since.clone());
+                    let room = Room {
+                        memory: shared.memory.clone(),
+                        source: caller.ip().to_string().into(),
+                    };
+                    let serving =
+                        serve_connection(shared.clone(), stream, idle_since.clone(), room);
                     let task = tasks.spawn_local(serving);
                     open.push(Connection { task, idle_since });
                 }
@@ -68,13 +73,16 @@
     shared: Rc<Shared>,
     mut stream: TcpStream,
     idle_since: Rc<Cell<Instant>>,
+    room: Room,
 ) {
     if let Err(error) = socket::set_options(&stream) {
         log::debug!("can't set the options of an internal connection: {error}");
         return;
     }
     loop {
-        let (reply, extension) = match frame::read(&mut stream, IDLE_TIMEOUT, &Cell::new(0)).await {
+        let received = Cell::new(0);
+        let read = frame::read(&mut stream, IDLE_TIMEOUT, &received, Some(&room));
+        let (reply, extension) = match read.await {
             Ok(Some(Incoming::Message(request, extension))) => {
                 idle_since.set(Instant::now());
                 let Some(reply) = handle_request(&shared, request, &extension).await else {
@@ -90,6 +98,10 @@
                 (Reply::Refused(Refusal::Unknown), Extension::current())
             }
             Ok(None) => return,
+            Err(error) if error.kind() == io::ErrorKind::OutOfMemory => {
+                log::info!(event = "message_refused", peer = &*room.source; "there is no room for a message");
+                return;
+            }
             Err(error) => {
                 log::debug!("an internal connection failed: {error}");
                 return;
--- a/crates/node/src/gateway/control_client.rs
+++ b/crates/node/src/gateway/control_client.rs
@@ -87,7 +87,7 @@
             None => self.connector.connect(self.address, limit).await?,
         };
         frame::write(&mut stream, request, extension).await?;
-        let reply = frame::read(&mut stream, limit, &self.received).await?;
+        let reply = frame::read(&mut stream, limit, &self.received, None).await?;
         match reply.ok_or(io::ErrorKind::ConnectionAborted)? {
             Incoming::Message(reply, extension) => {
                 self.stream = Some(stream);
--- a/crates/node/src/gateway/frame.rs
+++ b/crates/node/src/gateway/frame.rs
@@ -3,7 +3,7 @@
 //!
 //! The size of a message is not known in advance, so a transfer may take as long as bytes come.
 
-use std::{cell::Cell, io, time::Duration};
+use std::{cell::Cell, io, rc::Rc, sync::Arc, time::Duration};
 
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
@@ -11,7 +11,7 @@
     time::timeout,
 };
 
-use super::message::Extension;
+use super::{memory::Budget, message::Extension};
 
 /// Largest body in bytes. A chunk of a snapshot and a configuration fit.
 const MAX_BODY_BYTES: usize = 16 * 1_024 * 1_024;
@@ -77,18 +77,29 @@
     Ok(())
 }
 
+/// The room for the messages that a source sends.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// Memory of the process.
+    pub memory: Rc<Budget>,
+    /// Address of the source.
+    pub source: Arc<str>,
+}
+
 /// Reads a message, or returns `None` at the end of the connection. `max_wait` is the longest time
 /// until its first byte. Adds the bytes that arrive to `received`, also if the read fails or is
-/// cancelled.
+/// cancelled. The message counts in `room` until it is decoded; one without room is from a process
+/// that this one has called.
 ///
 /// # Errors
 ///
-/// Returns the connection's error, [`io::ErrorKind::InvalidData`] if the length is out of range, or
-/// [`io::ErrorKind::TimedOut`].
+/// Returns the connection's error, [`io::ErrorKind::InvalidData`] if the length is out of range,
+/// [`io::ErrorKind::TimedOut`], or [`io::ErrorKind::OutOfMemory`] if there is no room for the message.
 pub async fn read<R, M>(
     reader: &mut R,
     max_wait: Duration,
     received: &Cell<usize>,
+    room: Option<&Room>,
 ) -> io::Result<Option<Incoming<M>>>
 where
     R: AsyncRead + Unpin,
@@ -105,6 +116,11 @@
             "a message of {length} bytes exceeds the limit"
         )));
     }
+    if let Some(room) = room {
+        let reservation = room.memory.open(room.source.clone(), Some(length as u64));
+        let body = reservation.fill(reader, length, STALL_TIMEOUT, received);
+        return Ok(Some(decode(&body.await?)));
+    }
     let mut body = Vec::with_capacity(length.min(MAX_INITIAL_CAPACITY));
     let mut limited = reader.take(length as u64);
     while body.len() < length {
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    fmt,
+    fmt, io,
     pin::Pin,
     rc::Rc,
     sync::Arc,
@@ -15,6 +15,7 @@
 };
 use masticlock_core::memory::{Decision, Id, Ledger};
 use tokio::{
+    io::{AsyncRead, AsyncReadExt},
     sync::Notify,
     time::{sleep, timeout},
 };
@@ -214,6 +215,65 @@
         }
     }
 
+    /// Waits until the buffer of a body, which may need up to `most` bytes, may hold `length` bytes, and
+    /// lets it grow. Bytes of the body have arrived.
+    async fn reserve(&self, bytes: &mut Vec<u8>, length: usize, most: usize) -> Result<(), Error> {
+        if length <= bytes.capacity() {
+            let now = self.budget.clock.now();
+            self.budget.ledger.borrow_mut().progress(self.id, now);
+            return Ok(());
+        }
+        let capacity = next_capacity(bytes.capacity(), length, most);
+        // The old buffer is released after the new one has been filled.
+        self.grow(bytes.capacity() + capacity).await?;
+        bytes.reserve_exact(capacity - bytes.len());
+        let mut ledger = self.budget.ledger.borrow_mut();
+        ledger.shrink(self.id, bytes.capacity() as u64);
+        drop(ledger);
+        self.budget.released.notify_waiters();
+        Ok(())
+    }
+
+    /// Fills an empty buffer with `length` bytes. No byte may be missing for longer than `max_pause`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reader's error, [`io::ErrorKind::TimedOut`], [`io::ErrorKind::UnexpectedEof`] or
+    /// [`io::ErrorKind::OutOfMemory`] if there is no room.
+    pub async fn fill<R>(
+        &self,
+        reader: &mut R,
+        length: usize,
+        max_pause: Duration,
+        received: &Cell<usize>,
+    ) -> io::Result<Vec<u8>>
+    where
+        R: AsyncRead + Unpin,
+    {
+        let mut bytes = Vec::new();
+        let mut limited = reader.take(length as u64);
+        let filling = async {
+            while bytes.len() < length {
+                let next = bytes.len() + 1;
+                let reserved = self.reserve(&mut bytes, next, length).await;
+                reserved.map_err(|_| io::ErrorKind::OutOfMemory)?;
+                let count = timeout(max_pause, limited.read_buf(&mut bytes)).await??;
+                if count == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                received.set(received.get() + count);
+            }
+            Ok::<(), io::Error>(())
+        };
+        tokio::select! {
+            biased;
+            filled = filling => filled?,
+            () = self.end.notified() => return Err(io::ErrorKind::OutOfMemory.into()),
+        }
+        self.budget.ledger.borrow_mut().complete(self.id);
+        Ok(bytes)
+    }
+
     /// Reads a body of at most `limit` bytes within `max_wait`. The body is not polled while there
     /// is no room for it.
     ///
@@ -234,19 +294,8 @@
                 if length > limit {
                     return Err(Error::TooLarge);
                 }
-                if length > bytes.capacity() {
-                    let capacity = next_capacity(bytes.capacity(), length, announced, limit);
-                    // The old buffer is released after the new one has been filled.
-                    self.grow(bytes.capacity() + capacity).await?;
-                    bytes.reserve_exact(capacity - bytes.len());
-                    let mut ledger = self.budget.ledger.borrow_mut();
-                    ledger.shrink(self.id, bytes.capacity() as u64);
-                    drop(ledger);
-                    self.budget.released.notify_waiters();
-                } else {
-                    let now = self.budget.clock.now();
-                    self.budget.ledger.borrow_mut().progress(self.id, now);
-                }
+                self.reserve(&mut bytes, length, announced.unwrap_or(limit))
+                    .await?;
                 bytes.extend_from_slice(&data);
             }
             Ok(())
@@ -337,7 +386,6 @@
 
 /// Returns the capacity of a buffer that has to hold `length` bytes. It doubles, so that a body in
 /// small pieces is copied a few times only, but never goes beyond what the body may have.
-fn next_capacity(current: usize, length: usize, announced: Option<usize>, limit: usize) -> usize {
-    let most = announced.unwrap_or(limit);
+fn next_capacity(current: usize, length: usize, most: usize) -> usize {
     (current * 2).max(length).max(MIN_CAPACITY).min(most)
 }
--- a/crates/node/tests/format.rs
+++ b/crates/node/tests/format.rs
@@ -259,7 +259,9 @@
         .enable_time()
         .build()
         .unwrap();
-    let read = async { frame::read(&mut &frame[..], Duration::from_secs(1), &Cell::new(0)).await };
+    let received = Cell::new(0);
+    let read =
+        async { frame::read(&mut &frame[..], Duration::from_secs(1), &received, None).await };
     runtime.block_on(read).unwrap().unwrap()
 }
 
