--- a/crates/core/src/placement/witness.rs
+++ b/crates/core/src/placement/witness.rs
@@ -9,7 +9,7 @@
     #[must_use]
     pub fn witnesses(&self, target: &Target, count: usize, now: Time) -> Vec<Target> {
         let mut others = self.others(target, now);
-        // The order of those of one kind is drawn already.
+        // The sort is stable, so the order within each of the two groups stays drawn.
         others.sort_by_key(|other| other.domain == target.domain);
         others.truncate(count);
         others
