Take a new process at an upstream's address as the sign of a crash

Callers saw requests with a part that crashes servers sent on, and sound requests refused, after machines had fallen silent together or were back at once.

Cause: where a probe tells nothing (the machine is silent with its whole failure domain, the instance takes itself for cut off, or the next process accepts already), the runs that broke wait for a later incarnation. It was looked up by the upstream's name, but a new process mostly has another one, and the directory drops the old entry when the address is taken over. So the crash was never charged. Ruled out: the time for which such runs are kept, and their number.

The runs remember the address of their process now; a later process under the name or at the address shows the crash. Runs on an upstream that has announced its end are not kept, as its next process shows nothing.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -713,22 +713,12 @@
 
     /// Returns whether the incarnation of the upstream has announced that it is leaving.
     #[must_use]
-    pub fn is_leaving(&self, target: &Target) -> bool {
-        let listed = self.find(&target.upstream).is_some_and(|at| {
+    pub fn is_leaving(&self, upstream: &str, incarnation: u64) -> bool {
+        let listed = self.find(upstream).is_some_and(|at| {
             let announcement = &self.upstreams[at].entry.announcement;
-            announcement.incarnation == target.incarnation && announcement.phase != Phase::Ready
+            announcement.incarnation == incarnation && announcement.phase != Phase::Ready
         });
-        listed
-            || self
-                .notices
-                .is_leaving(&target.upstream, target.incarnation)
-    }
-
-    /// Returns whether a later incarnation of an upstream is listed.
-    #[must_use]
-    pub fn has_restarted(&self, upstream: &str, incarnation: u64) -> bool {
-        self.find(upstream)
-            .is_some_and(|at| self.upstreams[at].entry.announcement.incarnation > incarnation)
+        listed || self.notices.is_leaving(upstream, incarnation)
     }
 
     /// Returns the upstream if this incarnation of it is listed.
--- a/crates/core/src/placement/witness.rs
+++ b/crates/core/src/placement/witness.rs
@@ -1,9 +1,36 @@
-//! Upstreams to which connections are opened only to find out what is reachable.
+//! What other upstreams say about one that does not answer: new processes in its place, and upstreams
+//! to which connections are opened only to find out what is reachable.
 
 use super::{Pool, Target, Upstream};
-use crate::{digest, time::Time};
+use crate::{digest, suspect::Process, time::Time};
+
+impl Target {
+    /// Returns the process.
+    #[must_use]
+    pub fn process(&self) -> Process {
+        Process {
+            upstream: self.upstream.clone(),
+            incarnation: self.incarnation,
+            address: self.address.clone(),
+        }
+    }
+}
 
 impl Pool {
+    /// Returns whether a later process is listed under the name or at the address of one that has not
+    /// announced its end.
+    #[must_use]
+    pub fn is_replaced(&self, process: &Process) -> bool {
+        let is_later = |u: &Upstream| {
+            let listed = &u.entry.announcement;
+            let is_there =
+                listed.upstream == process.upstream || *listed.address == *process.address;
+            is_there && listed.incarnation > process.incarnation
+        };
+        !self.is_leaving(&process.upstream, process.incarnation)
+            && self.upstreams.iter().any(is_later)
+    }
+
     /// Returns up to `count` other upstreams that are expected to accept connections, those of other
     /// failure domains first.
     #[must_use]
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
+    ended::Process,
     evidence::{
         Answer, Ban, Change, Charge, Crash, EXPERIMENT_PERMIT, EvidenceSet, Message, PART_CRASHES,
         REQUEST_CRASHES, Standing, Subject, is_permit_name,
--- a/crates/core/src/suspect/ended.rs
+++ b/crates/core/src/suspect/ended.rs
@@ -23,13 +23,24 @@
 /// crashes it at once, and of one that does so late.
 const LOOKS: [Span; 2] = [Span::from_millis(250), Span::from_secs(1)];
 
+plain! {
+    /// A process of an upstream.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct Process {
+        /// The upstream.
+        pub upstream: Arc<str>,
+        /// Incarnation of the upstream.
+        pub incarnation: u64,
+        /// IP address and port. The next process there mostly has another name.
+        pub address: Arc<str>,
+    }
+}
+
 /// A run that ended without a complete answer.
 #[derive(Clone, Debug)]
 pub struct Run {
-    /// The upstream.
-    pub upstream: Arc<str>,
-    /// Incarnation of the upstream.
-    pub incarnation: u64,
+    /// Where it ran.
+    pub process: Process,
     /// What the request consists of.
     pub subjects: Vec<Subject>,
     /// When it ended.
@@ -43,10 +54,6 @@
 }
 
 impl Run {
-    fn is_at(&self, upstream: &str, incarnation: u64) -> bool {
-        *self.upstream == *upstream && self.incarnation == incarnation
-    }
-
     fn is_expired(&self, now: Time) -> bool {
         let ttl = if self.is_broken {
             BREAK_TTL
@@ -73,9 +80,10 @@
     /// Adds a run, or the news about it that its connection broke.
     pub fn add(&mut self, run: Run, now: Time) {
         self.runs.retain(|r| !r.is_expired(now));
-        let known = self.runs.iter().position(|r| {
-            r.is_at(&run.upstream, run.incarnation) && r.subjects.last() == run.subjects.last()
-        });
+        let known = self
+            .runs
+            .iter()
+            .position(|r| r.process == run.process && r.subjects.last() == run.subjects.last());
         match known {
             Some(at) => self.runs[at].is_broken |= run.is_broken,
             None if self.runs.len() < MAX_RUNS => self.runs.push(run),
@@ -83,10 +91,14 @@
         }
     }
 
-    /// Returns whether there are no runs.
+    /// Returns the processes that have ended the connections of runs, sorted.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.runs.is_empty()
+    pub fn broken(&self) -> Vec<Process> {
+        let broken = self.runs.iter().filter(|run| run.is_broken);
+        let mut processes: Vec<_> = broken.map(|run| run.process.clone()).collect();
+        processes.sort_unstable();
+        processes.dedup();
+        processes
     }
 
     /// Takes the runs that may have caused a crash, by its time that `crash` returns for an upstream
@@ -114,7 +126,7 @@
                 continue;
             }
             run.looks += 1;
-            due.push((run.upstream.clone(), run.incarnation));
+            due.push((run.process.upstream.clone(), run.process.incarnation));
         }
         due.sort_unstable();
         due.dedup();
--- a/crates/core/src/suspect/screen.rs
+++ b/crates/core/src/suspect/screen.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use super::{
-    ended,
+    Process, ended,
     evidence::{
         Answer, Change, Charge, Crash, EXPERIMENT_PERMIT, EvidenceSet, Message, Standing, Subject,
         is_permit_name,
@@ -276,8 +276,9 @@
         now: Time,
     ) {
         self.charge(upstream, incarnation, subjects, now, now);
-        let is_there =
-            |run: &ended::Run| run.upstream == *upstream && run.incarnation == incarnation;
+        let is_there = |run: &ended::Run| {
+            run.process.upstream == *upstream && run.process.incarnation == incarnation
+        };
         let crash = |run: &ended::Run| is_there(run).then_some(now);
         let crashed = self.ended.take_crashed(crash, now);
         self.charge_runs(crashed, now);
@@ -315,7 +316,9 @@
     fn charge_runs(&mut self, crashed: Vec<(ended::Run, Time)>, now: Time) -> bool {
         let mut is_new = false;
         for (run, at) in crashed {
-            is_new |= self.charge(&run.upstream, run.incarnation, &run.subjects, at, now);
+            let process = &run.process;
+            let (upstream, incarnation) = (&process.upstream, process.incarnation);
+            is_new |= self.charge(upstream, incarnation, &run.subjects, at, now);
         }
         is_new
     }
@@ -323,7 +326,8 @@
     /// Charges the runs that have ended with the crashes on record.
     fn charge_known(&mut self, now: Time) -> bool {
         let set = &self.set;
-        let crash = |run: &ended::Run| set.crash_time(&run.upstream, run.incarnation);
+        let crash =
+            |run: &ended::Run| set.crash_time(&run.process.upstream, run.process.incarnation);
         let crashed = self.ended.take_crashed(crash, now);
         self.charge_runs(crashed, now)
     }
@@ -332,39 +336,19 @@
     /// may crash under it all the same.
     ///
     /// Returns whether a crash of the upstream is known that it may have caused.
-    pub fn left(
-        &mut self,
-        upstream: &Arc<str>,
-        incarnation: u64,
-        subjects: &[Subject],
-        now: Time,
-    ) -> bool {
-        self.add_ended(upstream, incarnation, subjects, false, now);
+    pub fn left(&mut self, process: &Process, subjects: &[Subject], now: Time) -> bool {
+        self.add_ended(process, subjects, false, now);
         self.charge_known(now)
     }
 
     /// Records that a connection broke and nothing shows why yet.
-    pub fn broke(
-        &mut self,
-        upstream: &Arc<str>,
-        incarnation: u64,
-        subjects: &[Subject],
-        now: Time,
-    ) {
-        self.add_ended(upstream, incarnation, subjects, true, now);
+    pub fn broke(&mut self, process: &Process, subjects: &[Subject], now: Time) {
+        self.add_ended(process, subjects, true, now);
     }
 
-    fn add_ended(
-        &mut self,
-        upstream: &Arc<str>,
-        incarnation: u64,
-        subjects: &[Subject],
-        is_broken: bool,
-        now: Time,
-    ) {
+    fn add_ended(&mut self, process: &Process, subjects: &[Subject], is_broken: bool, now: Time) {
         let run = ended::Run {
-            upstream: upstream.clone(),
-            incarnation,
+            process: process.clone(),
             subjects: subjects.to_vec(),
             at: now,
             is_broken,
@@ -380,18 +364,21 @@
         self.ended.due_looks(now)
     }
 
-    /// Takes the later incarnation of an upstream as the sign that the earlier one crashed.
+    /// Takes a later process in the place of another one as the sign that the earlier one crashed.
     ///
-    /// `has_restarted` returns whether a later incarnation of the upstream is listed.
-    pub fn detect_restarts<F>(&mut self, has_restarted: F, now: Time)
+    /// `is_replaced` returns whether a later process is listed in the place of one that did not announce
+    /// its end.
+    pub fn detect_restarts<F>(&mut self, is_replaced: F, now: Time)
     where
-        F: Fn(&str, u64) -> bool,
+        F: Fn(&Process) -> bool,
     {
-        if self.ended.is_empty() {
+        let mut replaced = self.ended.broken();
+        replaced.retain(|process| is_replaced(process));
+        if replaced.is_empty() {
             return;
         }
         let has_crashed =
-            |run: &ended::Run| run.is_broken && has_restarted(&run.upstream, run.incarnation);
+            |run: &ended::Run| run.is_broken && replaced.binary_search(&run.process).is_ok();
         let crash = |run: &ended::Run| has_crashed(run).then_some(now);
         let crashed = self.ended.take_crashed(crash, now);
         self.charge_runs(crashed, now);
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -8,6 +8,7 @@
     placement::{Choice, Criteria, Demand, Failure, Outcome, Pool, Prompt},
     replicated::{Command, Phase as RolloutPhase, Rollout, State},
     report::{Load, Totals},
+    suspect::Process,
     time::{Span, Time},
 };
 
@@ -672,3 +673,40 @@
         3.0 / 56.0
     ));
 }
+
+/// Guards against a crash that is missed because the next process has another name, and against a
+/// planned end that is taken for a crash.
+#[test]
+fn a_later_process_at_the_same_address_replaces_one_that_has_not_left() {
+    let old = announcement(1, "v1", Span::ZERO);
+    let next = Announcement {
+        upstream: "next".into(),
+        incarnation: 2,
+        ..old.clone()
+    };
+    let elsewhere = Announcement {
+        address: "10.0.0.9:80".into(),
+        ..next.clone()
+    };
+    let process = Process {
+        upstream: old.upstream.clone(),
+        incarnation: old.incarnation,
+        address: old.address.clone(),
+    };
+    let is_replaced = |directory: &Directory| pool(1, directory).is_replaced(&process);
+    assert!(!is_replaced(&directory([old.clone()])));
+    assert!(!is_replaced(&directory([old.clone(), elsewhere])));
+    assert!(is_replaced(&directory([next.clone()])));
+    // A late announcement of an earlier process shows nothing.
+    let earlier = Announcement {
+        upstream: "earlier".into(),
+        incarnation: 0,
+        ..old.clone()
+    };
+    assert!(!is_replaced(&directory([earlier])));
+    let mut leaving = pool(1, &directory([old]));
+    let target = leaving.target("u01", 1).unwrap();
+    leaving.mark_leaving(&target, NOW);
+    leaving.update(directory([next]).entries(), NOW);
+    assert!(!leaving.is_replaced(&process));
+}
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -8,8 +8,8 @@
     limit::{PERMIT_LIFETIME, Permit},
     request::Fingerprint,
     suspect::{
-        EXPERIMENT_PERMIT, EvidenceSet, Probe, Progress, Screen, Standing, Subject, Witness,
-        is_crash,
+        EXPERIMENT_PERMIT, EvidenceSet, Probe, Process, Progress, Screen, Standing, Subject,
+        Witness, is_crash,
     },
     time::{Span, Time},
 };
@@ -28,6 +28,14 @@
     Subject::Request(Fingerprint::of_digest(number))
 }
 
+fn process(upstream: &str) -> Process {
+    Process {
+        upstream: upstream.into(),
+        incarnation: 1,
+        address: format!("{upstream}:80").into(),
+    }
+}
+
 /// Records a crash of a new upstream under a request with these parts.
 fn crash(screen: &mut Screen, number: u64, parts: &[Subject], now: Time) {
     let mut subjects = parts.to_vec();
@@ -336,13 +344,10 @@
 #[test]
 fn a_later_incarnation_shows_a_crash() {
     let mut screen = Screen::default();
-    screen.broke(&"e".into(), 1, &[GUILTY], at(100));
-    screen.detect_restarts(|_, _| false, at(200));
+    screen.broke(&process("e"), &[GUILTY], at(100));
+    screen.detect_restarts(|_| false, at(200));
     assert_eq!(screen.standing(&[GUILTY]), Standing::Clear);
-    screen.detect_restarts(
-        |upstream, incarnation| upstream == "e" && incarnation == 1,
-        at(300),
-    );
+    screen.detect_restarts(|p| *p == process("e"), at(300));
     assert_eq!(screen.standing(&[GUILTY]), Standing::Suspect);
 }
 
@@ -350,7 +355,7 @@
 #[test]
 fn a_crash_after_an_answer_was_given_up_is_charged() {
     let mut screen = Screen::default();
-    assert!(!screen.left(&"e".into(), 1, &[GUILTY, request(1)], at(100)));
+    assert!(!screen.left(&process("e"), &[GUILTY, request(1)], at(100)));
     screen.crashed(&"e".into(), 1, &[request(2)], at(180));
     assert_eq!(screen.standing(&[GUILTY]), Standing::Suspect);
     // The news of the crash may come from another instance, before or after the end of the run.
@@ -360,7 +365,7 @@
         if is_late {
             tell(&there, &mut here, at(190));
         }
-        let is_news = here.left(&"e".into(), 1, &[GUILTY, request(1)], at(200));
+        let is_news = here.left(&process("e"), &[GUILTY, request(1)], at(200));
         assert_eq!(is_news, is_late);
         if !is_late {
             tell(&there, &mut here, at(400));
@@ -373,7 +378,7 @@
 #[test]
 fn a_crash_long_after_an_answer_was_given_up_is_not_charged() {
     let mut screen = Screen::default();
-    screen.left(&"e".into(), 1, &[GUILTY, request(1)], at(100));
+    screen.left(&process("e"), &[GUILTY, request(1)], at(100));
     screen.crashed(&"e".into(), 2, &[request(2)], at(200));
     screen.crashed(&"e".into(), 1, &[request(2)], at(3_000));
     assert_eq!(screen.standing(&[GUILTY]), Standing::Clear);
@@ -385,8 +390,8 @@
 fn an_upstream_is_looked_at_after_an_answer_was_given_up() {
     let mut screen = Screen::default();
     screen.answered(&[SHARED, request(9)], at(0));
-    screen.left(&"f".into(), 1, &[SHARED, request(1)], at(100));
-    screen.left(&"e".into(), 1, &[SHARED, GUILTY, request(2)], at(100));
+    screen.left(&process("f"), &[SHARED, request(1)], at(100));
+    screen.left(&process("e"), &[SHARED, GUILTY, request(2)], at(100));
     assert!(screen.due_looks(at(200)).is_empty());
     assert_eq!(screen.due_looks(at(400)), [("e".into(), 1)]);
     assert!(screen.due_looks(at(500)).is_empty());
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -221,9 +221,8 @@
             let mut pool = self.pool.borrow_mut();
             if view.directory_version != self.directory_version.replace(view.directory_version) {
                 pool.update(view.directory.entries(), self.now());
-                let is_later =
-                    |upstream: &str, incarnation| pool.has_restarted(upstream, incarnation);
-                self.shared.screen().detect_restarts(is_later, self.now());
+                let mut screen = self.shared.screen();
+                screen.detect_restarts(|process| pool.is_replaced(process), self.now());
             }
             if view.paces.0 != self.paces_version.replace(view.paces.0) {
                 pool.update_paces(&view.paces.1, self.now());
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -136,8 +136,7 @@
     /// Records that the request's attempt at an upstream has ended without a complete answer.
     pub(super) fn record_left(&self, ctx: &RequestContext, target: &Target) {
         let mut screen = self.shared.screen();
-        let (upstream, incarnation) = (&target.upstream, target.incarnation);
-        if screen.left(upstream, incarnation, ctx.subjects(), self.now()) {
+        if screen.left(&target.process(), ctx.subjects(), self.now()) {
             drop(screen);
             self.shared.poll_wanted.notify_one();
         }
@@ -219,7 +218,7 @@
         if upstream != Probe::Accepted && is_known() {
             return true;
         }
-        let is_leaving = self.pool.borrow().is_leaving(target);
+        let is_leaving = self.is_leaving(target);
         let witness = if upstream == Probe::Refused && !is_leaving {
             self.probe_others(target).await
         } else {
@@ -307,11 +306,19 @@
         Witness::None
     }
 
+    fn is_leaving(&self, target: &Target) -> bool {
+        let pool = self.pool.borrow();
+        pool.is_leaving(&target.upstream, target.incarnation)
+    }
+
     /// Records that the connection of a request broke and nothing shows why yet.
     fn record_broken(&self, ctx: &RequestContext, target: &Target) {
+        // It ends as planned, so the next process in its place shows no crash.
+        if self.is_leaving(target) {
+            return;
+        }
         let mut screen = self.shared.screen();
-        let (upstream, incarnation) = (&target.upstream, target.incarnation);
-        screen.broke(upstream, incarnation, ctx.subjects(), self.now());
+        screen.broke(&target.process(), ctx.subjects(), self.now());
     }
 
     fn record_crash(&self, ctx: &RequestContext, target: &Target, has_begun: bool) {
