Bound the cost of a judgement about crashes

At a mass crash each instance judges all charges anew at each report. Cause: the counts were built by insertion into a sorted vector, once more after each conviction, and again for each request that asked whether it is in doubt.

The crashes of a subject are bits of a word now; they are collected and sorted once a judgement, and a conviction masks what it explains. The counts are kept for the requests that ask.

--- a/crates/core/src/suspect/evidence.rs
+++ b/crates/core/src/suspect/evidence.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 pub use self::judgement::Change;
-use self::judgement::Judgement;
+use self::judgement::{Count, Judgement};
 
 use crate::{
     limit::Rate,
@@ -156,6 +156,8 @@
     bans: Vec<KnownBan>,
     /// Sorted by subject.
     judgements: Vec<Judgement>,
+    /// The crashes of all subjects as of the last judgement, sorted by subject.
+    counts: Vec<Count>,
     /// Changes of judgements that were not taken yet.
     changes: Vec<Change>,
     /// Number of changes.
--- a/crates/core/src/suspect/evidence/judgement.rs
+++ b/crates/core/src/suspect/evidence/judgement.rs
@@ -1,6 +1,6 @@
 //! The judgement about subjects.
 
-use super::{Answer, Ban, Charge, EvidenceSet, KnownCrash, PART_CRASHES, Standing, Subject};
+use super::{Answer, Ban, EvidenceSet, KnownCrash, MAX_CRASHES, PART_CRASHES, Standing, Subject};
 use crate::time::Time;
 
 /// Crashes that don't count against a part that was answered shortly before the first of them.
@@ -11,7 +11,7 @@
 
 /// Crashes of a guilty part that no other one explains and that leave it in doubt: one may have
 /// another cause.
-const UNEXPLAINED_CRASHES: usize = 1;
+const UNEXPLAINED_CRASHES: u32 = 1;
 
 /// Maximum number of changes that are kept until they are taken.
 const MAX_CHANGES: usize = 256;
@@ -41,39 +41,56 @@
     pub before: u32,
 }
 
-/// The unexplained crashes of a subject.
-#[derive(Clone, Debug)]
-struct Count {
-    subject: Subject,
-    missing: u32,
-    before: u32,
-    /// Positions of the crashes.
-    crashes: Vec<usize>,
+// A set of crashes is a word with a bit for each.
+const _: () = assert!(MAX_CRASHES <= u64::BITS as usize);
+
+/// The crashes of which a subject was not cleared, as bits by their positions.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Count {
+    /// The subject.
+    pub subject: Subject,
+    /// Crashes without an answer shortly before.
+    missing: u64,
+    /// Crashes shortly after an answer.
+    before: u64,
 }
 
 impl Count {
+    const fn crashes(&self) -> u64 {
+        self.missing | self.before
+    }
+
+    /// Returns the crashes without those that a guilty part explains.
+    const fn without(&self, explained: u64) -> Self {
+        Self {
+            subject: self.subject,
+            missing: self.missing & !explained,
+            before: self.before & !explained,
+        }
+    }
+
     /// Returns the number of crashes that count.
     const fn total(&self) -> u32 {
-        self.missing + self.before.saturating_sub(CRASHES_AFTER_ANSWER)
+        let before = self.before.count_ones();
+        self.missing.count_ones() + before.saturating_sub(CRASHES_AFTER_ANSWER)
     }
 
     /// Returns whether other parts may have caused these crashes.
     ///
     /// A part that is answered while upstreams crash is a cause only if it ran in each crash.
     fn is_explained_by(&self, others: &[&Self]) -> bool {
-        if self.crashes.len() < RIVAL_CRASHES as usize {
+        let crashes = self.crashes();
+        if crashes.count_ones() < RIVAL_CRASHES {
             return false;
         }
-        let ran_in = |other: &Self, crash: &usize| other.crashes.binary_search(crash).is_ok();
-        let ran_in_each = |other: &&Self| self.crashes.iter().all(|crash| ran_in(other, crash));
-        let is_explained = |crash: &&usize| {
-            let mut rivals = others.iter().filter(|o| o.missing >= RIVAL_CRASHES);
-            rivals.any(|rival| ran_in(rival, crash))
-        };
-        let explained = self.crashes.iter().filter(is_explained).count();
-        let is_enough = explained >= RIVAL_CRASHES as usize
-            && self.crashes.len() - explained <= UNEXPLAINED_CRASHES;
-        is_enough || others.iter().copied().any(|other| ran_in_each(&other))
+        let rivals = others
+            .iter()
+            .filter(|o| o.missing.count_ones() >= RIVAL_CRASHES);
+        let of_rivals = rivals.fold(0, |all, rival| all | rival.crashes());
+        let explained = (crashes & of_rivals).count_ones();
+        let is_enough =
+            explained >= RIVAL_CRASHES && crashes.count_ones() - explained <= UNEXPLAINED_CRASHES;
+        is_enough || others.iter().any(|o| crashes & !o.crashes() == 0)
     }
 }
 
@@ -82,63 +99,73 @@
 }
 
 impl EvidenceSet {
-    /// Counts the crashes of all subjects of a kind that no guilty part explains, sorted by subject.
-    fn counts<F>(&self, guilty: &[Subject], of_kind: F) -> Vec<Count>
-    where
-        F: Fn(Subject) -> bool,
-    {
+    /// Counts the crashes of all subjects, sorted by subject.
+    fn count_charges(&self) -> Vec<Count> {
         let mut counts: Vec<Count> = Vec::new();
         for (at, known) in self.crashes.iter().enumerate() {
-            let open = known.crash.charges.iter();
-            let open = open.filter(|c| c.answer < Answer::After);
-            let is_cause = |c: &Charge| is_part(c.subject) && guilty.contains(&c.subject);
-            if open.clone().any(is_cause) {
-                continue;
-            }
-            for charge in open.filter(|c| of_kind(c.subject)) {
-                let found = counts.binary_search_by_key(&charge.subject, |c| c.subject);
-                let slot = found.unwrap_or_else(|slot| {
-                    let empty = Count {
-                        subject: charge.subject,
-                        missing: 0,
-                        before: 0,
-                        crashes: Vec::new(),
-                    };
-                    counts.insert(slot, empty);
-                    slot
-                });
-                let count = &mut counts[slot];
-                count.crashes.push(at);
-                match charge.answer {
-                    Answer::Missing => count.missing += 1,
-                    Answer::Before | Answer::After => count.before += 1,
-                }
-            }
+            let crash = 1 << at;
+            let charges = known.crash.charges.iter();
+            counts.extend(charges.filter_map(|charge| {
+                let (missing, before) = match charge.answer {
+                    Answer::Missing => (crash, 0),
+                    Answer::Before => (0, crash),
+                    Answer::After => return None,
+                };
+                Some(Count {
+                    subject: charge.subject,
+                    missing,
+                    before,
+                })
+            }));
         }
+        counts.sort_unstable_by_key(|c| c.subject);
+        counts.dedup_by(|next, kept| {
+            let is_same = next.subject == kept.subject;
+            if is_same {
+                kept.missing |= next.missing;
+                kept.before |= next.before;
+            }
+            is_same
+        });
         counts
     }
 
+    /// Returns the crashes of which a subject was not cleared.
+    fn crashes_of(&self, subject: Subject) -> u64 {
+        let found = self.counts.binary_search_by_key(&subject, |c| c.subject);
+        found.map_or(0, |at| self.counts[at].crashes())
+    }
+
     /// Judges all subjects anew.
     ///
     /// The part with the most crashes explains them for all other subjects; crashes shortly after an
     /// answer say less. Parts that only ever ran together can't be told apart.
     pub(super) fn judge(&mut self, now: Time) {
         self.lift_refuted(now);
+        self.counts = self.count_charges();
         let banned = self.bans.iter().filter(|b| !b.ban.lifted);
         let mut guilty: Vec<Subject> = banned.map(|b| b.ban.subject).collect();
+        let guilty_parts = guilty.iter().filter(|s| is_part(**s));
+        let mut explained = guilty_parts.fold(0, |all, s| all | self.crashes_of(*s));
         let mut causes: Vec<Count> = Vec::new();
-        let parts = loop {
-            let counts = self.counts(&guilty, is_part);
-            let convictable = counts.iter().filter(|c| c.total() >= c.subject.limit());
-            let Some(worst) = convictable.max_by_key(|c| (c.missing, c.total())) else {
-                break counts;
+        loop {
+            let parts = self.counts.iter().filter(|c| is_part(c.subject));
+            let parts = parts.map(|c| c.without(explained));
+            let convictable = parts.clone().filter(|c| c.total() >= c.subject.limit());
+            let Some(worst) = convictable.max_by_key(|c| (c.missing.count_ones(), c.total()))
+            else {
+                break;
             };
-            let is_alike = |c: &&Count| c.total() == worst.total() && c.crashes == worst.crashes;
-            let alike: Vec<Count> = counts.iter().filter(is_alike).cloned().collect();
+            let is_alike = |c: &Count| c.total() == worst.total() && c.crashes() == worst.crashes();
+            let alike: Vec<Count> = parts.filter(is_alike).collect();
             guilty.extend(alike.iter().map(|c| c.subject));
             causes.extend(alike);
-        };
-        let requests = self.counts(&guilty, |s| !is_part(s));
+            explained |= worst.crashes();
+        }
+        guilty.sort_unstable();
+        guilty.dedup();
+        let others = self.counts.iter().map(|c| c.without(explained));
+        let others: Vec<Count> = others.filter(|c| c.crashes() != 0).collect();
         let mut judgements: Vec<Judgement> = Vec::new();
         let mut add = |subject, standing| {
             let known = self
@@ -155,8 +182,8 @@
         for subject in &guilty {
             add(*subject, Standing::Guilty);
         }
-        for count in parts.iter().chain(&requests) {
-            if guilty.contains(&count.subject) {
+        for count in &others {
+            if guilty.binary_search(&count.subject).is_ok() {
                 continue;
             }
             if count.total() >= count.subject.limit() {
@@ -166,8 +193,7 @@
             }
         }
         judgements.sort_unstable_by_key(|j| j.subject);
-        causes.extend(parts);
-        causes.extend(requests);
+        causes.extend(others);
         self.record_changes(&judgements, &causes);
         self.judgements = judgements;
     }
@@ -220,8 +246,8 @@
             self.changes.push(Change {
                 subject,
                 standing,
-                missing: count.map_or(0, |c| c.missing),
-                before: count.map_or(0, |c| c.before),
+                missing: count.map_or(0, |c| c.missing.count_ones()),
+                before: count.map_or(0, |c| c.before.count_ones()),
             });
         }
     }
@@ -239,12 +265,11 @@
         if guilty.is_empty() {
             return true;
         }
-        let counts = self.counts(&[], is_part);
-        let others = counts.iter().filter(|c| !subjects.contains(&c.subject));
-        let others: Vec<&Count> = others.collect();
+        let parts = self.counts.iter().filter(|c| is_part(c.subject));
+        let others: Vec<&Count> = parts.filter(|c| !subjects.contains(&c.subject)).collect();
         guilty.iter().all(|subject| {
-            let count = counts.iter().find(|c| c.subject == *subject);
-            count.is_some_and(|count| count.is_explained_by(&others))
+            let found = self.counts.binary_search_by_key(subject, |c| c.subject);
+            found.is_ok_and(|at| self.counts[at].is_explained_by(&others))
         })
     }
 }
