Report only the charges of a crash that have changed

Hundreds of instances charge what they ran on the same upstream, one after the other. Cause: evidence was sent by crash, so each new charge or answer sent all charges of its crash again, to all instances.

Each charge has its own revision now, and a message holds those that are newer than what its receiver has. Messages and formats are unchanged; a receiver that is new gets everything, as before.

--- a/crates/core/src/suspect/evidence.rs
+++ b/crates/core/src/suspect/evidence.rs
@@ -127,12 +127,28 @@
     Guilty,
 }
 
-/// A crash with the time and the revision of the set in which it last changed.
+/// A crash with its time and the revisions of the set in which it and its charges last changed.
 #[derive(Clone, Debug)]
 struct KnownCrash {
     crash: Crash,
     at: Time,
     revision: u64,
+    /// For each charge, at the same position.
+    charge_revisions: Vec<u64>,
+}
+
+impl KnownCrash {
+    /// Returns what changed after a revision of the set.
+    fn since(&self, revision: u64, now: Time) -> Crash {
+        let charges = self.crash.charges.iter().zip(&self.charge_revisions);
+        let changed = charges.filter(|(_, changed)| **changed > revision);
+        Crash {
+            upstream: self.crash.upstream.clone(),
+            incarnation: self.crash.incarnation,
+            age: now.since(self.at),
+            charges: changed.map(|(charge, _)| *charge).collect(),
+        }
+    }
 }
 
 /// A ban with the time of its next trial and the revision of the set in which it last changed.
@@ -251,6 +267,7 @@
                     },
                     at: now - crash.age,
                     revision: next,
+                    charge_revisions: Vec::new(),
                 };
                 self.crashes.insert(at, known);
                 at
@@ -261,8 +278,14 @@
         for charge in &crash.charges {
             let charges = &mut known.crash.charges;
             match charges.binary_search_by_key(&charge.subject, |c| c.subject) {
-                Ok(at) if charges[at].answer < charge.answer => charges[at].answer = charge.answer,
-                Err(at) if charges.len() < MAX_CHARGES => charges.insert(at, *charge),
+                Ok(at) if charges[at].answer < charge.answer => {
+                    charges[at].answer = charge.answer;
+                    known.charge_revisions[at] = next;
+                }
+                Err(at) if charges.len() < MAX_CHARGES => {
+                    charges.insert(at, *charge);
+                    known.charge_revisions.insert(at, next);
+                }
                 Ok(_) | Err(_) => continue,
             }
             is_new = true;
@@ -320,13 +343,9 @@
     #[must_use]
     pub fn since(&self, revision: u64, now: Time) -> Message {
         let crashes = self.crashes.iter().filter(|k| k.revision > revision);
-        let crash = |k: &KnownCrash| Crash {
-            age: now.since(k.at),
-            ..k.crash.clone()
-        };
         let bans = self.bans.iter().filter(|b| b.revision > revision);
         Message {
-            crashes: crashes.map(crash).collect(),
+            crashes: crashes.map(|k| k.since(revision, now)).collect(),
             bans: bans.map(|b| b.ban).collect(),
         }
     }
@@ -342,13 +361,15 @@
         let next = self.revision + 1;
         let mut is_new = false;
         for known in &mut self.crashes {
-            for charge in &mut known.crash.charges {
+            let charges = known.crash.charges.iter_mut();
+            for (charge, revision) in charges.zip(&mut known.charge_revisions) {
                 if charge.answer == Answer::After {
                     continue;
                 }
                 let answer = answer(charge, known.at);
                 if answer > charge.answer {
                     charge.answer = answer;
+                    *revision = next;
                     known.revision = next;
                     is_new = true;
                 }
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -8,8 +8,8 @@
     limit::{PERMIT_LIFETIME, Permit},
     request::Fingerprint,
     suspect::{
-        EXPERIMENT_PERMIT, EvidenceSet, Probe, Process, Progress, Screen, Standing, Subject,
-        Witness, is_crash,
+        Answer, Charge, Crash, EXPERIMENT_PERMIT, EvidenceSet, Probe, Process, Progress, Screen,
+        Standing, Subject, Witness, is_crash,
     },
     time::{Span, Time},
 };
@@ -340,6 +340,47 @@
     }
 }
 
+fn charge(subject: Subject) -> Charge {
+    Charge {
+        subject,
+        answer: Answer::Missing,
+    }
+}
+
+fn crash_of(upstream: &str, subject: Subject) -> Crash {
+    Crash {
+        upstream: upstream.into(),
+        incarnation: 1,
+        age: Span::ZERO,
+        charges: vec![charge(subject)],
+    }
+}
+
+/// Guards against reports that repeat all charges of a crash whenever one changes: hundreds of
+/// instances charge what they ran on the same upstream.
+#[test]
+fn a_report_has_only_the_charges_that_have_changed() {
+    let (mut here, mut there) = (EvidenceSet::default(), EvidenceSet::default());
+    here.add(&crash_of("e", GUILTY), at(100));
+    there.merge(&here.since(0, at(100)), at(100));
+    let known = here.revision();
+    here.add(&crash_of("e", SHARED), at(110));
+    let news = here.since(known, at(110));
+    assert_eq!(
+        news.crashes,
+        [crash_of("e", SHARED)].map(|c| Crash {
+            age: Span::from_millis(10),
+            ..c
+        })
+    );
+    there.merge(&news, at(110));
+    let all = |set: &EvidenceSet| set.since(0, at(110)).crashes[0].charges.clone();
+    assert_eq!(all(&there), all(&here));
+    let known = here.revision();
+    here.answered(&[SHARED], at(120));
+    assert_eq!(here.since(known, at(120)).crashes[0].charges.len(), 1);
+}
+
 /// Guards against a crash that is missed because the upstream was back before anyone looked.
 #[test]
 fn a_later_incarnation_shows_a_crash() {
