Refuse a crash that is older than all of a full record

A crash that could not be kept counted as news at each report, so that the revision rose and everything was judged again. Cause: it was inserted, and removed as the oldest one, and the result said that it was new.

a_crash_older_than_a_full_record_is_no_news failed before.

--- a/crates/core/src/suspect/evidence.rs
+++ b/crates/core/src/suspect/evidence.rs
@@ -259,6 +259,7 @@
         let next = self.revision + 1;
         let at = match self.find(&crash.upstream, crash.incarnation) {
             Ok(at) => at,
+            Err(_) if self.is_too_old(now - crash.age) => return false,
             Err(at) => {
                 let known = KnownCrash {
                     crash: Crash {
@@ -301,6 +302,11 @@
         is_new
     }
 
+    /// Returns whether the record is full of crashes no older than one at that time.
+    fn is_too_old(&self, at: Time) -> bool {
+        self.crashes.len() >= MAX_CRASHES && self.crashes.iter().all(|k| k.at >= at)
+    }
+
     /// Merges the evidence and bans of another instance and returns whether anything is new.
     pub fn merge(&mut self, message: &Message, now: Time) -> bool {
         let mut is_new = false;
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -381,6 +381,22 @@
     assert_eq!(here.since(known, at(120)).crashes[0].charges.len(), 1);
 }
 
+/// Guards against a crash that is news at each report although the record is full of later ones.
+#[test]
+fn a_crash_older_than_a_full_record_is_no_news() {
+    let mut set = EvidenceSet::default();
+    for number in 0..64 {
+        set.add(&crash_of(&format!("e{number}"), GUILTY), at(1_000));
+    }
+    let known = set.revision();
+    let old = Crash {
+        age: Span::from_millis(500),
+        ..crash_of("old", GUILTY)
+    };
+    assert!(!set.add(&old, at(1_000)));
+    assert_eq!(set.revision(), known);
+}
+
 /// Guards against a crash that is missed because the upstream was back before anyone looked.
 #[test]
 fn a_later_incarnation_shows_a_crash() {
