Keep broken runs until the next process or an answer of their own

A machine that is silent for longer than 10 s came back to a burst of guilty requests. Cause: runs that broke, with nothing to show why, were forgotten after 10 s, and the crash was charged to nothing when the next process announced itself. They are kept as long as a crash counts now, the latest 512, and dropped once their process has completed another answer.

a_broken_run_waits_for_the_next_process_unless_its_own_has_answered_since and the_latest_broken_runs_are_kept failed before.

--- a/crates/core/src/suspect/ended.rs
+++ b/crates/core/src/suspect/ended.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use super::Subject;
+use super::{Subject, evidence::RETENTION};
 use crate::time::{Span, Time};
 
 /// Longest time between the end of a run on this side and a crash that it may have caused. A guilty
@@ -13,9 +13,6 @@
 /// notices.
 const ATTRIBUTION: Span = Span::from_secs(2);
 
-/// Time for which a run counts whose connection the upstream has ended.
-const BREAK_TTL: Span = Span::from_secs(10);
-
 /// Maximum number of runs.
 const MAX_RUNS: usize = 512;
 
@@ -55,8 +52,9 @@
 
 impl Run {
     fn is_expired(&self, now: Time) -> bool {
+        // A machine may take long to start, so its next process may be listed late.
         let ttl = if self.is_broken {
-            BREAK_TTL
+            RETENTION
         } else {
             ATTRIBUTION
         };
@@ -86,11 +84,22 @@
             .position(|r| r.process == run.process && r.subjects.last() == run.subjects.last());
         match known {
             Some(at) => self.runs[at].is_broken |= run.is_broken,
-            None if self.runs.len() < MAX_RUNS => self.runs.push(run),
-            None => {}
+            None => {
+                if self.runs.len() >= MAX_RUNS {
+                    self.runs.remove(0);
+                }
+                self.runs.push(run);
+            }
         }
     }
 
+    /// Drops the runs whose process has answered another request well after them, so that it has not
+    /// crashed under them.
+    pub fn forget_survived(&mut self, process: &Process, now: Time) {
+        let has_survived = |r: &Run| r.process == *process && now.since(r.at) >= ATTRIBUTION;
+        self.runs.retain(|r| !has_survived(r));
+    }
+
     /// Returns the processes that have ended the connections of runs, sorted.
     #[must_use]
     pub fn broken(&self) -> Vec<Process> {
--- a/crates/core/src/suspect/evidence.rs
+++ b/crates/core/src/suspect/evidence.rs
@@ -20,7 +20,7 @@
 pub const PART_CRASHES: u32 = 3;
 
 /// Time for which a crash counts.
-const RETENTION: Span = Span::from_secs(120);
+pub(super) const RETENTION: Span = Span::from_secs(120);
 
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 64;
--- a/crates/core/src/suspect/screen.rs
+++ b/crates/core/src/suspect/screen.rs
@@ -358,6 +358,12 @@
         self.ended.add(run, now);
     }
 
+    /// Records that the process has answered a request completely. A connection that broke well before
+    /// was no sign of a crash.
+    pub fn survived(&mut self, process: &Process, now: Time) {
+        self.ended.forget_survived(process, now);
+    }
+
     /// Returns the upstreams to look at now, with their incarnations: runs with parts that no answer
     /// speaks for ended there a moment ago.
     pub fn due_looks(&mut self, now: Time) -> Vec<(Arc<str>, u64)> {
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -408,6 +408,35 @@
     assert_eq!(screen.standing(&[GUILTY]), Standing::Suspect);
 }
 
+/// Guards against a crash that is forgotten before the machine is back, and against one that charges
+/// what a process has survived.
+#[test]
+fn a_broken_run_waits_for_the_next_process_unless_its_own_has_answered_since() {
+    for has_survived in [false, true] {
+        let mut screen = Screen::default();
+        screen.broke(&process("e"), &[GUILTY], at(100));
+        screen.survived(&process("f"), at(30_000));
+        if has_survived {
+            screen.survived(&process("e"), at(30_000));
+        }
+        screen.detect_restarts(|p| *p == process("e"), at(60_000));
+        let is_charged = screen.standing(&[GUILTY]) == Standing::Suspect;
+        assert_eq!(is_charged, !has_survived);
+    }
+}
+
+/// Guards against crashes that charge nothing, because runs that broke before fill the record.
+#[test]
+fn the_latest_broken_runs_are_kept() {
+    let mut screen = Screen::default();
+    for number in 0..600 {
+        screen.broke(&process("e"), &[SHARED, request(number)], at(100));
+    }
+    screen.broke(&process("f"), &[GUILTY, request(1_000)], at(200));
+    screen.detect_restarts(|p| *p == process("f"), at(300));
+    assert_eq!(screen.standing(&[GUILTY]), Standing::Suspect);
+}
+
 /// Guards against a crash that is charged to nothing, because the answer was given up before it.
 #[test]
 fn a_crash_after_an_answer_was_given_up_is_charged() {
--- a/crates/node/src/gateway/forward/attempt.rs
+++ b/crates/node/src/gateway/forward/attempt.rs
@@ -550,7 +550,7 @@
                 guard.settle();
                 guard.set_outcome(if good { Outcome::Good } else { Outcome::Failed });
                 if good {
-                    self.record_answer(ctx);
+                    self.record_answer(ctx, target);
                 }
                 conn.release(meta.keep_alive);
                 let mut response = Response::new(ResponseBody::Buffered(Some(body)));
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -164,7 +164,7 @@
                 guard.set_outcome(Outcome::Good);
                 guard.settle();
                 conn.release(keep_alive);
-                proxy.record_answer(ctx);
+                proxy.record_answer(ctx, &target);
                 log::info!(
                     event = "stream_end", request = ctx.id(), upstream = &*target.upstream,
                     last_event = events.last_id().unwrap_or(0), runs = ctx.run_count(),
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -116,8 +116,11 @@
     }
 
     /// Records a complete answer, which clears what the request consists of.
-    pub(super) fn record_answer(&self, ctx: &RequestContext) {
-        if self.shared.screen().answered(ctx.subjects(), self.now()) {
+    pub(super) fn record_answer(&self, ctx: &RequestContext, target: &Target) {
+        let mut screen = self.shared.screen();
+        screen.survived(&target.process(), self.now());
+        if screen.answered(ctx.subjects(), self.now()) {
+            drop(screen);
             self.shared.poll_wanted.notify_one();
         }
     }
