Wait for the next process of an upstream that stood still, too

Where the upstream can't be reached at the end of a run, its silence says nothing, so such a run counts as broken: the next process in its place shows the crash, an answer of its own process that there was none.

--- a/crates/core/src/placement/witness.rs
+++ b/crates/core/src/placement/witness.rs
@@ -31,6 +31,14 @@
             && self.upstreams.iter().any(is_later)
     }
 
+    /// Returns whether the last connection to the upstream has failed, or the instance has no way to any,
+    /// so that its silence does not tell whether its process has ended.
+    #[must_use]
+    pub fn is_unreachable(&self, target: &Target) -> bool {
+        let listed = self.find(&target.upstream);
+        self.is_cut_off || listed.is_some_and(|at| self.upstreams[at].down.is_some())
+    }
+
     /// Returns up to `count` other upstreams that are expected to accept connections, those of other
     /// failure domains first.
     #[must_use]
--- a/crates/node/src/gateway/forward/screening.rs
+++ b/crates/node/src/gateway/forward/screening.rs
@@ -138,6 +138,10 @@
 
     /// Records that the request's attempt at an upstream has ended without a complete answer.
     pub(super) fn record_left(&self, ctx: &RequestContext, target: &Target) {
+        // What stood still may have ended, which only the next process tells.
+        if self.pool.borrow().is_unreachable(target) {
+            self.record_broken(ctx, target);
+        }
         let mut screen = self.shared.screen();
         if screen.left(&target.process(), ctx.subjects(), self.now()) {
             drop(screen);
