--- a/crates/core/src/suspect/ended.rs
+++ b/crates/core/src/suspect/ended.rs
@@ -82,15 +82,14 @@
             .runs
             .iter()
             .position(|r| r.process == run.process && r.subjects.last() == run.subjects.last());
-        match known {
-            Some(at) => self.runs[at].is_broken |= run.is_broken,
-            None => {
-                if self.runs.len() >= MAX_RUNS {
-                    self.runs.remove(0);
-                }
-                self.runs.push(run);
-            }
+        if let Some(at) = known {
+            self.runs[at].is_broken |= run.is_broken;
+            return;
+        }
+        if self.runs.len() >= MAX_RUNS {
+            self.runs.remove(0);
         }
+        self.runs.push(run);
     }
 
     /// Drops the runs whose process has answered another request well after them, so that it has not
