Judge a prompt part for each kind of request too, at a bounded cost

Sound requests of a route were refused with a part that crashes servers under requests of another route only. Cause: a part was judged over all kinds of requests at once. Answers to the one kind cleared it of each crash under the other, the crashes went on, and in the end it was banned in both.

--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -2,8 +2,10 @@
 //!
 //! Each crash names what ran on the upstream; complete answers, and answers that go on, clear what
 //! they are about. Parts that only ran together can't be told apart by crashes: a request with some
-//! of them, one at a time over all instances, is the experiment that does. The judgement follows from the [`EvidenceSet`] alone. The [`Screen`] of an entry instance of the
-//! gateway applies it to requests and their prompt parts, the [`Tracker`] of a peer to requests.
+//! of them, one at a time over all instances, is the experiment that does. A part may crash upstreams
+//! under one kind of request only, so it is judged for each kind too. The judgement follows from the
+//! [`EvidenceSet`] alone. The [`Screen`] of an entry instance of the gateway applies it to requests and
+//! their prompt parts, the [`Tracker`] of a peer to requests.
 //!
 //! The load pattern: requests with one part in common, otherwise all different, arrive dozens of
 //! times a second at hundreds of instances, beside sound requests that share all their other parts,
--- a/crates/core/src/suspect/evidence.rs
+++ b/crates/core/src/suspect/evidence.rs
@@ -8,6 +8,7 @@
 use self::judgement::{Count, Judgement};
 
 use crate::{
+    digest,
     limit::Rate,
     request::Fingerprint,
     time::{Span, Time},
@@ -25,8 +26,8 @@
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 64;
 
-/// Maximum number of charges of one crash.
-const MAX_CHARGES: usize = 512;
+/// Maximum number of charges of one crash: those of 64 requests with five parts each.
+const MAX_CHARGES: usize = 1_024;
 
 /// Maximum number of bans that are kept.
 const MAX_BANS: usize = 256;
@@ -48,6 +49,10 @@
 /// Prefix of the names under which permits for subjects are requested.
 const PERMIT_PREFIX: &str = "suspect/";
 
+/// Distance, in the upper 16 bits, between the digest of a part and that of the same part in requests
+/// of one kind. It is arbitrary, and the lower bits tell the kinds apart.
+const KIND_MARK: u64 = 0x51ed;
+
 /// Name under which the permit for an experiment is requested: one request, over all instances,
 /// that tells parts apart which ran together.
 pub const EXPERIMENT_PERMIT: &str = "suspect/experiment";
@@ -56,7 +61,7 @@
     /// What a crash may be due to.
     #[derive(Copy, Eq, PartialOrd, Ord)]
     pub enum Subject {
-        /// A part of the prompt, by its digest.
+        /// A part of the prompt, or one in requests of one kind only, by its digest.
         Part(u64),
         /// A request and its copies.
         Request(Fingerprint),
@@ -181,6 +186,35 @@
 }
 
 impl Subject {
+    /// Returns a part of the prompt in requests of one kind, which may crash upstreams where requests
+    /// of other kinds with the part don't.
+    #[must_use]
+    pub const fn of_kind(part: u64, kind: u64) -> Self {
+        Self::Part(part.wrapping_add((KIND_MARK << 48) | (digest::mix(kind) >> 16)))
+    }
+
+    /// Returns the part with the lowest digest of which this may be the part in requests of one kind, in
+    /// the order in which digests go round, or `None` for a request.
+    const fn least_part(self) -> Option<Self> {
+        match self {
+            Self::Part(own) => {
+                let farthest = (KIND_MARK << 48) | (u64::MAX >> 16);
+                Some(Self::Part(own.wrapping_sub(farthest)))
+            }
+            Self::Request(_) => None,
+        }
+    }
+
+    /// Returns whether this is the other part in requests of one kind, so that all requests with this
+    /// one have the other one too.
+    #[must_use]
+    pub const fn is_kind_of(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Part(own), Self::Part(other)) => own.wrapping_sub(other) >> 48 == KIND_MARK,
+            _ => false,
+        }
+    }
+
     /// Returns the name under which permits for the subject are requested.
     #[must_use]
     pub fn permit_name(self) -> Arc<str> {
--- a/crates/core/src/suspect/evidence/judgement.rs
+++ b/crates/core/src/suspect/evidence/judgement.rs
@@ -1,6 +1,8 @@
 //! The judgement about subjects.
 
-use super::{Answer, Ban, EvidenceSet, KnownCrash, MAX_CRASHES, PART_CRASHES, Standing, Subject};
+use super::{
+    Answer, Ban, Charge, EvidenceSet, KnownCrash, MAX_CRASHES, PART_CRASHES, Standing, Subject,
+};
 use crate::time::Time;
 
 /// Crashes that don't count against a part that was answered shortly before the first of them.
@@ -53,9 +55,18 @@
     missing: u64,
     /// Crashes shortly after an answer.
     before: u64,
+    /// For a part in requests of one kind, whether the part itself has an answer that this kind does
+    /// not have.
+    says_more: Option<bool>,
 }
 
 impl Count {
+    /// Returns whether the crashes count: those of a part in requests of one kind are mostly those of
+    /// the part itself.
+    fn counts(&self) -> bool {
+        self.says_more != Some(false)
+    }
+
     const fn crashes(&self) -> u64 {
         self.missing | self.before
     }
@@ -66,6 +77,7 @@
             subject: self.subject,
             missing: self.missing & !explained,
             before: self.before & !explained,
+            says_more: self.says_more,
         }
     }
 
@@ -98,23 +110,35 @@
     matches!(subject, Subject::Part(_))
 }
 
+/// Returns the charge of the part of which the subject is that of one kind, among sorted charges.
+fn part_of(charges: &[Charge], subject: Subject) -> Option<&Charge> {
+    let least = subject.least_part()?;
+    let at = charges.partition_point(|c| c.subject < least);
+    // The digests go round.
+    let next = charges.get(at).filter(|c| is_part(c.subject));
+    let found = next.or(charges.first())?;
+    subject.is_kind_of(found.subject).then_some(found)
+}
+
 impl EvidenceSet {
     /// Counts the crashes of all subjects, sorted by subject.
     fn count_charges(&self) -> Vec<Count> {
         let mut counts: Vec<Count> = Vec::new();
         for (at, known) in self.crashes.iter().enumerate() {
             let crash = 1 << at;
-            let charges = known.crash.charges.iter();
-            counts.extend(charges.filter_map(|charge| {
+            let charges = &known.crash.charges;
+            counts.extend(charges.iter().filter_map(|charge| {
                 let (missing, before) = match charge.answer {
                     Answer::Missing => (crash, 0),
                     Answer::Before => (0, crash),
                     Answer::After => return None,
                 };
+                let part = part_of(charges, charge.subject);
                 Some(Count {
                     subject: charge.subject,
                     missing,
                     before,
+                    says_more: part.map(|part| part.answer > charge.answer),
                 })
             }));
         }
@@ -124,47 +148,72 @@
             if is_same {
                 kept.missing |= next.missing;
                 kept.before |= next.before;
+                kept.says_more = kept.says_more.max(next.says_more);
             }
             is_same
         });
         counts
     }
 
-    /// Returns the crashes of which a subject was not cleared.
-    fn crashes_of(&self, subject: Subject) -> u64 {
+    fn count(&self, subject: Subject) -> Option<&Count> {
         let found = self.counts.binary_search_by_key(&subject, |c| c.subject);
-        found.map_or(0, |at| self.counts[at].crashes())
+        found.ok().map(|at| &self.counts[at])
     }
 
-    /// Judges all subjects anew.
-    ///
-    /// The part with the most crashes explains them for all other subjects; crashes shortly after an
-    /// answer say less. Parts that only ever ran together can't be told apart.
-    pub(super) fn judge(&mut self, now: Time) {
-        self.lift_refuted(now);
-        self.counts = self.count_charges();
-        let banned = self.bans.iter().filter(|b| !b.ban.lifted);
-        let mut guilty: Vec<Subject> = banned.map(|b| b.ban.subject).collect();
-        let guilty_parts = guilty.iter().filter(|s| is_part(**s));
-        let mut explained = guilty_parts.fold(0, |all, s| all | self.crashes_of(*s));
+    /// Adds the banned parts of a kind and those that cause crashes to the guilty ones, the worst one
+    /// first, with the crashes that they explain.
+    fn convict<F>(&self, guilty: &mut Vec<Subject>, explained: &mut u64, of_kind: F) -> Vec<Count>
+    where
+        F: Fn(Option<&Count>) -> bool,
+    {
+        for ban in self.bans.iter().filter(|b| !b.ban.lifted) {
+            let subject = ban.ban.subject;
+            let count = self.count(subject);
+            if is_part(subject) && of_kind(count) {
+                *explained |= count.map_or(0, Count::crashes);
+                guilty.push(subject);
+            }
+        }
         let mut causes: Vec<Count> = Vec::new();
         loop {
-            let parts = self.counts.iter().filter(|c| is_part(c.subject));
-            let parts = parts.map(|c| c.without(explained));
+            let parts = self
+                .counts
+                .iter()
+                .filter(|c| c.counts() && is_part(c.subject) && of_kind(Some(*c)));
+            let parts = parts.map(|c| c.without(*explained));
             let convictable = parts.clone().filter(|c| c.total() >= c.subject.limit());
             let Some(worst) = convictable.max_by_key(|c| (c.missing.count_ones(), c.total()))
             else {
-                break;
+                return causes;
             };
             let is_alike = |c: &Count| c.total() == worst.total() && c.crashes() == worst.crashes();
             let alike: Vec<Count> = parts.filter(is_alike).collect();
             guilty.extend(alike.iter().map(|c| c.subject));
             causes.extend(alike);
-            explained |= worst.crashes();
+            *explained |= worst.crashes();
         }
+    }
+
+    /// Judges all subjects anew.
+    ///
+    /// The part with the most crashes explains them for all other subjects; crashes shortly after an
+    /// answer say less. Parts that only ever ran together can't be told apart. What a part explains is
+    /// no sign against another part in requests of one kind, but not the reverse: one that only guilty
+    /// requests of a kind have would hide their cause.
+    pub(super) fn judge(&mut self, now: Time) {
+        self.lift_refuted(now);
+        self.counts = self.count_charges();
+        let mut guilty: Vec<Subject> = Vec::new();
+        let mut explained = 0;
+        let is_whole = |count: Option<&Count>| count.is_none_or(|c| c.says_more.is_none());
+        let mut causes = self.convict(&mut guilty, &mut explained, is_whole);
+        causes.extend(self.convict(&mut guilty, &mut explained, |_| true));
+        let banned = self.bans.iter().filter(|b| !b.ban.lifted);
+        guilty.extend(banned.map(|b| b.ban.subject));
         guilty.sort_unstable();
         guilty.dedup();
-        let others = self.counts.iter().map(|c| c.without(explained));
+        let others = self.counts.iter().filter(|c| c.counts());
+        let others = others.map(|c| c.without(explained));
         let others: Vec<Count> = others.filter(|c| c.crashes() != 0).collect();
         let mut judgements: Vec<Judgement> = Vec::new();
         let mut add = |subject, standing| {
@@ -265,11 +314,17 @@
         if guilty.is_empty() {
             return true;
         }
-        let parts = self.counts.iter().filter(|c| is_part(c.subject));
-        let others: Vec<&Count> = parts.filter(|c| !subjects.contains(&c.subject)).collect();
+        // The parts of the request in other kinds of requests are no other parts.
+        let is_own = |other: Subject| {
+            let mut own = subjects.iter();
+            own.any(|s| *s == other || other.is_kind_of(*s))
+        };
+        let parts = self.counts.iter();
+        let parts = parts.filter(|c| c.counts() && is_part(c.subject));
+        let others: Vec<&Count> = parts.filter(|c| !is_own(c.subject)).collect();
         guilty.iter().all(|subject| {
-            let found = self.counts.binary_search_by_key(subject, |c| c.subject);
-            found.is_ok_and(|at| self.counts[at].is_explained_by(&others))
+            let count = self.count(*subject).filter(|c| c.counts());
+            count.is_some_and(|count| count.is_explained_by(&others))
         })
     }
 }
--- a/crates/core/src/suspect/screen.rs
+++ b/crates/core/src/suspect/screen.rs
@@ -24,7 +24,7 @@
 const ANSWER_MEMORY: Span = Span::from_secs(30);
 
 /// Maximum number of parts whose last answers are kept.
-const MAX_ANSWERED: usize = 2_048;
+const MAX_ANSWERED: usize = 4_096;
 
 /// Time for which a request's want for a permit counts.
 const WANT_TTL: Span = Span::from_millis(700);
--- a/crates/core/tests/screen.rs
+++ b/crates/core/tests/screen.rs
@@ -569,3 +569,41 @@
         "one trial"
     );
 }
+
+/// The guilty part in requests of one kind, and in those of another.
+fn in_kind(kind: u64) -> Subject {
+    Subject::of_kind(1, kind)
+}
+
+/// Guards against answers to requests of one kind that clear a part which crashes upstreams under
+/// another kind, and against a ban that refuses both.
+#[test]
+fn a_part_is_banned_in_the_kind_of_requests_under_which_it_crashes_upstreams() {
+    let mut screen = Screen::default();
+    let sound = [GUILTY, in_kind(2), request(50)];
+    screen.answered(&sound, at(100));
+    for number in 1..=3 {
+        let now = 1_000 * number;
+        crash(&mut screen, number, &[GUILTY, in_kind(1)], at(now));
+        screen.answered(&sound, at(now + 500));
+    }
+    let standing = |part| screen.standing(&[GUILTY, part]);
+    assert_eq!(standing(in_kind(1)), Standing::Guilty);
+    assert_eq!(standing(in_kind(2)), Standing::Clear);
+}
+
+/// Guards against a part that counts twice, by itself and in its kind, where no answer tells them
+/// apart: it needs one permit.
+#[test]
+fn a_part_without_answers_needs_one_permit_for_all_kinds() {
+    let mut screen = Screen::default();
+    let subjects = [GUILTY, in_kind(1), request(1)];
+    crash(&mut screen, 1, &subjects[..2], at(100));
+    assert_eq!(screen.standing(&subjects), Standing::Suspect);
+    assert_eq!(screen.standing(&[in_kind(1)]), Standing::Clear);
+    assert!(screen.try_out(&subjects, at(110)).is_none());
+    screen.take_permits(&mut vec![permit(GUILTY)], at(110), at(120));
+    let trial = screen.try_out(&subjects, at(130));
+    assert!(trial.is_some());
+    assert!(screen.may_send(&subjects, trial.as_ref(), at(140)));
+}
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -395,7 +395,7 @@
         self.await_configuration(&ctx).await;
         let result = match self.resolve(&ctx, &self.view()) {
             Ok(resolved) => {
-                ctx.kind.set(Some(resolved.route.kind));
+                ctx.set_route(&resolved.route);
                 // The instance that has handed it over has counted it.
                 if ctx.peer_place.is_none() {
                     self.with_budget(&resolved.service.name, |b| b.deposit(self.now()));
--- a/crates/node/src/gateway/forward/context.rs
+++ b/crates/node/src/gateway/forward/context.rs
@@ -62,6 +62,8 @@
     pub fingerprint: u64,
     /// Kind of the route, once it is resolved.
     pub kind: Cell<Option<Kind>>,
+    /// Digest of the route's name, once it is resolved.
+    pub route_digest: Cell<u64>,
     /// Attempts that may have run.
     pub runs: Cell<History>,
     /// Position of the current model among those of the route.
@@ -243,14 +245,24 @@
         digests.join(",")
     }
 
-    /// Returns what a crash under the request may be due to: the shared parts of its prompt and the
-    /// request itself, which is the last entry.
+    /// Records the route of the request.
+    pub(super) fn set_route(&self, route: &Route) {
+        self.kind.set(Some(route.kind));
+        self.route_digest.set(digest::of(route.name.as_bytes()));
+    }
+
+    /// Returns what a crash under the request may be due to: the shared parts of its prompt, the same
+    /// parts in requests of its route, and the request itself, which is the last entry.
+    ///
+    /// The route has to be known.
     pub(super) fn subjects(&self) -> &[Subject] {
         self.subjects.get_or_init(|| {
             let request = Subject::Request(Fingerprint::of_digest(self.fingerprint));
-            let parts = self.shared_parts().iter();
-            let parts = parts.map(|(part, _)| Subject::Part(*part));
-            parts.chain([request]).collect()
+            let digests = self.shared_parts().iter().map(|(part, _)| *part);
+            let route = self.route_digest.get();
+            let of_route = digests.clone().map(|part| Subject::of_kind(part, route));
+            let parts = digests.map(Subject::Part);
+            parts.chain(of_route).chain([request]).collect()
         })
     }
 
--- a/scenario/src/crash.rs
+++ b/scenario/src/crash.rs
@@ -55,7 +55,17 @@
 /// Number of parts that sound requests have one of.
 const VARIANTS: u64 = 5;
 
-/// First digests of the parts: those that all requests share, the guilty ones, the variants.
+/// The kind of most sound requests, which is the first one of the guilty ones too, and another one.
+const KIND: u64 = 1;
+const OTHER_KIND: u64 = 10;
+
+/// Number of requests of which one is of the other kind, if there is one.
+const OTHER_KIND_INTERVAL: u64 = 3;
+
+/// Position of the number of a part in its digest. The digests of two parts are far apart.
+const PART_SHIFT: u32 = 48;
+
+/// First numbers of the parts: those that all requests share, the guilty ones, the variants.
 const SHARED: u64 = 10;
 const OTHER_SHARED: u64 = 20;
 const GUILTY: u64 = 100;
@@ -74,6 +84,8 @@
     NoBan,
     /// A crash charges only the parts of requests whose answers have begun.
     ChargeBegun,
+    /// Parts are judged over all kinds of requests at once.
+    AllKinds,
 }
 
 /// What happens to the control instances.
@@ -104,6 +116,10 @@
     pub is_new: bool,
     /// Whether a guilty part crashes the upstream before the head of the answer is sent.
     pub is_before_head: bool,
+    /// Whether sound requests of another kind have the guilty parts too.
+    pub is_one_kind: bool,
+    /// Number of kinds of the guilty requests, unless they are of one kind.
+    pub kinds: u64,
     /// Time from the head of an answer, or its place, until a guilty part crashes the upstream.
     pub crash_delay: Span,
     /// Time until a crashed upstream is back.
@@ -124,17 +140,19 @@
     /// Requests with a guilty part that were sent later than `ContactMs` after its fifth crash: the
     /// most of any part.
     pub late: usize,
-    /// Sound requests from twice that time on.
-    pub sound: usize,
-    /// Those of them that began at the first attempt.
-    pub begun: usize,
+    /// Sound requests of the kind of the guilty ones from twice that time on, and those of them that
+    /// began at the first attempt.
+    pub sound: (usize, usize),
+    /// The same of the other kind.
+    pub other: (usize, usize),
 }
 
 impl Outcome {
     /// Returns whether sound requests are served and guilty ones are stopped.
     #[must_use]
-    pub const fn holds(&self) -> bool {
-        self.late <= ALLOWED && (self.sound < MIN_SOUND || 2 * self.begun >= self.sound)
+    pub fn holds(&self) -> bool {
+        let are_served = |(sound, begun): (usize, usize)| sound < MIN_SOUND || 2 * begun >= sound;
+        self.late <= ALLOWED && are_served(self.sound) && are_served(self.other)
     }
 }
 
@@ -163,6 +181,8 @@
             is_new: rng.random_bool(0.7),
             crash_delay: Span::from_millis(rng.random_range(5..500)),
             is_before_head: false,
+            is_one_kind: false,
+            kinds: 1,
             down: Span::from_millis(rng.random_range(1_000..10_000)),
             answer: Span::from_millis(rng.random_range(100..12_000)),
             others: rng.random_range(0..3),
@@ -171,6 +191,8 @@
         // Drawn last, so that earlier seeds keep their other circumstances.
         Self {
             is_before_head: rng.random_bool(0.5),
+            is_one_kind: rng.random_bool(0.3),
+            kinds: rng.random_range(1..5),
             ..case
         }
     }
@@ -189,6 +211,14 @@
     sound: Option<usize>,
 }
 
+/// A sound request.
+struct Sound {
+    at: Time,
+    has_begun: bool,
+    /// Whether it is of the other kind.
+    is_other: bool,
+}
+
 /// A request that waits for a permit.
 struct Held {
     entry: usize,
@@ -237,8 +267,7 @@
     /// Crashes and arrivals by guilty part.
     crashes: Vec<Vec<Time>>,
     arrivals: Vec<Vec<Time>>,
-    /// Sound requests, and whether they have begun.
-    sound: Vec<(Time, bool)>,
+    sound: Vec<Sound>,
     number: u64,
     rng: ChaCha8Rng,
 }
@@ -322,14 +351,31 @@
             OTHER_SHARED
         };
         let variant = VARIANT + self.rng.random_range(0..VARIANTS);
-        let part = guilty.map_or(variant, |g| GUILTY + g);
-        let mut subjects: Vec<Subject> = (0..self.case.shared)
-            .map(|n| Subject::Part(first + n))
-            .collect();
-        subjects.push(Subject::Part(part));
+        let is_other = guilty.is_none()
+            && self.case.is_one_kind
+            && self.number.is_multiple_of(OTHER_KIND_INTERVAL);
+        let (kind, part) = match guilty {
+            Some(guilty) if !self.case.is_one_kind => {
+                let kind = self.rng.random_range(0..self.case.kinds);
+                (KIND + kind, GUILTY + guilty)
+            }
+            Some(guilty) => (KIND, GUILTY + guilty),
+            None if is_other => (OTHER_KIND, GUILTY + self.number % self.case.guilty),
+            None => (KIND, variant),
+        };
+        let numbers = (0..self.case.shared).map(|n| first + n).chain([part]);
+        let parts: Vec<u64> = numbers.map(|number| number << PART_SHIFT).collect();
+        let mut subjects: Vec<Subject> = parts.iter().copied().map(Subject::Part).collect();
+        if self.plant != Plant::AllKinds {
+            subjects.extend(parts.iter().map(|part| Subject::of_kind(*part, kind)));
+        }
         subjects.push(Subject::Request(Fingerprint::of_digest(self.number)));
         let sound = guilty.is_none().then(|| {
-            self.sound.push((self.now, false));
+            self.sound.push(Sound {
+                at: self.now,
+                has_begun: false,
+                is_other,
+            });
             self.sound.len() - 1
         });
         let entry = self.rng.random_range(0..self.entries.len());
@@ -357,7 +403,11 @@
             Plant::BanAll if subjects.iter().any(|s| self.charged.contains(s)) => {
                 return Verdict::Refuse;
             }
-            Plant::None | Plant::NoClearing | Plant::BanAll | Plant::ChargeBegun => {}
+            Plant::None
+            | Plant::NoClearing
+            | Plant::BanAll
+            | Plant::ChargeBegun
+            | Plant::AllKinds => {}
         }
         if standing == Standing::Clear {
             return Verdict::Send { is_trial: false };
@@ -399,7 +449,8 @@
             let name = upstream_name(upstream);
             self.entries[request.entry].begin_trial(&name, self.now);
         }
-        if let Some(part) = guilty_part(&request.subjects) {
+        let guilty = guilty_part(&request.subjects).filter(|_| request.sound.is_none());
+        if let Some(part) = guilty {
             self.arrivals[part].push(self.now);
         }
         let head_at = self.now + HEAD_TIME;
@@ -436,7 +487,7 @@
         let mut done = Vec::new();
         for (at, run) in self.runs.iter_mut().enumerate() {
             if let Some(sound) = run.sound.filter(|_| run.head_at <= now) {
-                self.sound[sound].1 = true;
+                self.sound[sound].has_begun = true;
             }
             let screen = &mut self.entries[run.entry];
             while run.next_event <= now.min(run.ends) && run.sound.is_some() {
@@ -449,7 +500,7 @@
             if run.ends > now {
                 continue;
             }
-            if let Some(part) = guilty_part(&run.subjects) {
+            if let Some(part) = guilty_part(&run.subjects).filter(|_| run.sound.is_none()) {
                 self.crashes[part].push(now);
                 crashed.push(run.upstream);
             } else {
@@ -563,15 +614,17 @@
         let from = known.map_or(Time::ZERO, |known| *known + CONTACT + CONTACT);
         // The last ones may not have had time to begin.
         let until = self.now - MAX_HOLD - HEAD_TIME;
-        let counted = self.sound.iter();
-        let counted: Vec<_> = counted
-            .filter(|(at, _)| *at >= from && *at < until)
-            .collect();
+        let count = |is_other: bool| {
+            let of_kind = |s: &&Sound| s.is_other == is_other && (from..until).contains(&s.at);
+            let counted = self.sound.iter().filter(of_kind);
+            let begun = counted.clone().filter(|s| s.has_begun).count();
+            (counted.count(), begun)
+        };
         Outcome {
             crashes: crashes.len(),
             late: late.max().unwrap_or_default(),
-            sound: counted.len(),
-            begun: counted.iter().filter(|(_, begun)| *begun).count(),
+            sound: count(false),
+            other: count(true),
         }
     }
 }
@@ -583,8 +636,8 @@
 /// Returns the position of the guilty part among the subjects, if there is one.
 fn guilty_part(subjects: &[Subject]) -> Option<usize> {
     subjects.iter().find_map(|subject| match subject {
-        Subject::Part(part) if (GUILTY..VARIANT).contains(part) => {
-            usize::try_from(part - GUILTY).ok()
+        Subject::Part(part) if (GUILTY..VARIANT).contains(&(part >> PART_SHIFT)) => {
+            usize::try_from((part >> PART_SHIFT) - GUILTY).ok()
         }
         Subject::Part(_) | Subject::Request(_) => None,
     })
--- a/scenario/tests/crash.rs
+++ b/scenario/tests/crash.rs
@@ -29,6 +29,7 @@
         Plant::BanAll,
         Plant::NoBan,
         Plant::ChargeBegun,
+        Plant::AllKinds,
     ] {
         let mut draws = 1..=20;
         let is_found = draws.any(|seed| !run(&Case::draw(seed), plant, seed).holds());
