--- a/crates/core/src/suspect/evidence/judgement.rs
+++ b/crates/core/src/suspect/evidence/judgement.rs
@@ -55,16 +55,15 @@
     missing: u64,
     /// Crashes shortly after an answer.
     before: u64,
-    /// For a part in requests of one kind, whether the part itself has an answer that this kind does
-    /// not have.
-    says_more: Option<bool>,
+    /// For a part in requests of one kind, whether this kind lacks an answer that the part itself has.
+    lacks_answer: Option<bool>,
 }
 
 impl Count {
-    /// Returns whether the crashes count: those of a part in requests of one kind are mostly those of
-    /// the part itself.
-    fn counts(&self) -> bool {
-        self.says_more != Some(false)
+    /// Returns whether the crashes say more than those of another subject. Those of a part in requests
+    /// of one kind do so only if the part itself has an answer that this kind lacks.
+    fn is_counted(&self) -> bool {
+        self.lacks_answer != Some(false)
     }
 
     const fn crashes(&self) -> u64 {
@@ -77,7 +76,7 @@
             subject: self.subject,
             missing: self.missing & !explained,
             before: self.before & !explained,
-            says_more: self.says_more,
+            lacks_answer: self.lacks_answer,
         }
     }
 
@@ -138,7 +137,7 @@
                     subject: charge.subject,
                     missing,
                     before,
-                    says_more: part.map(|part| part.answer > charge.answer),
+                    lacks_answer: part.map(|part| part.answer > charge.answer),
                 })
             }));
         }
@@ -148,7 +147,7 @@
             if is_same {
                 kept.missing |= next.missing;
                 kept.before |= next.before;
-                kept.says_more = kept.says_more.max(next.says_more);
+                kept.lacks_answer = kept.lacks_answer.max(next.lacks_answer);
             }
             is_same
         });
@@ -179,7 +178,7 @@
             let parts = self
                 .counts
                 .iter()
-                .filter(|c| c.counts() && is_part(c.subject) && of_kind(Some(*c)));
+                .filter(|c| c.is_counted() && is_part(c.subject) && of_kind(Some(*c)));
             let parts = parts.map(|c| c.without(*explained));
             let convictable = parts.clone().filter(|c| c.total() >= c.subject.limit());
             let Some(worst) = convictable.max_by_key(|c| (c.missing.count_ones(), c.total()))
@@ -205,14 +204,14 @@
         self.counts = self.count_charges();
         let mut guilty: Vec<Subject> = Vec::new();
         let mut explained = 0;
-        let is_whole = |count: Option<&Count>| count.is_none_or(|c| c.says_more.is_none());
+        let is_whole = |count: Option<&Count>| count.is_none_or(|c| c.lacks_answer.is_none());
         let mut causes = self.convict(&mut guilty, &mut explained, is_whole);
         causes.extend(self.convict(&mut guilty, &mut explained, |_| true));
         let banned = self.bans.iter().filter(|b| !b.ban.lifted);
         guilty.extend(banned.map(|b| b.ban.subject));
         guilty.sort_unstable();
         guilty.dedup();
-        let others = self.counts.iter().filter(|c| c.counts());
+        let others = self.counts.iter().filter(|c| c.is_counted());
         let others = others.map(|c| c.without(explained));
         let others: Vec<Count> = others.filter(|c| c.crashes() != 0).collect();
         let mut judgements: Vec<Judgement> = Vec::new();
@@ -320,10 +319,10 @@
             own.any(|s| *s == other || other.is_kind_of(*s))
         };
         let parts = self.counts.iter();
-        let parts = parts.filter(|c| c.counts() && is_part(c.subject));
+        let parts = parts.filter(|c| c.is_counted() && is_part(c.subject));
         let others: Vec<&Count> = parts.filter(|c| !is_own(c.subject)).collect();
         guilty.iter().all(|subject| {
-            let count = self.count(*subject).filter(|c| c.counts());
+            let count = self.count(*subject).filter(|c| c.is_counted());
             count.is_some_and(|count| count.is_explained_by(&others))
         })
     }
