End requests whose clients have left, whatever they wait for

Cause: the task that moves a stream to another upstream did not look at the client while it waited for room, a connection or a head. The same on a related path: the HTTP server sees the end of a connection only while it has no unread bytes, so a client that had sent a part of a next request was not seen to leave, on any kind of route and before any head.

Why the fix works: the whole of a stream's relaying is one future that is dropped with the client, and a connection that ends while a request is handled drops the request, whatever was read. Guards return what it held.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -9,6 +9,7 @@
 
 pub mod adapter;
 pub mod buffer;
+mod client_stream;
 mod connection_pool;
 pub mod control;
 pub mod control_client;
--- a/crates/node/src/gateway/forward/relay.rs
+++ b/crates/node/src/gateway/forward/relay.rs
@@ -121,7 +121,16 @@
 ) {
     let left = ctx.deadline(&resolved.route).since(proxy.now());
     let work = relay_upstreams(&proxy, &ctx, &resolved, source, &sender);
-    match timeout(left.to_std(), work).await {
+    let ended = tokio::select! {
+        biased;
+        // The request ends with its client, whatever it waits for.
+        () = sender.closed() => {
+            log::info!(event = "caller_left", request = ctx.id(); "the client of a stream has disconnected");
+            return;
+        }
+        ended = timeout(left.to_std(), work) => ended,
+    };
+    match ended {
         Ok(Ok(())) => {}
         Ok(Err(reason)) => {
             log::info!(event = "stream_cut", request = ctx.id(), reason; "a stream is given up");
@@ -173,10 +182,7 @@
                 );
                 return Ok(());
             }
-            StreamEnd::ClientClosed => {
-                log::info!(event = "caller_left", request = ctx.id(); "the client of a stream has disconnected");
-                return Ok(());
-            }
+            StreamEnd::ClientClosed => return Ok(()),
             StreamEnd::Broken(reason) => {
                 guard.set_outcome(Outcome::Failed);
                 drop((conn, guard));
@@ -194,9 +200,6 @@
                 }
                 ctx.tried.borrow_mut().push(target.upstream.clone());
                 events.discard_partial();
-                if sender.is_closed() {
-                    return Ok(());
-                }
                 source = resume(proxy, ctx, resolved, events.last_id()).await?;
             }
         }
@@ -245,7 +248,6 @@
             () = proxy.cut_off.notified(), if can_resume => {
                 return StreamEnd::Broken("no way to the upstream".into());
             }
-            () = sender.closed() => return StreamEnd::ClientClosed,
         };
         waited = waited.plus(proxy.now().since(wait_from));
         let frame = match frame {
--- a/crates/node/src/gateway/http.rs
+++ b/crates/node/src/gateway/http.rs
@@ -29,7 +29,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::socket;
+use super::{client_stream::ClientStream, socket};
 
 /// Delay after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -379,8 +379,11 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let response_stage = stage.clone();
+    let client = ClientStream::from(stream);
+    let stream = client.clone();
+    let served = connection.clone();
     let service = service_fn(move |request| {
-        let busy = Busy::begin(&connection);
+        let busy = Busy::begin(&served);
         let response = handler(request, peer);
         let stage = response_stage.clone();
         async move {
@@ -393,25 +396,34 @@
             Ok::<_, Infallible>(response.map(tracked))
         }
     });
-    let connection = http1::Builder::new()
+    let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes.max(8_192) + 8_192)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
+    let mut serving = pin!(serving);
     let closing = async {
         wait_for_stage(&mut stage, Stage::Closed).await;
         sleep(FINAL_READ_WAIT).await;
     };
-    let ended = tokio::select! {
-        biased;
-        ended = connection.as_mut() => ended,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let serving = async {
+        tokio::select! {
+            biased;
+            ended = serving.as_mut() => ended,
+            () = closing => {
+                serving.as_mut().graceful_shutdown();
+                serving.await
+            }
         }
     };
-    if let Err(error) = ended {
-        log::debug!("connection from {peer} ended: {error}");
+    tokio::select! {
+        biased;
+        ended = serving => if let Err(error) = ended {
+            log::debug!("connection from {peer} ended: {error}");
+        },
+        // The request ends with its client, whatever it waits for.
+        () = client.left(|| connection.is_busy.get()) => {
+            log::debug!("connection from {peer} ended: the client has left");
+        }
     }
 }
