Bound the log in memory in bytes

Evidence: memory grows by one configuration a change and not at all with 8 routes (25,282 changes, 11 MB).

--- a/crates/core/src/consensus/event.rs
+++ b/crates/core/src/consensus/event.rs
@@ -2,7 +2,10 @@
     CLOCK_DRIFT_PERCENT, Fault, HEARTBEAT_INTERVAL, Identity, LEASE_DURATION, MAX_ELECTION_TIMEOUT,
     Member, Message, Payload, Record, Snapshot,
 };
-use crate::time::{Span, Time};
+use crate::{
+    memory,
+    time::{Span, Time},
+};
 
 /// Settings of a replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -56,6 +59,9 @@
 pub struct Limits {
     /// Maximum number of uncommitted entries in a leader's log.
     pub uncommitted_entries: u64,
+    /// Approximate maximum size of the uncommitted entries in a leader's log, in bytes. A single one
+    /// may be larger.
+    pub uncommitted_bytes: u64,
     /// Maximum size of a payload, in bytes.
     pub payload_bytes: usize,
     /// Maximum number of entries in one message.
@@ -67,6 +73,22 @@
     /// Number of entries before a snapshot that stay in memory, so that followers that lag slightly
     /// need no snapshot.
     pub trailing_entries: u64,
+    /// Approximate maximum size of these entries, in bytes.
+    pub trailing_bytes: u64,
+}
+
+impl Limits {
+    /// Returns the default limits for a log that takes up at most `bytes` of memory: half of it in
+    /// uncommitted entries, a quarter in those before the snapshot and a quarter in those after it,
+    /// for which the state machine takes snapshots.
+    #[must_use]
+    pub fn for_log(bytes: u64) -> Self {
+        Self {
+            uncommitted_bytes: bytes / 2,
+            trailing_bytes: bytes / 4,
+            ..Self::default()
+        }
+    }
 }
 
 impl Default for Limits {
@@ -75,11 +97,13 @@
     fn default() -> Self {
         Self {
             uncommitted_entries: 8_192,
+            uncommitted_bytes: memory::MAX_LOG_BYTES / 2,
             payload_bytes: 2 * 1_024 * 1_024,
             batch_entries: 1_024,
             batch_bytes: 256 * 1_024,
             chunk_bytes: 256 * 1_024,
             trailing_entries: 1_000,
+            trailing_bytes: memory::MAX_LOG_BYTES / 4,
         }
     }
 }
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -83,7 +83,10 @@
                 let problem = format!("a payload has at most {} bytes", limits.payload_bytes);
                 return Err(Refusal::Unfit(problem));
             }
-            if self.log.last_index() - self.commit_index >= limits.uncommitted_entries {
+            let uncommitted = self.log.size_after(self.commit_index);
+            let size = payload.as_bytes().len() as u64;
+            let is_over = uncommitted > 0 && uncommitted + size > limits.uncommitted_bytes;
+            if is_over || self.log.last_index() - self.commit_index >= limits.uncommitted_entries {
                 return Err(Refusal::Overloaded);
             }
             Ok(Content::Payload(payload))
--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -8,7 +8,11 @@
     snapshot: Snapshot,
     base_index: u64,
     base_term: u64,
+    /// Approximate size of all entries up to `base_index` since the start, in bytes.
+    base_size: u64,
     entries: Vec<Entry>,
+    /// The same size up to each of the entries.
+    sizes: Vec<u64>,
     members_index: u64,
     members: Members,
 }
@@ -19,6 +23,8 @@
         let mut log = Self {
             base_index: snapshot.index,
             base_term: snapshot.term,
+            base_size: 0,
+            sizes: cumulative_sizes(&entries),
             members_index: snapshot.index,
             members: Members::default(),
             snapshot,
@@ -68,6 +74,29 @@
         self.entries.get(usize::try_from(at).ok()?)
     }
 
+    /// Returns the approximate size of all entries up to `index` since the start, in bytes.
+    fn size_up_to(&self, index: u64) -> u64 {
+        let count = to_usize(index.saturating_sub(self.base_index)).min(self.sizes.len());
+        let last = count.checked_sub(1);
+        last.map_or(self.base_size, |at| self.sizes[at])
+    }
+
+    /// Returns the approximate size of the entries after `index`, in bytes.
+    pub fn size_after(&self, index: u64) -> u64 {
+        self.size_up_to(self.last_index()) - self.size_up_to(index)
+    }
+
+    /// Returns the lowest index in memory from which on the entries up to `index` take up at most
+    /// `bytes`.
+    pub fn base_for(&self, index: u64, bytes: u64) -> u64 {
+        let end = self.size_up_to(index);
+        let is_over = |size: u64| end.saturating_sub(size) > bytes;
+        let over = self.sizes.partition_point(|size| is_over(*size)) as u64;
+        let is_whole = over == 0 && !is_over(self.base_size);
+        let base = self.base_index + if is_whole { 0 } else { over + 1 };
+        base.min(index)
+    }
+
     /// Returns at most `count` entries from `index` on, of about `bytes` in total. An entry that is
     /// larger than that is returned alone.
     pub fn batch(&self, index: u64, count: usize, bytes: usize) -> Vec<Entry> {
@@ -105,7 +134,9 @@
             self.members = members.clone();
             self.members_index = entry.index;
         }
+        let size = self.size_up_to(self.last_index()) + entry.size() as u64;
         self.entries.push(entry);
+        self.sizes.push(size);
     }
 
     /// Drops the entries with the index `from` or a higher one.
@@ -115,6 +146,7 @@
         }
         let keep = from.saturating_sub(self.base_index + 1);
         self.entries.truncate(to_usize(keep));
+        self.sizes.truncate(to_usize(keep));
         if self.members_index >= from {
             self.recompute_members();
         }
@@ -126,7 +158,10 @@
         if base_index > self.base_index
             && let Some(term) = self.term_at(base_index)
         {
-            self.entries.drain(..to_usize(base_index - self.base_index));
+            let dropped = to_usize(base_index - self.base_index);
+            self.base_size = self.size_up_to(base_index);
+            self.entries.drain(..dropped);
+            self.sizes.drain(..dropped);
             self.base_index = base_index;
             self.base_term = term;
         }
@@ -176,7 +211,7 @@
     /// Approximate size of a serialized entry without its payload, in bytes.
     const OVERHEAD: usize = 48;
 
-    fn size(&self) -> usize {
+    pub(crate) fn size(&self) -> usize {
         match &self.content {
             Content::Payload(payload) => Self::OVERHEAD + payload.as_bytes().len(),
             Content::Empty | Content::Members(_) => Self::OVERHEAD,
@@ -191,6 +226,15 @@
     }
 }
 
+/// Returns the approximate size of the entries up to each of them, in bytes.
+fn cumulative_sizes(entries: &[Entry]) -> Vec<u64> {
+    let sizes = entries.iter().scan(0, |sum, entry| {
+        *sum += entry.size() as u64;
+        Some(*sum)
+    });
+    sizes.collect()
+}
+
 /// Converts a number of entries in memory, which always fits.
 fn to_usize(count: u64) -> usize {
     usize::try_from(count).unwrap_or(usize::MAX)
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -125,6 +125,12 @@
         self.commit_index
     }
 
+    /// Returns the approximate size of the entries in memory, in bytes.
+    #[must_use]
+    pub fn log_bytes(&self) -> u64 {
+        self.log.size_after(self.log.base_index())
+    }
+
     /// Returns the current term.
     #[must_use]
     pub const fn term(&self) -> u64 {
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -32,12 +32,13 @@
             data,
         };
         self.write_queue.push(Record::Snapshot(snapshot.clone()));
-        let mut base = index.saturating_sub(self.limits.trailing_entries);
+        let fitting = self.log.base_for(index, self.limits.trailing_bytes);
+        let mut base = fitting.max(index.saturating_sub(self.limits.trailing_entries));
         if let State::Leader(leader) = &self.state
             && let Some(needed) =
                 leader.min_transfer_index(self.now, self.timing.min_election_timeout())
         {
-            base = base.min(needed);
+            base = base.min(needed).max(fitting);
         }
         self.log.compact(snapshot, base);
     }
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -15,6 +15,19 @@
 /// Part of a machine's memory in percent that a process spends on its connections.
 const CONNECTION_PERCENT: u64 = 30;
 
+/// Part of a machine's memory in percent that a process holds in entries of the replicated log.
+const LOG_PERCENT: u64 = 20;
+
+/// Most bytes of entries of the replicated log in memory: sixteen of the largest configurations.
+pub const MAX_LOG_BYTES: u64 = 64 * 1_024 * 1_024;
+
+/// Part of a machine's memory in percent that a control instance holds in earlier configurations, and
+/// the same again in parcels for entry instances.
+const ARCHIVE_PERCENT: u64 = 6;
+
+/// Most bytes of earlier configurations: four of the largest.
+const MAX_ARCHIVE_BYTES: u64 = 16 * 1_024 * 1_024;
+
 /// Memory of a connection in bytes: its buffer, with a head of 16 KiB and 8 KiB of a body, and the
 /// state of a request.
 const CONNECTION_BYTES: u64 = 32 * 1_024;
@@ -110,6 +123,20 @@
     (max_connections(memory, descriptors) / 2).max(1)
 }
 
+/// Returns the number of bytes that a process on a machine with that memory in bytes holds in entries
+/// of the replicated log.
+#[must_use]
+pub fn log_bytes(memory: Option<u64>) -> u64 {
+    percent_of(memory.unwrap_or(DEFAULT_MEMORY), LOG_PERCENT).min(MAX_LOG_BYTES)
+}
+
+/// Returns the number of bytes that a control instance with that memory in bytes holds in earlier
+/// configurations.
+#[must_use]
+pub fn archive_bytes(memory: Option<u64>) -> u64 {
+    percent_of(memory.unwrap_or(DEFAULT_MEMORY), ARCHIVE_PERCENT).min(MAX_ARCHIVE_BYTES)
+}
+
 const fn percent_of(bytes: u64, percent: u64) -> u64 {
     bytes.saturating_mul(percent) / 100
 }
--- a/crates/core/src/storage/store.rs
+++ b/crates/core/src/storage/store.rs
@@ -18,6 +18,10 @@
 /// Name of a file before it is renamed into place. One that a crash left is removed.
 pub const TEMPORARY: &str = "temporary";
 
+/// Largest size of a frame's entries in bytes, if it has several. As JSON they take up four times as
+/// much memory, and twice that while they are written.
+const MAX_FRAME_BYTES: usize = 1_024 * 1_024;
+
 plain! {
     /// An item in the body of a segment's frame.
     pub enum FrameItem {
@@ -123,7 +127,8 @@
         Ok(self)
     }
 
-    /// Writes records with one sync.
+    /// Writes records in order, with one sync unless their entries are large. A crash may lose the last
+    /// ones only.
     ///
     /// # Errors
     ///
@@ -147,8 +152,11 @@
             self.write_snapshot(snapshot)?;
             self.is_segment_open = false;
         }
-        if !records.is_empty() {
-            self.write_frame(records)?;
+        let mut rest = records;
+        while !rest.is_empty() {
+            let (frame, later) = rest.split_at(frame_length(rest));
+            self.write_frame(frame)?;
+            rest = later;
         }
         match latest {
             Some(snapshot) => self.remove_obsolete(snapshot.index),
@@ -331,6 +339,21 @@
     }
 }
 
+/// Returns the number of records at the start that make up a frame.
+fn frame_length(records: &[Record]) -> usize {
+    let size = |record: &Record| match record {
+        Record::Entry(entry) => entry.size(),
+        // The snapshot itself has a file of its own.
+        Record::Vote(_) | Record::Snapshot(_) => 0,
+    };
+    let mut bytes = 0;
+    let fits = records.iter().take_while(|record| {
+        bytes += size(record);
+        bytes <= MAX_FRAME_BYTES
+    });
+    fits.count().max(1)
+}
+
 pub fn disk_error(operation: &'static str, file: &str, source: io::Error) -> Error {
     Error::Disk {
         operation,
--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use crate::{consensus::Payload, fault::Fault};
+use crate::{consensus::Payload, fault::Fault, memory};
 
 /// Bytes of a parcel in one message.
 pub const PART_BYTES: usize = 64 * 1_024;
@@ -14,9 +14,6 @@
 /// Contents that a sender keeps as bases, with the newest one.
 const MAX_CONTENTS: usize = 8;
 
-/// Bytes of older contents that a sender keeps.
-const MAX_CONTENT_BYTES: usize = 16 * 1_024 * 1_024;
-
 plain! {
     /// Cryptographic hash of a content or parcel.
     #[derive(Copy, Eq, PartialOrd, Ord)]
@@ -91,13 +88,36 @@
 }
 
 /// The newest configuration and earlier ones, which are bases of differences.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Archive {
     /// Sorted by revision.
     contents: Vec<Stored>,
+    /// Most bytes of the earlier ones.
+    room: u64,
+}
+
+impl Default for Archive {
+    fn default() -> Self {
+        Self::new(memory::archive_bytes(None))
+    }
 }
 
 impl Archive {
+    /// Creates an archive that keeps at most `room` bytes beside the newest configuration.
+    #[must_use]
+    pub const fn new(room: u64) -> Self {
+        Self {
+            contents: Vec::new(),
+            room,
+        }
+    }
+
+    /// Returns the most bytes that are kept beside the newest configuration.
+    #[must_use]
+    pub const fn room(&self) -> u64 {
+        self.room
+    }
+
     /// Adds a configuration that is newer than the others.
     pub fn insert(&mut self, revision: u64, content: Payload) {
         if revision <= self.newest().map_or(0, |n| n.revision) {
@@ -108,9 +128,9 @@
             digest: Digest::of(content.as_bytes()),
             content,
         });
-        let size = |c: &Stored| c.content.as_bytes().len();
-        let older = |all: &[Stored]| -> usize { all.iter().rev().skip(1).map(size).sum() };
-        while self.contents.len() > MAX_CONTENTS || older(&self.contents) > MAX_CONTENT_BYTES {
+        let size = |c: &Stored| c.content.as_bytes().len() as u64;
+        let older = |all: &[Stored]| -> u64 { all.iter().rev().skip(1).map(size).sum() };
+        while self.contents.len() > MAX_CONTENTS || older(&self.contents) > self.room {
             self.contents.remove(0);
         }
     }
--- a/crates/core/tests/consensus/rules.rs
+++ b/crates/core/tests/consensus/rules.rs
@@ -377,3 +377,71 @@
     let actions = replica.step(respond(appended(1, heartbeat_sent.unwrap())), now);
     assert_eq!(sent_entries(&actions).0, 1, "a lost entry is sent again");
 }
+
+/// Guards against a log whose size in memory grows with the size of its entries, committed or not.
+#[test]
+fn the_log_in_memory_is_bounded_in_bytes() {
+    const ROOM: u64 = 1_000_000;
+    for size in [10_u64, 10_000, 150_000] {
+        let limits = Limits::for_log(ROOM);
+        let image = Image::founding(
+            OWN,
+            Members {
+                voters: vec![member(0, OWN)],
+                ..Members::default()
+            },
+        );
+        let settings = Settings {
+            limits,
+            ..Settings::default()
+        };
+        let mut replica = Replica::new(&settings, image, Time::ZERO);
+        let now = Time::ZERO + MAX_ELECTION_TIMEOUT;
+        replica.step(Event::Tick, now);
+        let mut since_snapshot = 0;
+        let mut synced = 0;
+        let mut applied = 0;
+        let mut refused = 0;
+        let mut most = 0;
+        for ticket in 0..3_000 {
+            let payload = Payload::from(vec![0xfe; usize::try_from(size).unwrap()]);
+            let mut actions = replica.step(Event::Propose { ticket, payload }, now);
+            // The disk takes a while, so some proposals wait for it.
+            if ticket % 7 == 0 {
+                synced += 1;
+                actions.extend(replica.step(Event::Synced(synced), now));
+            }
+            most = most.max(replica.log_bytes());
+            for action in actions {
+                match action {
+                    Action::Apply { index, .. } => {
+                        applied = index;
+                        since_snapshot += size;
+                    }
+                    Action::Answer {
+                        outcome: Err(Refusal::Overloaded),
+                        ..
+                    } => refused += 1,
+                    _ => {}
+                }
+            }
+            if since_snapshot >= ROOM / 4 {
+                since_snapshot = 0;
+                let data = Payload::default();
+                replica.step(
+                    Event::Snapshotted {
+                        index: applied,
+                        data,
+                    },
+                    now,
+                );
+            }
+        }
+        assert!(applied > 400, "{applied} are applied, {refused} refused");
+        // An entry beside the parts of the room, as each part may be passed by one.
+        assert!(
+            most <= ROOM + 2 * size,
+            "{most} bytes with entries of {size}"
+        );
+    }
+}
--- a/crates/core/tests/consensus/simulation.rs
+++ b/crates/core/tests/consensus/simulation.rs
@@ -23,11 +23,13 @@
 /// Small limits, so that short schedules split batches and snapshots.
 const LIMITS: Limits = Limits {
     uncommitted_entries: 64,
+    uncommitted_bytes: 64_000,
     payload_bytes: 1_000,
     batch_entries: 1,
     batch_bytes: 1_000,
     chunk_bytes: 9,
     trailing_entries: 2,
+    trailing_bytes: 2_000,
 };
 
 /// Maximum delay of a duplicated message, in milliseconds.
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -403,6 +403,7 @@
             voters: state.replica.members().voters.len(),
             upstreams: state.directory.entries().len(),
             reachable: peers.iter().filter(is_reachable).count(),
+            log_bytes: state.replica.log_bytes(),
         }
     }
 
--- a/crates/node/src/gateway/control/library.rs
+++ b/crates/node/src/gateway/control/library.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::parcel;
 
-/// Parcels that are kept.
+/// Parcels that are kept, unless they take up more bytes than the earlier configurations may.
 const MAX_PARCELS: usize = 16;
 
 /// Content and base of a parcel.
@@ -17,7 +17,7 @@
 type Cell = Rc<OnceCell<Parcel>>;
 
 /// The configurations of a control instance and their parcels.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Library {
     /// The newest configuration and earlier ones.
     pub archive: Archive,
@@ -34,6 +34,21 @@
 }
 
 impl Library {
+    /// Creates a library whose earlier configurations and parcels take up `room` bytes each at most.
+    pub const fn new(room: u64) -> Self {
+        Self {
+            archive: Archive::new(room),
+            parcels: Vec::new(),
+        }
+    }
+
+    /// Returns whether one of the parcels has to go before another one is encoded.
+    fn is_full(&self) -> bool {
+        let encoded = self.parcels.iter().filter_map(|(_, cell)| cell.get());
+        let bytes: u64 = encoded.map(|p| p.head().bytes).sum();
+        self.parcels.len() >= MAX_PARCELS || bytes > self.archive.room()
+    }
+
     /// Returns the order for the parcel of a content for a receiver that holds `base`.
     fn order(&mut self, target: Stored, base: Option<Digest>) -> Order {
         let base = base.and_then(|b| self.archive.get(b)).cloned();
@@ -42,7 +57,7 @@
         let cell = if let Some((_, cell)) = found {
             cell.clone()
         } else {
-            if self.parcels.len() >= MAX_PARCELS {
+            while self.is_full() {
                 self.parcels.remove(0);
             }
             let cell = Cell::default();
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -8,6 +8,7 @@
     },
     digest, fleet,
     limit::{Issuer, Rate, Want},
+    memory,
     notice::Departure,
     pace,
     replicated::{self, Command},
@@ -28,8 +29,8 @@
 };
 
 /// Bytes of log entries after which a snapshot is taken, unless four times the size of the last
-/// snapshot is more.
-const SNAPSHOT_INTERVAL_BYTES: usize = 1_024 * 1_024;
+/// snapshot is more. A quarter of the room for the log is the most.
+const SNAPSHOT_INTERVAL_BYTES: u64 = 1_024 * 1_024;
 
 /// Timing of heartbeats, leases and elections.
 ///
@@ -120,10 +121,12 @@
     pending_confirmation: Option<(Time, u64)>,
     waiters: Vec<(u64, Waiter)>,
     next_ticket: u64,
+    /// Room for the log in memory, in bytes.
+    log_room: u64,
     /// Bytes of log entries since the last snapshot.
-    log_bytes: usize,
+    log_bytes: u64,
     /// Size of the last snapshot.
-    snapshot_bytes: usize,
+    snapshot_bytes: u64,
 }
 
 /// Encodes a command for the log.
@@ -146,13 +149,14 @@
     ) -> Result<Self, String> {
         let agreed = decode(&image.snapshot)?;
         let applied = image.snapshot.index;
-        let snapshot_bytes = image.snapshot.data.as_bytes().len();
-        let mut library = Library::default();
+        let snapshot_bytes = image.snapshot.data.as_bytes().len() as u64;
+        let log_room = memory::log_bytes(settings.memory_limit);
+        let mut library = Library::new(memory::archive_bytes(settings.memory_limit));
         library
             .archive
             .insert(agreed.revision, agreed.content.clone());
         Ok(Self {
-            replica: new_replica(image, now),
+            replica: new_replica(image, log_room, now),
             agreed: Arc::new(agreed),
             library,
             configured_at: now,
@@ -179,6 +183,7 @@
             pending_confirmation: None,
             waiters: Vec::new(),
             next_ticket: 1,
+            log_room,
             log_bytes: 0,
             snapshot_bytes,
         })
@@ -216,9 +221,9 @@
     pub fn resume(&mut self, image: Image, disk: Disk, now: Time) -> Result<(), String> {
         let agreed = decode(&image.snapshot)?;
         self.applied_index = image.snapshot.index;
-        self.snapshot_bytes = image.snapshot.data.as_bytes().len();
+        self.snapshot_bytes = image.snapshot.data.as_bytes().len() as u64;
         self.log_bytes = 0;
-        self.replica = new_replica(image, now);
+        self.replica = new_replica(image, self.log_room, now);
         self.set_agreed(agreed, now);
         (self.confirmed_at, self.pending_confirmation) = (None, None);
         self.disk = Some(disk);
@@ -348,14 +353,15 @@
 
     /// Counts the bytes of an applied entry and returns a snapshot if one is due.
     fn snapshot_if_due(&mut self, bytes: usize) -> Option<Event> {
-        self.log_bytes += bytes;
-        if self.log_bytes < SNAPSHOT_INTERVAL_BYTES.max(4 * self.snapshot_bytes) {
+        self.log_bytes += bytes as u64;
+        let interval = SNAPSHOT_INTERVAL_BYTES.max(4 * self.snapshot_bytes);
+        if self.log_bytes < interval.min(self.log_room / 4) {
             return None;
         }
         self.log_bytes = 0;
         match postcard::to_stdvec(&*self.agreed) {
             Ok(data) => {
-                self.snapshot_bytes = data.len();
+                self.snapshot_bytes = data.len() as u64;
                 Some(Event::Snapshotted {
                     index: self.applied_index,
                     data: Payload::from(data),
@@ -771,10 +777,11 @@
     }
 }
 
-fn new_replica(image: Image, now: Time) -> Replica {
+/// Returns the replica with that image, whose log takes up at most `log_room` bytes of memory.
+fn new_replica(image: Image, log_room: u64, now: Time) -> Replica {
     let limits = consensus::Limits {
         payload_bytes: MAX_CONFIG_BYTES + 1_024,
-        ..consensus::Limits::default()
+        ..consensus::Limits::for_log(log_room)
     };
     let settings = Settings {
         seed: super::random(),
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -418,6 +418,7 @@
     voters: Gauge,
     upstreams: Gauge,
     reached: Gauge,
+    log_bytes: Gauge,
 }
 
 impl Default for ControlMetrics {
@@ -434,6 +435,7 @@
         let voters = gauge("voters", "Voters of the log");
         let upstreams = gauge("upstreams", "Known upstreams");
         let reached = gauge("reached", "Other control instances in contact");
+        let log_bytes = gauge("log_bytes", "Size of the log's entries in memory, in bytes");
         Self {
             registry,
             leads,
@@ -442,6 +444,7 @@
             voters,
             upstreams,
             reached,
+            log_bytes,
         }
     }
 }
@@ -461,6 +464,8 @@
     pub upstreams: usize,
     /// Number of other control instances in contact.
     pub reachable: usize,
+    /// Size of the log's entries in memory, in bytes.
+    pub log_bytes: u64,
 }
 
 impl ControlMetrics {
@@ -473,6 +478,7 @@
         self.voters.set(saturating_i64(status.voters));
         self.upstreams.set(saturating_i64(status.upstreams));
         self.reached.set(saturating_i64(status.reachable));
+        self.log_bytes.set(saturating_i64(status.log_bytes));
         encode(&self.registry)
     }
 }
