Keep routes closed when the last client account is taken out

Cause: an empty list and none were one state, in which no key is needed.

Evidence: requests without any key run, so it is no cached key.

Why the fix works: the table says whether keys are needed, apart from how many there are. Formats stay readable for the landed build both ways.

The lint test's table without accounts now says that no key is needed, because an empty list no longer means it.

--- a/crates/core/src/lint.rs
+++ b/crates/core/src/lint.rs
@@ -119,6 +119,7 @@
     findings.check_limits(&raw.limits, facts.memory_bytes);
     findings.check_routes(raw);
     findings.check_services(raw, facts);
+    findings.check_access(raw);
     for (at, account) in raw.accounts.iter().enumerate() {
         findings.check_account(Place::Account(at), account);
     }
@@ -319,6 +320,13 @@
         }
     }
 
+    fn check_access(&mut self, raw: &Raw) {
+        if raw.needs_keys && raw.accounts.iter().all(|a| a.keys.is_empty()) {
+            let text = "keys are needed and there is none: only public routes are served";
+            self.warn(Place::Table, Field::Keys, text);
+        }
+    }
+
     fn check_account(&mut self, place: Place, account: &Account) {
         if account.keys.is_empty() {
             let text = format!("client account {} has no key", account.name);
--- a/crates/core/src/lint/difference.rs
+++ b/crates/core/src/lint/difference.rs
@@ -66,10 +66,11 @@
 /// Returns the differences of `new` from `old`: routes, services, client accounts, then the rest.
 #[must_use]
 pub fn between(old: &Raw, new: &Raw) -> Vec<Change> {
-    let has_accounts = !new.accounts.is_empty();
+    // Keys that were needed once stay needed.
+    let needs_keys = new.needs_keys || old.needs_keys;
     let routes = pairs(&old.routes, &new.routes, |r| (&*r.host, &*r.prefix)).into_iter();
     let services = pairs(&old.services, &new.services, |s| &*s.name).into_iter();
-    let routes = routes.filter_map(|pair| route_change(pair, has_accounts));
+    let routes = routes.filter_map(|pair| route_change(pair, needs_keys));
     let mut changes: Vec<_> = routes.chain(services.filter_map(service_change)).collect();
     let mut keys: Vec<_> = new.accounts.iter().flat_map(|a| &a.keys).collect();
     keys.sort_unstable();
@@ -77,17 +78,13 @@
     changes.extend(accounts.filter_map(|pair| account_change(pair, &keys)));
     let limits = edits(limit_fields(&old.limits), limit_fields(&new.limits));
     changes.extend(change(Subject::Limits, limits));
-    let access = |raw: &Raw| {
-        let value = if raw.accounts.is_empty() {
-            "not needed"
-        } else {
-            "needed"
-        };
+    let access = |is_needed: bool| {
+        let value = if is_needed { "needed" } else { "not needed" };
         [(Field::Keys, value.to_owned())]
     };
-    let access = change(Subject::Access, edits(access(old), access(new)));
-    changes.extend(access.map(|change| Change {
-        loss: has_accounts.then(|| NEEDS_KEY.to_owned()),
+    let access = edits(access(old.needs_keys), access(needs_keys));
+    changes.extend(change(Subject::Access, access).map(|change| Change {
+        loss: Some(NEEDS_KEY.to_owned()),
         ..change
     }));
     changes
@@ -158,8 +155,8 @@
     }
 }
 
-/// Returns the change of a route, given whether the new table has client accounts.
-fn route_change(pair: Pair<'_, Route>, has_accounts: bool) -> Option<Change> {
+/// Returns the change of a route, given whether keys are needed.
+fn route_change(pair: Pair<'_, Route>, needs_keys: bool) -> Option<Change> {
     let route = pair.1.or(pair.0)?;
     let subject = Subject::Route {
         name: route.name.clone(),
@@ -173,7 +170,7 @@
     if from == to {
         return None;
     }
-    let needs_key = from.public && !to.public && has_accounts;
+    let needs_key = from.public && !to.public && needs_keys;
     let change = change(subject, edits(route_fields(from), route_fields(to)))?;
     Some(Change {
         loss: needs_key.then(|| NEEDS_KEY.to_owned()),
--- a/crates/core/src/replicated.rs
+++ b/crates/core/src/replicated.rs
@@ -79,9 +79,18 @@
         pub taken_out: Vec<Arc<str>>,
         /// Rollouts, oldest first.
         pub rollouts: Vec<Rollout>,
+        /// Whether a configuration has needed keys. From then on all do, so that one that leaves the
+        /// client accounts out opens nothing. A field of its own at the end of snapshots.
+        #[serde(skip)]
+        pub needs_keys: bool,
     }
 }
 
+/// Why a snapshot can't be decoded.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("can't decode the snapshot: {0}")]
+pub struct DecodeError(#[from] postcard::Error);
+
 /// Which of a service's requests a version may get.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eligibility {
@@ -94,6 +103,35 @@
 }
 
 impl State {
+    /// Encodes a snapshot. Builds that don't know the last field ignore it.
+    ///
+    /// # Panics
+    ///
+    /// Never panics: a state has no maps or unsized values that could not be encoded.
+    #[must_use]
+    pub fn encode(&self) -> Payload {
+        let state = postcard::to_stdvec(self).expect("every state can be encoded");
+        let bytes = postcard::to_extend(&self.needs_keys, state);
+        Payload::from(bytes.expect("a truth value can be encoded"))
+    }
+
+    /// Decodes a snapshot; an empty one stands for the initial state. One of a build that doesn't know
+    /// the last field has it unset.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no snapshot.
+    pub fn decode(snapshot: &[u8]) -> Result<Self, DecodeError> {
+        if snapshot.is_empty() {
+            return Ok(Self::default());
+        }
+        let (mut state, rest) = postcard::take_from_bytes::<Self>(snapshot)?;
+        if !rest.is_empty() {
+            state.needs_keys = postcard::from_bytes(rest)?;
+        }
+        Ok(state)
+    }
+
     /// Applies a command and returns whether it changed anything.
     pub fn apply(&mut self, command: Command) -> bool {
         match command {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -123,7 +123,9 @@
         pub routes: Vec<Route>,
         /// Services.
         pub services: Vec<Service>,
-        /// Client accounts. If there are none, no request needs a key.
+        /// Whether requests of routes that are not public need the key of a client account.
+        pub needs_keys: bool,
+        /// Client accounts.
         pub accounts: Vec<Account>,
         /// Limits on what callers may send.
         pub limits: Limits,
@@ -186,7 +188,7 @@
     ranks: Vec<(u8, u8)>,
     /// Sorted by key.
     keys: Vec<Key>,
-    has_accounts: bool,
+    needs_keys: bool,
 }
 
 /// A key with the client account that it belongs to.
@@ -203,7 +205,7 @@
     type Error = Error;
 
     fn try_from(raw: Raw) -> Result<Self, Error> {
-        let (revision, limits, has_accounts) = (raw.revision, raw.limits, !raw.accounts.is_empty());
+        let (revision, limits, needs_keys) = (raw.revision, raw.limits, raw.needs_keys);
         let sorted = Sorted::from(raw);
         if let Some((_, error)) = sorted.errors().next() {
             return Err(error);
@@ -218,7 +220,7 @@
             routes,
             services,
             keys: without_places(sorted.keys),
-            has_accounts,
+            needs_keys,
         })
     }
 }
@@ -362,10 +364,18 @@
         &self.services
     }
 
-    /// Returns whether requests of routes that are not public need a key.
+    /// Returns whether requests of routes that are not public need a key, also if there is none that
+    /// is accepted.
     #[must_use]
-    pub const fn has_accounts(&self) -> bool {
-        self.has_accounts
+    pub const fn needs_keys(&self) -> bool {
+        self.needs_keys
+    }
+
+    /// Returns the table with keys needed, as an earlier one needed them.
+    #[must_use]
+    pub const fn with_keys_needed(mut self) -> Self {
+        self.needs_keys = true;
+        self
     }
 
     /// Returns the client account that the key belongs to.
--- a/crates/core/tests/lint.rs
+++ b/crates/core/tests/lint.rs
@@ -69,6 +69,7 @@
             route("s", "/a/b/", &[("one", 1), ("two", 3)]),
         ],
         services: vec![service("one"), service("two")],
+        needs_keys: true,
         accounts: vec![account("mill", "k1"), account("farm", "k2")],
         limits: Limits {
             head_bytes: 16_384,
@@ -223,6 +224,7 @@
 fn callers_without_a_key_count() {
     let mut open = table();
     open.accounts.clear();
+    open.needs_keys = false;
     let loss = |old: &Raw, new: &Raw| between(old, new).iter().any(|c| c.loss.is_some());
     assert!(loss(&open, &table()));
     let mut public = table();
--- a/crates/core/tests/replicated.rs
+++ b/crates/core/tests/replicated.rs
@@ -139,3 +139,28 @@
     let bytes = postcard::to_stdvec(&state).unwrap();
     assert_eq!(postcard::from_bytes::<State>(&bytes).unwrap(), state);
 }
+
+/// Guards against a need for keys that a snapshot loses, and against snapshots that an older build or
+/// this one can't read from the other.
+#[test]
+fn snapshots_keep_whether_keys_are_needed() {
+    for needs_keys in [false, true] {
+        let state = State {
+            revision: 7,
+            needs_keys,
+            ..State::default()
+        };
+        let snapshot = state.encode();
+        assert_eq!(State::decode(snapshot.as_bytes()), Ok(state.clone()));
+        // What an older build reads and writes.
+        let open = State {
+            needs_keys: false,
+            ..state
+        };
+        assert_eq!(postcard::from_bytes(snapshot.as_bytes()), Ok(open.clone()));
+        let older = postcard::to_stdvec(&open).unwrap();
+        assert_eq!(State::decode(&older), Ok(open));
+    }
+    assert_eq!(State::decode(&[]), Ok(State::default()));
+    assert!(State::decode(&[7]).is_err());
+}
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -51,6 +51,7 @@
         revision: 7,
         routes,
         services: vec![service("one"), service("two")],
+        needs_keys: true,
         accounts: vec![account("mill", &["k1", "k2"]), account("farm", &["k3"])],
         limits: Limits {
             head_bytes: 16_384,
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -88,6 +88,8 @@
     pub memory_limit: Option<u64>,
     /// Maximum number of descriptors of the process for sockets and data files, if it is limited.
     pub max_descriptors: Option<u64>,
+    /// Returns whether a configuration needs keys.
+    pub needs_keys: fn(&[u8]) -> bool,
 }
 
 /// Why a control process ended.
--- a/crates/node/src/gateway/control/server.rs
+++ b/crates/node/src/gateway/control/server.rs
@@ -135,11 +135,13 @@
             }
             let update = state.answer_poll(poll, sender.format, now);
             extension.revision_age = state.revision_age(now);
+            extension.needs_keys = state.agreed.needs_keys;
             drop(state);
             shared.changed.notify_waiters();
             Reply::Update(Box::new(update))
         }
         Request::Fetch(fetch) => {
+            extension.needs_keys = shared.state.borrow().agreed.needs_keys;
             let orders = shared.state.borrow_mut().library.orders(&fetch);
             Reply::Part(match orders {
                 Some((newest, begun)) => Some(library::part(&fetch, newest, begun).await),
--- a/crates/node/src/gateway/control/state.rs
+++ b/crates/node/src/gateway/control/state.rs
@@ -111,6 +111,8 @@
     domain: Arc<str>,
     /// Interval at which upstreams announce themselves.
     announcement_interval: Span,
+    /// Returns whether a configuration needs keys.
+    needs_keys: fn(&[u8]) -> bool,
     contacts: Vec<Contact>,
     /// Time of the last contact with each replica, sorted by identity.
     replica_contacts: Vec<(Identity, Time)>,
@@ -147,7 +149,7 @@
         disk: Disk,
         now: Time,
     ) -> Result<Self, String> {
-        let agreed = decode(&image.snapshot)?;
+        let agreed = decode(&image.snapshot, settings.needs_keys)?;
         let applied = image.snapshot.index;
         let snapshot_bytes = image.snapshot.data.as_bytes().len() as u64;
         let log_room = memory::log_bytes(settings.memory_limit);
@@ -177,6 +179,7 @@
             started: now,
             domain: settings.domain.clone(),
             announcement_interval: settings.announcement_interval,
+            needs_keys: settings.needs_keys,
             contacts: Vec::new(),
             replica_contacts: Vec::new(),
             confirmed_at: None,
@@ -219,7 +222,7 @@
     ///
     /// Returns an error if the snapshot can't be decoded.
     pub fn resume(&mut self, image: Image, disk: Disk, now: Time) -> Result<(), String> {
-        let agreed = decode(&image.snapshot)?;
+        let agreed = decode(&image.snapshot, self.needs_keys)?;
         self.applied_index = image.snapshot.index;
         self.snapshot_bytes = image.snapshot.data.as_bytes().len() as u64;
         self.log_bytes = 0;
@@ -310,7 +313,7 @@
                 self.apply(index, &payload, now);
                 events.extend(self.snapshot_if_due(payload.as_bytes().len()));
             }
-            Action::Install(snapshot) => match decode(&snapshot) {
+            Action::Install(snapshot) => match decode(&snapshot, self.needs_keys) {
                 Ok(agreed) => {
                     self.set_agreed(agreed, now);
                     self.applied_index = snapshot.index;
@@ -343,6 +346,9 @@
                 if self.agreed.revision > before {
                     self.configured_at = now;
                     let content = self.agreed.content.clone();
+                    if !self.agreed.needs_keys && (self.needs_keys)(content.as_bytes()) {
+                        Arc::make_mut(&mut self.agreed).needs_keys = true;
+                    }
                     self.library.archive.insert(self.agreed.revision, content);
                 }
                 log::info!(event = "applied", index, command = kind, changed; "applied a command");
@@ -359,19 +365,12 @@
             return None;
         }
         self.log_bytes = 0;
-        match postcard::to_stdvec(&*self.agreed) {
-            Ok(data) => {
-                self.snapshot_bytes = data.len() as u64;
-                Some(Event::Snapshotted {
-                    index: self.applied_index,
-                    data: Payload::from(data),
-                })
-            }
-            Err(error) => {
-                log::error!("can't encode a snapshot of the agreed state: {error}");
-                None
-            }
-        }
+        let data = self.agreed.encode();
+        self.snapshot_bytes = data.as_bytes().len() as u64;
+        Some(Event::Snapshotted {
+            index: self.applied_index,
+            data,
+        })
     }
 
     /// Sends the outcome to the caller that waits for the ticket.
@@ -792,13 +791,13 @@
     Replica::new(&settings, image, now)
 }
 
-/// Decodes the agreed state; an empty snapshot stands for the initial state.
-fn decode(snapshot: &Snapshot) -> Result<replicated::State, String> {
-    if snapshot.data.as_bytes().is_empty() {
-        return Ok(replicated::State::default());
-    }
-    postcard::from_bytes(snapshot.data.as_bytes())
-        .map_err(|e| format!("can't decode the snapshot: {e}"))
+/// Decodes the agreed state. `needs_keys` tells whether a configuration needs keys, which a snapshot
+/// of an older build doesn't say.
+fn decode(snapshot: &Snapshot, needs_keys: fn(&[u8]) -> bool) -> Result<replicated::State, String> {
+    let mut state =
+        replicated::State::decode(snapshot.data.as_bytes()).map_err(|e| e.to_string())?;
+    state.needs_keys |= needs_keys(state.content.as_bytes());
+    Ok(state)
 }
 
 /// Returns a short description of a command for log lines.
--- a/crates/node/src/gateway/fetch.rs
+++ b/crates/node/src/gateway/fetch.rs
@@ -1,7 +1,7 @@
 //! Transfer of configurations to an entry instance, beside its polls.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, atomic::Ordering},
@@ -61,6 +61,8 @@
     clock: Clock,
     create_adapter: CreateAdapter,
     held: RefCell<Option<Held>>,
+    /// Whether a configuration has needed keys.
+    needs_keys: Cell<bool>,
 }
 
 impl Configuration {
@@ -71,9 +73,24 @@
             clock,
             create_adapter,
             held: RefCell::default(),
+            needs_keys: Cell::default(),
         }
     }
 
+    /// Records that a configuration has needed keys. From now on all do.
+    pub fn need_keys(&self) {
+        if self.needs_keys.replace(true) {
+            return;
+        }
+        self.publisher.change(|view| {
+            let open = view.table.as_ref().filter(|t| !t.needs_keys()).cloned();
+            if let Some(table) = open {
+                view.table = Some(Arc::new(Table::clone(&table).with_keys_needed()));
+                view.version += 1;
+            }
+        });
+    }
+
     /// Returns the revision of the configuration in force; 0 without one.
     pub fn revision(&self) -> u64 {
         self.publisher.revision()
@@ -109,7 +126,7 @@
             Ok((table, Held { digest, content }))
         };
         let parsed = spawn_blocking(parse).await;
-        let (table, held) = match parsed.map_err(|e| e.to_string()).flatten() {
+        let (mut table, held) = match parsed.map_err(|e| e.to_string()).flatten() {
             Ok(parsed) => parsed,
             Err(reason) => {
                 log::error!(event = "configuration_rejected", reason; "can't use a configuration");
@@ -120,6 +137,14 @@
         if revision <= self.revision() {
             return true;
         }
+        if self.needs_keys.get() && !table.needs_keys() {
+            log::warn!(
+                event = "keys_needed", revision;
+                "a configuration leaves out the client accounts: keys stay needed, as before"
+            );
+            table = table.with_keys_needed();
+        }
+        self.needs_keys.set(table.needs_keys());
         log::info!(
             event = "configuration", revision, bytes = held.content.as_bytes().len(),
             parse_ms = self.clock.now().since(began).as_millis();
@@ -241,7 +266,11 @@
             }
             let base = self.configuration.digest();
             let fetch = self.download.request(self.configuration.revision(), base);
-            let part = match client.call(&Request::Fetch(fetch), REPLY_TIMEOUT).await?.0 {
+            let (reply, extension) = client.call(&Request::Fetch(fetch), REPLY_TIMEOUT).await?;
+            if extension.needs_keys {
+                self.configuration.need_keys();
+            }
+            let part = match reply {
                 Reply::Part(Some(part)) => part,
                 Reply::Part(None) => return Err(Error::Nothing),
                 Reply::Update(_) | Reply::Done(_) | Reply::Refused(_) => {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -367,7 +367,7 @@
             return Err(reject(StatusCode::NOT_FOUND, "no route"));
         };
         let mut account = None;
-        if table.has_accounts() && !route.public {
+        if table.needs_keys() && !route.public {
             let key = ctx.meta.api_key.as_deref();
             account = key.and_then(|k| table.account(k)).cloned();
             if account.is_none() {
--- a/crates/node/src/gateway/handler.rs
+++ b/crates/node/src/gateway/handler.rs
@@ -26,7 +26,7 @@
     pub route: Arc<Route>,
     /// Service.
     pub service: Arc<Service>,
-    /// Client account; none if the route is public or no accounts are configured.
+    /// Client account; none if the route is public or no keys are needed.
     pub account: Option<Arc<Account>>,
 }
 
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -185,6 +185,9 @@
 /// Kind of the field that holds [`Extension::paces`].
 const PACES_FIELD: u32 = 2;
 
+/// Kind of the field that holds [`Extension::needs_keys`].
+const NEEDS_KEYS_FIELD: u32 = 3;
+
 /// Fields that follow a message. Builds skip those that they don't know.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Extension {
@@ -195,6 +198,8 @@
     /// In a poll, what the sender has learnt of the pace of upstreams, and that it wants theirs; in an
     /// update, the upstreams whose pace differs.
     pub paces: Option<Vec<pace::Sample>>,
+    /// In an update or a part, whether a configuration has needed keys, so that all later ones do.
+    pub needs_keys: bool,
 }
 
 impl Default for Extension {
@@ -204,6 +209,7 @@
             format: 1,
             revision_age: None,
             paces: None,
+            needs_keys: false,
         }
     }
 }
@@ -235,6 +241,12 @@
         if let Some(paces) = &self.paces {
             fields.push(field(PACES_FIELD, postcard::to_stdvec(paces)?));
         }
+        if self.needs_keys {
+            fields.push(field(
+                NEEDS_KEYS_FIELD,
+                postcard::to_stdvec(&self.needs_keys)?,
+            ));
+        }
         postcard::to_extend(&fields, message)
     }
 
@@ -253,6 +265,7 @@
             match kind {
                 FORMAT_FIELD => extension.format = postcard::from_bytes(body)?,
                 REVISION_AGE_FIELD => extension.revision_age = Some(postcard::from_bytes(body)?),
+                NEEDS_KEYS_FIELD => extension.needs_keys = postcard::from_bytes(body)?,
                 PACES_FIELD => extension.paces = Some(postcard::from_bytes(body)?),
                 _ => log::debug!("skipped a field of kind {kind}, which this build doesn't know"),
             }
--- a/crates/node/src/gateway/sync.rs
+++ b/crates/node/src/gateway/sync.rs
@@ -384,6 +384,9 @@
         if let Some(agreed) = &agreed {
             self.offer(agreed, extension, address);
         }
+        if extension.needs_keys {
+            self.configuration.need_keys();
+        }
         let held = self.configuration.revision();
         let directory = &self.directory;
         let mut content = None;
--- a/crates/node/tests/format.rs
+++ b/crates/node/tests/format.rs
@@ -68,6 +68,7 @@
         content: Payload::from(&b"{}"[..]),
         taken_out: vec!["a".into()],
         rollouts: vec![rollout()],
+        needs_keys: false,
     }
 }
 
@@ -277,6 +278,7 @@
             steps: -20,
             answers: 300,
         }]),
+        needs_keys: true,
         ..Extension::current()
     };
     for request in requests() {
