Write requests to upstreams without copying their bodies

Cause: the stream that checks the deadline of writes did not offer vectored writes, so the HTTP client copied head and body into one buffer of the connection. It keeps its size as long as the connection is used, uncounted.

Why the fix works: head and body are written as parts, each write after the same check; nothing of a body stays with the connection. The same connections lead to other entry instances.

--- a/crates/node/src/gateway/connection_pool.rs
+++ b/crates/node/src/gateway/connection_pool.rs
@@ -169,12 +169,19 @@
         })
     }
 
-    /// Removes expired connections and takes the one to the target that was idle for the shortest
+    /// Closes the connections that are no longer reused.
+    pub fn close_expired(&self) {
+        let now = Instant::now();
+        let is_kept = |i: &IdleConnection| !i.sender.is_closed() && now - i.idle_since < i.max_idle;
+        self.idle.borrow_mut().retain(is_kept);
+    }
+
+    /// Closes expired connections and takes the one to the target that was idle for the shortest
     /// time, `max_idle` at most.
     fn take_idle(&self, target: &Target, max_idle: Duration) -> Option<IdleConnection> {
+        self.close_expired();
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
-        idle.retain(|i| !i.sender.is_closed() && now - i.idle_since < i.max_idle);
         let at = idle.iter().rposition(|i| {
             i.upstream == target.upstream
                 && i.incarnation == target.incarnation
--- a/crates/node/src/gateway/deadline_stream.rs
+++ b/crates/node/src/gateway/deadline_stream.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    io,
+    io::{self, IoSlice},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -36,6 +36,16 @@
             deadline,
         }
     }
+
+    /// Returns an error if nothing may be written any more.
+    fn check_deadline(&self) -> io::Result<()> {
+        let now = self.clock.now();
+        if self.deadline.get().is_some_and(|deadline| now >= deadline) {
+            let reason = "the write deadline has passed";
+            return Err(io::Error::new(io::ErrorKind::TimedOut, reason));
+        }
+        Ok(())
+    }
 }
 
 impl<S> AsyncRead for DeadlineStream<S>
@@ -60,14 +70,25 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let now = self.clock.now();
-        if self.deadline.get().is_some_and(|deadline| now >= deadline) {
-            let reason = "the write deadline has passed";
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, reason)));
-        }
+        self.check_deadline()?;
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check_deadline()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    /// The HTTP client copies a whole request into a buffer of the connection, which keeps its size, if
+    /// the connection can't write several parts at once.
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/crates/node/src/gateway/entry.rs
+++ b/crates/node/src/gateway/entry.rs
@@ -218,6 +218,7 @@
             sleep(REPORT_INTERVAL).await;
             reporter.watch_reach();
             reporter.probe_upstreams();
+            reporter.close_expired_connections();
             reporter.publish_report();
         }
     });
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -49,7 +49,7 @@
     entry::{ResponseBody, Settings},
     handler::{Refusal, ResolvedRoute},
     http::{self, Limits},
-    memory::Budget,
+    memory::{Budget, resident_bytes},
     metrics,
     socket::Connector,
     view::{SharedState, View},
@@ -307,6 +307,12 @@
             })
     }
 
+    /// Closes the connections to upstreams that are no longer reused. The buffers of each take up
+    /// memory.
+    pub fn close_expired_connections(&self) {
+        self.connections.close_expired();
+    }
+
     /// Returns the metrics in text format.
     pub fn metrics(&self) -> String {
         let view = self.shared.view.load();
@@ -331,6 +337,7 @@
         let closed = self.client_connections.get().map_or(0, |c| c.closed());
         self.metrics
             .set_memory(self.memory.held(), self.memory.ended(), closed);
+        self.metrics.set_resident(resident_bytes());
         self.metrics.text()
     }
 
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    fmt, io,
+    fmt, fs, io,
     pin::Pin,
     rc::Rc,
     sync::Arc,
@@ -355,6 +355,15 @@
     }
 }
 
+/// Returns the resident memory of the process in bytes, or none where the system doesn't tell.
+#[must_use]
+pub fn resident_bytes() -> Option<u64> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
+    let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let kib: u64 = resident.trim().strip_suffix(" kB")?.trim().parse().ok()?;
+    Some(kib * 1_024)
+}
+
 /// Returns the announced size of a body, if there is one.
 fn announced(body: &Incoming, limit: usize) -> Result<Option<usize>, Error> {
     let Some(size) = body.size_hint().exact() else {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -105,6 +105,7 @@
 
 /// Metrics of the memory that is held for clients.
 struct MemoryMetrics {
+    resident: Gauge,
     held: Gauge,
     ended_bodies: Gauge,
     closed_connections: Gauge,
@@ -118,6 +119,7 @@
             gauge
         };
         Self {
+            resident: gauge("resident_bytes", "Resident memory of the process"),
             held: gauge(
                 "held_bytes",
                 "Bytes of request bodies and buffered responses",
@@ -368,6 +370,13 @@
         self.memory.closed_connections.set(closed);
     }
 
+    /// Sets the resident memory of the process in bytes, if it is known.
+    pub fn set_resident(&self, bytes: Option<u64>) {
+        if let Some(bytes) = bytes {
+            self.memory.resident.set(saturating_i64(bytes));
+        }
+    }
+
     /// Counts a request sent to an upstream that has stated a limit.
     pub fn count_limited_attempt(&self) {
         self.limited_attempts.inc();
--- a/crates/node/tests/gateway.rs
+++ b/crates/node/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! Tests of the gateway modules that need no other process.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, io::IoSlice, rc::Rc, time::Duration};
 
 use http_body_util::{BodyExt, Empty, Full, StreamBody};
 use hyper::{
@@ -101,6 +101,8 @@
         stream.write_all(b"in time").await.unwrap();
         sleep(Duration::from_millis(60)).await;
         assert!(stream.write_all(b"late").await.is_err());
+        let parts = [IoSlice::new(b"la"), IoSlice::new(b"te")];
+        assert!(stream.write_vectored(&parts).await.is_err());
         deadline.set(None);
         stream.write_all(b"free").await.unwrap();
         drop(stream);
