Read less than the HTTP server's smallest buffer from clients at a time

What callers would see: an entry process on a machine of 110 MiB takes up to 116,628 KiB while 1,500 bodies of 128 KiB arrive, and ends.

Cause: 32 KiB are counted for a connection. While its body waits for room it holds up to three buffers, which the HTTP server enlarges to 24 KiB each when one read fills them.

Evidence: bodies_of_each_class_on_a_usual_machine failed with the figure above. Other thresholds of the allocator change nothing (trial: 116,304 and 116,932 KiB), so the memory is in use.

Why the fix works: a read that fills no buffer leaves them at 8 KiB, so three are what is counted.

--- a/crates/node/src/gateway/client_stream.rs
+++ b/crates/node/src/gateway/client_stream.rs
@@ -23,6 +23,10 @@
 /// second after which nothing may reach an upstream for a client that has left.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Most bytes that are read at a time. The HTTP server begins with buffers of 8 KiB and enlarges those
+/// that are filled by one read, of which a body that waits for room takes up three.
+const MAX_READ_BYTES: usize = 8 * 1_024 - 1;
+
 /// A client's connection. Clones share it.
 #[derive(Clone, Debug)]
 pub struct ClientStream(Rc<TcpStream>);
@@ -73,8 +77,12 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read_buf(buffer) {
-                Ok(_) => return Poll::Ready(Ok(())),
+            let length = buffer.remaining().min(MAX_READ_BYTES);
+            match self.0.try_read(buffer.initialize_unfilled_to(length)) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
