Take only statuses from 200 to 599 for answers

What callers would see: an upstream in trouble that answers with the status 101, 600 or 999 reaches the client, signature included.

Cause: any status that the HTTP client can parse counted as an answer.

Evidence: 'a_status_outside_of_the_protocol_is_no_answer' on: '101: HTTP/1.1 101 Switching Protocols'. 000, 099 and two or four digits got 502 already.

Why the fix works: the connection to an upstream is the one place that all requests go through; a status outside of the range is a lost answer, after which the request may have run.

--- a/crates/node/src/gateway/connection_pool.rs
+++ b/crates/node/src/gateway/connection_pool.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     io,
     net::SocketAddr,
+    ops::RangeInclusive,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -46,6 +47,9 @@
 /// Largest head of a response in bytes, and most bytes of a response buffered before they are read.
 const MAX_BUFFER_BYTES: usize = 64 * 1_024;
 
+/// Statuses of answers. Others are no answer in HTTP or only precede one.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Idle connections to all upstreams.
 #[derive(Debug)]
 pub struct ConnectionPool {
@@ -253,7 +257,7 @@
     ) -> Result<Response<Incoming>, Error> {
         self.write_deadline.set(until);
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| {
+        let response = sent.map_err(|mut error| {
             if error.take_message().is_some() {
                 Error::NotSent(error.into_error().to_string())
             } else {
@@ -261,7 +265,13 @@
                 let source = std::error::Error::source(&error).map(ToString::to_string);
                 Error::OutcomeUnknown(format!("{error}: {}", source.unwrap_or_default()))
             }
-        })
+        })?;
+        let status = response.status().as_u16();
+        if FINAL_STATUSES.contains(&status) {
+            Ok(response)
+        } else {
+            Err(Error::OutcomeUnknown(format!("the status {status}")))
+        }
     }
 
     /// Returns the connection to the pool after the response was read to its end.
