Let callers of the soak leave, and judge what reaches upstreams afterwards

Callers now leave within up to 1.2 s in 8 of 100 requests, half of them by a reset, by draws of their own, so the other draws of a seed are as they were. The promise 'gone' is broken when more than three requests reach sound upstreams over 500 ms after their callers have left, from entry instances in touch.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -28,6 +28,14 @@
 /// Longest pause between two requests in milliseconds.
 const PAUSE_MS: u64 = 90;
 
+/// Share of requests whose callers leave, and the longest time after which they do in milliseconds:
+/// before the first event of a stream, within it, and while it waits for another upstream.
+const LEAVING: (f64, u64) = (0.08, 1_200);
+
+/// Changes a caller's seed to that of the draws whether it leaves, which the other draws don't depend
+/// on.
+const LEAVING_SEED: u64 = 0x6c65_6176_6500;
+
 /// Part that the prompts of all streams begin with.
 const COMMON_PART: &str = "5a";
 
@@ -47,6 +55,7 @@
 /// Sends requests until the run ends.
 pub async fn run(shared: Rc<Shared>, number: usize, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut leaving = ChaCha8Rng::seed_from_u64(seed ^ LEAVING_SEED);
     let mut entry = number % shared.layout.entries;
     let mut connection: Option<BufReader<TcpStream>> = None;
     let mut count = 0;
@@ -96,6 +105,10 @@
             continue;
         }
         let limit = Duration::from_millis(deadline) + BEYOND;
+        let leaves = leaving.random_bool(LEAVING.0);
+        let patience = Duration::from_millis(leaving.random_range(0..LEAVING.1));
+        let resets = leaving.random_bool(0.5);
+        let limit = if leaves { patience } else { limit };
         let (end, kept) = match timeout(limit, answer(&mut open, &id, kind)).await {
             Ok(Ok((status, fault, kept))) => {
                 if let Some(fault) = fault {
@@ -104,6 +117,15 @@
                 (End::Status(status), kept)
             }
             Ok(Err(_)) => (End::Cut, false),
+            Err(_) if leaves => {
+                if resets {
+                    // A connection that has ended can't be reset.
+                    let _ended = open.get_ref().set_zero_linger();
+                }
+                drop(open);
+                shared.ledger.borrow_mut().end(&id, End::Left);
+                continue;
+            }
             Err(_) => (End::Silent, false),
         };
         shared.ledger.borrow_mut().end(&id, end);
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -40,6 +40,10 @@
 /// may still reach them.
 const BAN: (usize, usize) = (5, 3);
 
+/// Time after a caller has left from which on its request must not reach an upstream, and the requests
+/// that may, in milliseconds and requests.
+const GONE: (u64, usize) = (500, 3);
+
 /// Time after which a failure domain that is taken out gets no requests, in milliseconds.
 const TAKE_OUT_MS: u64 = 5_000;
 
@@ -80,6 +84,7 @@
     judge.reads(&mut broken);
     judge.denials(&mut broken);
     judge.connections(&mut broken);
+    judge.gone(&mut broken);
     judge.recovery(&mut broken);
     broken
 }
@@ -463,6 +468,28 @@
         }
     }
 
+    /// Judges requests that reach upstreams after their callers have left.
+    fn gone(&self, broken: &mut Vec<String>) {
+        let (time, allowed) = GONE;
+        let mut late = Vec::new();
+        for (id, request) in &self.ledger.requests {
+            let Some((left, End::Left)) = request.end else {
+                continue;
+            };
+            let is_late = |run: &&Run| run.at > left + time;
+            let runs = request.runs.iter().filter(is_late);
+            let mut runs = runs.filter(|r| self.is_in_touch(request.entry, left, r.at));
+            if runs.any(|r| self.is_sound(r, r.at)) {
+                late.push(id);
+            }
+        }
+        if late.len() > allowed {
+            broken.push(format!(
+                "gone: requests reached upstreams after their callers had left: {late:?}"
+            ));
+        }
+    }
+
     fn recovery(&self, broken: &mut Vec<String>) {
         let Some(started) = self.ledger.recovered else {
             return;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -25,6 +25,8 @@
     Cut,
     /// No whole answer came in time.
     Silent,
+    /// The caller has left before the answer was whole.
+    Left,
 }
 
 /// A run of a request at an upstream.
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -341,3 +341,23 @@
     assert!(broken.iter().any(|b| b.starts_with("ban")), "{broken:?}");
     assert!(judged(4, 1).is_empty(), "it was cut off");
 }
+
+/// Guards against a judge that misses requests which reach upstreams after their callers have left, or
+/// counts the few that cross the close.
+#[test]
+fn requests_of_callers_that_have_left_are_found() {
+    for (count, after, is_broken) in [(4, 501, true), (3, 501, false), (9, 500, false)] {
+        let found = first(|l| {
+            for number in 0..count {
+                let mut request = request(Kind::Stream, "ask", 20_000);
+                request.end = Some((20_300, End::Left));
+                request.runs.push(Run {
+                    upstream: 1,
+                    at: 20_300 + after,
+                });
+                l.requests.insert(format!("c{number}"), request);
+            }
+        });
+        assert_eq!(found.as_deref(), is_broken.then_some("gone"));
+    }
+}
